--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+RUN = $(VENV)/bin/python
+
+.PHONY: demo test faults bench bench-long bench-control report lint format binary clean
+
+$(VENV)/.installed: requirements-dev.lock
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --require-hashes -r requirements-dev.lock
+	touch $@
+
+demo: $(VENV)/.installed
+	$(RUN) -m bench.demo
+
+test: $(VENV)/.installed
+	$(RUN) -m tests
+
+faults: $(VENV)/.installed
+	$(RUN) -m bench.faults
+
+bench: $(VENV)/.installed
+	$(RUN) -m bench.policy
+
+bench-long: $(VENV)/.installed
+	$(RUN) -m bench.policy --long
+
+bench-control: $(VENV)/.installed
+	$(RUN) -m bench.control
+
+report: $(VENV)/.installed
+	$(RUN) -m bench.report
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+lint: $(VENV)/.installed
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+
+binary: $(VENV)/.installed
+	packaging/build-binary $(VENV)/bin/python dist/laurelrock
+
+clean:
+	rm -rf build dist reports
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that print JSON lines."""
--- /dev/null
+++ b/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, searchers and callers."""
--- /dev/null
+++ b/laurelrock/__init__.py
@@ -0,0 +1,3 @@
+"""A query tier over many shards."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/laurelrock/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""The ports on real sockets, files and clocks."""
--- /dev/null
+++ b/laurelrock/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: no sockets, no clock, no randomness but what is passed in."""
--- /dev/null
+++ b/laurelrock/document.py
@@ -0,0 +1,137 @@
+"""Documents: JSON objects to NamedTuples and back.
+
+`structure` checks a decoded JSON value against a NamedTuple type and reports
+the path and the value of the first thing that does not fit. `unstructure` is
+its inverse.
+"""
+
+import types
+import typing
+
+import msgspec
+
+__all__ = ["DocumentError", "structure", "unstructure"]
+
+#: Longest excerpt of a bad value in a message, in characters.
+MAX_EXCERPT = 60
+
+
+class DocumentError(Exception):
+    """A value does not fit its type.
+
+    Attributes:
+        path: Where the value is, as in `$.applications.a.policy.share`.
+        reason: What is wrong with it.
+    """
+
+    def __init__(self, path: str, reason: str) -> None:
+        super().__init__(f"{path}: {reason}")
+        self.path = path
+        self.reason = reason
+
+
+def excerpt(value: typing.Any) -> str:
+    """Returns the value as short JSON text."""
+    text = msgspec.json.encode(value).decode()
+    return text if len(text) <= MAX_EXCERPT else text[:MAX_EXCERPT] + "..."
+
+
+def is_record(kind: typing.Any) -> bool:
+    """Tells whether a type is a NamedTuple."""
+    return isinstance(kind, type) and hasattr(kind, "_fields")
+
+
+def structure(kind: typing.Any, value: typing.Any, path: str = "$") -> typing.Any:
+    """Builds a value of a type from decoded JSON.
+
+    Args:
+        kind: A NamedTuple type, a list or dict of them, or any leaf type
+            that msgspec converts.
+        value: Decoded JSON.
+        path: Where the value stands in its document.
+
+    Returns:
+        The value with NamedTuples in place of JSON objects.
+
+    Raises:
+        DocumentError: The value does not fit.
+    """
+    bare = kind
+    if typing.get_origin(kind) is typing.Annotated:
+        bare = typing.get_args(kind)[0]
+    if is_record(bare):
+        return _structure_record(bare, value, path)
+    origin, args = typing.get_origin(bare), typing.get_args(bare)
+    if origin in (typing.Union, types.UnionType) and type(None) in args:
+        if value is None:
+            return None
+        rest = [arg for arg in args if arg is not type(None)]
+        if len(rest) == 1:
+            return structure(rest[0], value, path)
+    if origin is list:
+        _convert(kind, value, path, list)
+        return [
+            structure(args[0], item, f"{path}[{index}]")
+            for index, item in enumerate(value)
+        ]
+    if origin is dict:
+        _convert(kind, value, path, dict)
+        return {
+            _convert(args[0], key, f"{path}.{key}"): structure(
+                args[1], item, f"{path}.{key}"
+            )
+            for key, item in value.items()
+        }
+    return _convert(kind, value, path)
+
+
+def _convert(
+    kind: typing.Any,
+    value: typing.Any,
+    path: str,
+    container: type | None = None,
+) -> typing.Any:
+    """Checks a leaf, or the size of a container, with msgspec."""
+    if container is not None:
+        metas = [
+            item
+            for item in getattr(kind, "__metadata__", ())
+            if isinstance(item, msgspec.Meta)
+        ]
+        kind = container
+        for meta in metas:
+            kind = typing.Annotated[kind, meta]
+    try:
+        return msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        raise DocumentError(path, f"{error}, not {excerpt(value)}") from None
+
+
+def _structure_record(
+    kind: typing.Any, value: typing.Any, path: str
+) -> typing.Any:
+    if not isinstance(value, dict):
+        raise DocumentError(path, f"Expected `object`, not {excerpt(value)}")
+    hints = typing.get_type_hints(kind, include_extras=True)
+    for key in value:
+        if key not in hints:
+            known = ", ".join(kind._fields)
+            raise DocumentError(f"{path}.{key}", f"unknown key; known: {known}")
+    fields = {}
+    for name in kind._fields:
+        if name in value:
+            fields[name] = structure(hints[name], value[name], f"{path}.{name}")
+        elif name not in kind._field_defaults:
+            raise DocumentError(f"{path}.{name}", "required key is missing")
+    return kind(**fields)
+
+
+def unstructure(value: typing.Any) -> typing.Any:
+    """Returns the value with mappings in place of NamedTuples."""
+    if isinstance(value, tuple) and hasattr(value, "_asdict"):
+        return {k: unstructure(v) for k, v in value._asdict().items()}
+    if isinstance(value, dict):
+        return {k: unstructure(v) for k, v in value.items()}
+    if isinstance(value, list | tuple):
+        return [unstructure(item) for item in value]
+    return value
--- /dev/null
+++ b/laurelrock/errors.py
@@ -0,0 +1,195 @@
+"""Exceptions with codes.
+
+Every failure is a subclass of `LaurelrockError`. Those that can be answered
+to a caller also derive from `RefusalError`, which carries the HTTP status and
+says whether the request was run.
+"""
+
+import typing
+
+__all__ = ["LaurelrockError", "RefusalError"]
+
+#: Whether a refused request was run by an upstream.
+Ran = typing.Literal["no", "yes", "unknown"]
+
+
+class LaurelrockError(Exception):
+    """Base of all failures.
+
+    Attributes:
+        code: Stable identifier of the kind of failure.
+        message: One sentence for a person.
+    """
+
+    #: Stable identifier of the kind of failure.
+    code = "internal"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message)
+        self.message = message
+
+
+class SettingsError(LaurelrockError):
+    """A settings file is missing, unreadable or holds a bad value."""
+
+    code = "settings-invalid"
+
+
+class ManifestError(LaurelrockError):
+    """A manifest does not satisfy its schema or contradicts itself."""
+
+    code = "manifest-invalid"
+
+
+class FrameError(LaurelrockError):
+    """A frame on the port between daemons could not be decoded."""
+
+    code = "frame-invalid"
+
+
+class PeerSilentError(LaurelrockError):
+    """A peer did not answer in time."""
+
+    code = "peer-silent"
+
+
+class PlatformError(LaurelrockError):
+    """The platform failed to answer; a write may have taken effect."""
+
+    code = "platform-unavailable"
+
+
+class VersionConflictError(LaurelrockError):
+    """A conditional update found another version than expected."""
+
+    code = "version-conflict"
+
+
+class ObjectTooLargeError(LaurelrockError):
+    """An object exceeds the size that the platform holds."""
+
+    code = "object-too-large"
+
+
+class SearcherError(LaurelrockError):
+    """A call to a searcher failed.
+
+    Attributes:
+        sent: Whether any byte of the request may have left.
+    """
+
+    code = "searcher-failed"
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class SearcherProtocolError(SearcherError):
+    """A searcher's reply breaks the contract."""
+
+    code = "searcher-protocol"
+
+
+class RefusalError(LaurelrockError):
+    """A request that is answered with a problem document.
+
+    Attributes:
+        ran: Whether an upstream ran the request.
+        retry_after_s: Seconds after which another attempt makes sense.
+    """
+
+    code = "refused"
+    #: HTTP status of the answer.
+    status = 503
+
+    def __init__(
+        self,
+        message: str,
+        ran: Ran = "no",
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.ran: Ran = ran
+        self.retry_after_s = retry_after_s
+
+
+class BadRequestError(RefusalError):
+    """The request is malformed."""
+
+    code = "bad-request"
+    status = 400
+
+
+class UnauthorizedError(RefusalError):
+    """The caller is not known."""
+
+    code = "unauthorized"
+    status = 401
+
+
+class ForbiddenError(RefusalError):
+    """The caller may not ask this application."""
+
+    code = "forbidden"
+    status = 403
+
+
+class UnknownApplicationError(RefusalError):
+    """No application of that name is in the manifest."""
+
+    code = "unknown-application"
+    status = 404
+
+
+class BodyTooLargeError(RefusalError):
+    """The body exceeds the limit."""
+
+    code = "body-too-large"
+    status = 413
+
+
+class NotReadyError(RefusalError):
+    """The daemon has no manifest yet or is shutting down."""
+
+    code = "not-ready"
+
+
+class OverloadedError(RefusalError):
+    """The request cannot meet its deadline under the present load."""
+
+    code = "overloaded"
+
+
+class CoverageError(RefusalError):
+    """The coverage reached is below the least that was asked for."""
+
+    code = "coverage-too-low"
+
+
+class DeadlineError(RefusalError):
+    """The deadline passed."""
+
+    code = "deadline-exceeded"
+    status = 504
+
+
+class KeyConflictError(RefusalError):
+    """The idempotency key was used with another body."""
+
+    code = "key-conflict"
+    status = 409
+
+
+class KeyExpiredError(RefusalError):
+    """The idempotency key is older than the ledger's floor."""
+
+    code = "key-expired"
+    status = 410
+
+
+class OutcomeUnknownError(RefusalError):
+    """The request may or may not have run."""
+
+    code = "outcome-unknown"
+    status = 502
--- /dev/null
+++ b/laurelrock/messages.py
@@ -0,0 +1,180 @@
+"""Messages between daemons.
+
+Each message is a NamedTuple, sent as two frames: the kind (one byte) and the
+msgpack array of its fields. Times left are durations in milliseconds, since
+clocks differ between VMs.
+"""
+
+import typing
+
+import msgspec
+
+from laurelrock import errors
+
+__all__ = ["decode", "encode"]
+
+#: What became of one shard of a query.
+ShardStatus = typing.Literal[
+    "ok",
+    "version-gone",
+    "version-unknown",
+    "shed",
+    "draining",
+    "deadline",
+    "unreachable",
+    "protocol",
+    "unknown-service",
+    "cancelled",
+]
+
+
+class Part(typing.NamedTuple):
+    """The shards of a query that one service holds."""
+
+    service: str
+    shards: list[str]
+
+
+class Search(typing.NamedTuple):
+    """Asks a relay for the parts of one query; entry to relay.
+
+    Attributes:
+        query_id: Unique for the asking process.
+        start_id: Random id of the asking process's start.
+        request_id: Id of the caller's request, for logs.
+        application: Name in the manifest.
+        snapshot: Version of the index that was pinned.
+        time_left_ms: Until the caller's deadline.
+        priority: Class of the queue, 0 is the highest.
+        limit: Most hits of the merged answer.
+        query: The caller's query as JSON text.
+        parts: What is asked of this relay.
+    """
+
+    query_id: str
+    start_id: str
+    request_id: str
+    application: str
+    snapshot: str
+    time_left_ms: float
+    priority: int
+    limit: int
+    query: bytes
+    parts: list[Part]
+
+
+class Hit(typing.NamedTuple):
+    """One document found."""
+
+    score: float
+    id: str
+    shard: str
+    document: typing.Any = None
+
+
+class ShardOutcome(typing.NamedTuple):
+    """What became of one shard."""
+
+    shard: str
+    status: ShardStatus
+
+
+class SearchReply(typing.NamedTuple):
+    """Outcomes and merged hits of some shards; relay to entry.
+
+    A relay may answer one `Search` with several replies; each shard stands
+    in exactly one of them.
+
+    Attributes:
+        query_id: As asked.
+        start_id: As asked.
+        snapshot: Version that every hit comes from.
+        outcomes: One for each shard covered by this reply.
+        hits: Merged, best first, at most `limit`.
+        retry_after_ms: When to come back, where shards were shed.
+    """
+
+    query_id: str
+    start_id: str
+    snapshot: str
+    outcomes: list[ShardOutcome]
+    hits: list[Hit]
+    retry_after_ms: float = 0.0
+
+
+class Cancel(typing.NamedTuple):
+    """Ends the work for a query; entry to relay."""
+
+    query_id: str
+    start_id: str
+
+
+class Save(typing.NamedTuple):
+    """Asks a relay to run a save once; entry to relay.
+
+    The claim on the key was won before this message is sent.
+    """
+
+    query_id: str
+    start_id: str
+    request_id: str
+    application: str
+    service: str
+    key: str
+    time_left_ms: float
+    body: bytes
+
+
+class SaveReply(typing.NamedTuple):
+    """Outcome of a save; relay to entry.
+
+    Attributes:
+        query_id: As asked.
+        start_id: As asked.
+        ran: Whether the searcher ran it.
+        result: The searcher's result as JSON text.
+        retry_after_ms: When to come back, where it was not run.
+    """
+
+    query_id: str
+    start_id: str
+    ran: errors.Ran
+    result: bytes = b""
+    retry_after_ms: float = 0.0
+
+
+Message = typing.Any
+
+#: Kind byte of each message type.
+KINDS: dict[bytes, type] = {
+    b"q": Search,
+    b"r": SearchReply,
+    b"c": Cancel,
+    b"s": Save,
+    b"t": SaveReply,
+}
+
+_kind_of = {kind: byte for byte, kind in KINDS.items()}
+_decoders = {
+    byte: msgspec.msgpack.Decoder(kind) for byte, kind in KINDS.items()
+}
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode(message: Message) -> list[bytes]:
+    """Returns the frames of a message."""
+    return [_kind_of[type(message)], _encoder.encode(message)]
+
+
+def decode(frames: list[bytes]) -> Message:
+    """Reads a message from its frames.
+
+    Raises:
+        FrameError: The frames are not a known message.
+    """
+    if len(frames) != 2 or frames[0] not in _decoders:
+        raise errors.FrameError(f"unknown kind in {len(frames)} frames")
+    try:
+        return _decoders[frames[0]].decode(frames[1])
+    except msgspec.MsgspecError as error:
+        raise errors.FrameError(f"kind {frames[0]!r}: {error}") from None
--- /dev/null
+++ b/laurelrock/ports/__init__.py
@@ -0,0 +1,1 @@
+"""What the core needs of the world, as small typed interfaces."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one file a topic."""
