--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,281 @@
+"""Cluster: the processes of one deployment on loopback.
+
+Starts the stand-ins and the daemons of every VM, and ends just those.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import aiohttp
+
+__all__ = ["Cluster", "Deployment", "TECHOS", "VANDERPLAS", "open_cluster"]
+
+#: Longest wait for a process to be ready or to end, in seconds.
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+EXAMPLES = ROOT / "examples"
+
+SETTINGS = """\
+[vm]
+name = {vm}
+address = {address}
+failure_domain = {failure_domain}
+region = {region}
+
+[platform]
+url = {platform}
+
+[peers]
+vms_poll_ms = 1000
+
+[entry]
+shutdown_notice_ms = {notice_ms}
+
+[relay]
+shutdown_notice_ms = {notice_ms}
+
+[log]
+level = {log_level}
+"""
+
+
+class Deployment(typing.NamedTuple):
+    """What is started.
+
+    Attributes:
+        manifest: JSON file.
+        vms: JSON file with the platform's list of VMs.
+        region: Of all VMs.
+        platform: `IP:port` of the platform's stand-in.
+        control: First port of the searchers' control endpoints.
+    """
+
+    manifest: pathlib.Path
+    vms: pathlib.Path
+    region: str
+    platform: str
+    control: int
+
+
+TECHOS = Deployment(
+    EXAMPLES / "techos.json",
+    EXAMPLES / "vms-techos.json",
+    "gt-central",
+    "127.0.0.1:7100",
+    7201,
+)
+VANDERPLAS = Deployment(
+    EXAMPLES / "vanderplas.json",
+    EXAMPLES / "vms-vanderplas.json",
+    "vlaanderen",
+    "127.0.0.1:7101",
+    7211,
+)
+
+
+class Cluster:
+    """Processes that were started.
+
+    Attributes:
+        deployment: What runs.
+        folder: Settings and logs.
+        processes: By name, such as `relay-e1` or `searcher-gt-a`.
+        vms: Rows of the platform's list.
+        domains: Names of the failure domains.
+        log_level: Of the daemons.
+    """
+
+    def __init__(
+        self, deployment: Deployment, folder: pathlib.Path, log_level: str
+    ) -> None:
+        self.deployment = deployment
+        self.folder = folder
+        self.log_level = log_level
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.vms: list[dict[str, str]] = json.loads(
+            deployment.vms.read_text(encoding="utf-8")
+        )["vms"]
+        self.domains = sorted({row["failure_domain"] for row in self.vms})
+
+    @property
+    def platform_url(self) -> str:
+        return f"http://{self.deployment.platform}"
+
+    @property
+    def entry_urls(self) -> list[str]:
+        return [f"http://{row['address']}:8080" for row in self.vms]
+
+    def control_url(self, domain: str) -> str:
+        """Returns the control endpoint of a failure domain's searchers."""
+        port = self.deployment.control + self.domains.index(domain)
+        return f"http://127.0.0.1:{port}"
+
+    def start(self, name: str, *arguments: str) -> None:
+        """Starts a Python module as a process that logs to the folder."""
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
+
+    def start_daemon(self, role: str, vm: str) -> None:
+        """Starts a role of a VM."""
+        path = self.folder / f"{vm}.ini"
+        row = next(row for row in self.vms if row["vm"] == vm)
+        path.write_text(
+            SETTINGS.format(
+                vm=vm,
+                address=row["address"],
+                failure_domain=row["failure_domain"],
+                region=self.deployment.region,
+                platform=self.platform_url,
+                notice_ms=500,
+                log_level=self.log_level,
+            ),
+            encoding="utf-8",
+        )
+        arguments = ["laurelrock", role, "--settings", str(path)]
+        self.start(f"{role}-{vm}", *arguments)
+
+    def start_fakes(self) -> None:
+        """Starts the platform and the searchers of each failure domain."""
+        deployment = self.deployment
+        self.start(
+            "platform", "fakes.platform", "--listen", deployment.platform
+        )
+        for index, domain in enumerate(self.domains):
+            self.start(
+                f"searcher-{domain}",
+                "fakes.searcher",
+                "--manifest",
+                str(deployment.manifest),
+                "--domain",
+                domain,
+                "--seed",
+                str(index + 1),
+                "--control",
+                f"127.0.0.1:{deployment.control + index}",
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process that this cluster started."""
+        self.processes[name].send_signal(number)
+
+    def close(self) -> None:
+        """Ends every process that was started."""
+        running = [
+            process
+            for process in self.processes.values()
+            if process.poll() is None
+        ]
+        for process in running:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        limit = time.monotonic() + STOP_TIMEOUT_S
+        for process in running:
+            try:
+                process.wait(max(0.1, limit - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+async def wait_for(
+    probe: collections.abc.Callable[[], collections.abc.Awaitable[bool]],
+    what: str,
+    timeout_s: float = START_TIMEOUT_S,
+) -> None:
+    """Waits until a probe holds; raises TimeoutError naming it."""
+    limit = time.monotonic() + timeout_s
+    while not await probe():
+        if time.monotonic() > limit:
+            raise TimeoutError(f"{what} after {timeout_s} s")
+        await asyncio.sleep(0.05)
+
+
+async def is_ok(session: aiohttp.ClientSession, url: str) -> bool:
+    """Tells whether a GET answers 200."""
+    try:
+        timeout = aiohttp.ClientTimeout(total=1)
+        async with session.get(url, timeout=timeout) as response:
+            return response.status == 200
+    except (TimeoutError, aiohttp.ClientError, OSError):
+        return False
+
+
+async def post(
+    session: aiohttp.ClientSession, url: str, body: typing.Any
+) -> None:
+    """Posts a control message; raises for any other status than 200."""
+    async with session.post(url, json=body) as response:
+        response.raise_for_status()
+
+
+@contextlib.asynccontextmanager
+async def open_cluster(
+    deployment: Deployment, log_level: str = "warning"
+) -> collections.abc.AsyncIterator[Cluster]:
+    """Starts a deployment with its manifest in force; ends it afterwards."""
+    with tempfile.TemporaryDirectory(prefix="laurelrock-") as folder:
+        cluster = Cluster(deployment, pathlib.Path(folder), log_level)
+        try:
+            await start_all(cluster)
+            yield cluster
+        finally:
+            cluster.close()
+
+
+async def start_all(cluster: Cluster) -> None:
+    """Starts everything and waits until every entry is ready."""
+    cluster.start_fakes()
+    async with aiohttp.ClientSession() as session:
+        url = cluster.platform_url
+
+        async def platform_up() -> bool:
+            return await is_ok(session, f"{url}/v1/vms")
+
+        await wait_for(platform_up, "platform is up")
+        await post(session, f"{url}/control", {"vms": cluster.vms})
+        for row in cluster.vms:
+            cluster.start_daemon("relay", row["vm"])
+            cluster.start_daemon("entry", row["vm"])
+        await publish(cluster, cluster.deployment.manifest)
+
+        async def all_ready() -> bool:
+            probes = [
+                is_ok(session, f"http://{row['address']}:{port}/readyz")
+                for row in cluster.vms
+                for port in (9401, 9402)
+            ]
+            return all(await asyncio.gather(*probes))
+
+        await wait_for(all_ready, "every daemon is ready")
+
+
+async def publish(cluster: Cluster, path: pathlib.Path) -> None:
+    """Publishes a manifest by the command line."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "laurelrock",
+        "publish",
+        str(path),
+        "--platform",
+        cluster.platform_url,
+        cwd=ROOT,
+    )
+    if await process.wait():
+        raise OSError(f"publish of {path} failed")
--- /dev/null
+++ b/laurelrock/adapters/metrics.py
@@ -0,0 +1,85 @@
+"""Metrics: OpenTelemetry, read by operators in the Prometheus format."""
+
+import collections.abc
+import typing
+
+from opentelemetry import metrics
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk
+from opentelemetry.sdk import resources
+import prometheus_client
+
+__all__ = ["Metrics", "create_metrics"]
+
+#: Upper bounds of the latency buckets, in milliseconds.
+LATENCY_BUCKETS_MS = [
+    *(1, 2, 5, 10, 20, 35, 50, 75),
+    *(100, 150, 200, 350, 500, 750),
+    *(1000, 2000, 5000, 10_000),
+]
+
+Reader = collections.abc.Callable[[], float]
+RowsReader = collections.abc.Callable[[], dict[str, float]]
+
+
+class Metrics(typing.NamedTuple):
+    """The meter of this process."""
+
+    provider: sdk.MeterProvider
+    meter: metrics.Meter
+
+    def counter(self, name: str, read: Reader, meaning: str) -> None:
+        """Registers a counter whose value is read when it is exported."""
+
+        def observe(
+            options: metrics.CallbackOptions,
+        ) -> list[metrics.Observation]:
+            return [metrics.Observation(read())]
+
+        self.meter.create_observable_counter(name, [observe], "1", meaning)
+
+    def counters(self, name: str, read: RowsReader, meaning: str) -> None:
+        """Registers a family of counters, one a kind."""
+
+        def observe(
+            options: metrics.CallbackOptions,
+        ) -> list[metrics.Observation]:
+            return [
+                metrics.Observation(value, {"kind": kind})
+                for kind, value in read().items()
+            ]
+
+        self.meter.create_observable_counter(name, [observe], "1", meaning)
+
+    def gauge(self, name: str, read: Reader, meaning: str) -> None:
+        """Registers a gauge whose value is read when it is exported."""
+
+        def observe(
+            options: metrics.CallbackOptions,
+        ) -> list[metrics.Observation]:
+            return [metrics.Observation(read())]
+
+        self.meter.create_observable_gauge(name, [observe], "1", meaning)
+
+    def histogram(self, name: str, meaning: str) -> metrics.Histogram:
+        """Creates a histogram of latencies in milliseconds."""
+        return self.meter.create_histogram(
+            name,
+            "ms",
+            meaning,
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_MS,
+        )
+
+    def export(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest()
+
+
+def create_metrics(vm: str, role: str) -> Metrics:
+    """Returns the metrics of this process; to be called once."""
+    reader = prometheus.PrometheusMetricReader()
+    resource = resources.Resource.create(
+        {"service.name": f"laurelrock-{role}", "service.instance.id": vm}
+    )
+    provider = sdk.MeterProvider([reader], resource=resource)
+    return Metrics(provider, provider.get_meter("laurelrock"))
--- a/laurelrock/adapters/platform.py
+++ b/laurelrock/adapters/platform.py
@@ -3,7 +3,6 @@
 The contract is in docs/API.md. One instance serves one process.
 """
 
-import asyncio
 import typing
 
 import aiohttp
@@ -91,7 +90,7 @@
                 raw = await response.read()
                 etag = response.headers.get("ETag", "").strip('"')
                 answer = Answer(response.status, etag, raw)
-        except (aiohttp.ClientError, OSError, asyncio.TimeoutError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
             reason = str(error) or type(error).__name__
             raise errors.PlatformError(f"{method} {path}: {reason}") from None
         if answer.status not in (200, 201, 204, 304, 404, 412, 413):
@@ -123,14 +122,16 @@
         limit = wait_s + self.timeout_s
         return _stored(await self.request("GET", path, timeout_s=limit))
 
-    async def list(self, prefix: str) -> dict[str, int]:
+    async def list_versions(self, prefix: str) -> dict[str, int]:
         answer = await self.request("GET", f"/v1/list?prefix={prefix}")
         rows = _decode(answer.body, ObjectList)
         return {row["key"]: row["version"] for row in rows["objects"]}
 
     async def vms(self) -> list[platform.Vm]:
         answer = await self.request("GET", "/v1/vms")
-        return [platform.Vm(**row) for row in _decode(answer.body, VmList)["vms"]]
+        return [
+            platform.Vm(**row) for row in _decode(answer.body, VmList)["vms"]
+        ]
 
     async def close(self) -> None:
         await self.session.close()
--- /dev/null
+++ b/laurelrock/cmdline.py
@@ -0,0 +1,58 @@
+"""Command line.
+
+`laurelrock COMMAND ...`; the commands are in `laurelrock.commands`.
+"""
+
+import argparse
+import collections.abc
+import sys
+
+import laurelrock
+from laurelrock import commands
+from laurelrock import errors
+
+__all__ = ["main"]
+
+#: Exit code for bad settings, manifests or arguments.
+EXIT_USAGE = 2
+#: Exit code for any other failure.
+EXIT_FAILURE = 1
+
+
+def create_parser() -> argparse.ArgumentParser:
+    """Returns the parser with one subparser a command."""
+    parser = argparse.ArgumentParser(
+        prog="laurelrock", description="A query tier over many shards."
+    )
+    parser.add_argument(
+        "--version", action="version", version=laurelrock.__version__
+    )
+    subparsers = parser.add_subparsers(dest="command", required=True)
+    for name in sorted(commands.COMMANDS):
+        command = commands.load(name)
+        summary = (command.__doc__ or "").partition("\n")[0]
+        subparser = subparsers.add_parser(
+            name, help=summary, description=command.__doc__
+        )
+        command.add_arguments(subparser)
+    return parser
+
+
+def main(argv: collections.abc.Sequence[str] = tuple(sys.argv)) -> int:
+    """Runs one command.
+
+    Args:
+        argv: Program name and arguments.
+
+    Returns:
+        The exit code: 0, `EXIT_USAGE` or `EXIT_FAILURE`.
+    """
+    arguments = create_parser().parse_args(argv[1:])
+    try:
+        return commands.load(arguments.command).run(arguments)
+    except (errors.SettingsError, errors.ManifestError) as error:
+        print(f"laurelrock: {error.code}: {error.message}", file=sys.stderr)
+        return EXIT_USAGE
+    except errors.LaurelrockError as error:
+        print(f"laurelrock: {error.code}: {error.message}", file=sys.stderr)
+        return EXIT_FAILURE
--- /dev/null
+++ b/laurelrock/core/query.py
@@ -0,0 +1,161 @@
+"""Query: what is known of one query while its parts are answered.
+
+A query pins one snapshot and its shards. Only hits from that snapshot are
+merged, each shard at most once, and the coverage is computed from the pinned
+shards.
+"""
+
+import typing
+
+from laurelrock import manifest
+from laurelrock import messages
+from laurelrock.core import hits
+
+__all__ = ["Query", "accept", "create_query", "next_snapshot", "parts_of"]
+
+#: Outcomes that another snapshot may mend.
+VERSION_STATUSES = frozenset(["version-gone", "version-unknown"])
+
+
+class Query:
+    """State of one attempt at a query.
+
+    Attributes:
+        query_id: Unique for this process.
+        snapshot: Pinned.
+        limit: Most hits of the answer.
+        pending: Shards without an outcome.
+        covered: Shards whose hits are merged.
+        failed: Last outcome of each shard that failed.
+        hits: Merged so far, best first.
+        retry_after_ms: Longest wait that a relay asked for.
+    """
+
+    def __init__(
+        self, query_id: str, snapshot: manifest.Snapshot, limit: int
+    ) -> None:
+        self.query_id = query_id
+        self.snapshot = snapshot
+        self.limit = limit
+        self.pending = {shard.id for shard in snapshot.shards}
+        self.covered: set[str] = set()
+        self.failed: dict[str, messages.ShardStatus] = {}
+        self.hits: list[messages.Hit] = []
+        self.retry_after_ms = 0.0
+
+    @property
+    def done(self) -> bool:
+        """Whether every shard has an outcome."""
+        return not self.pending
+
+    @property
+    def fraction(self) -> float:
+        """Covered part of the pinned shards."""
+        total = len(self.snapshot.shards)
+        return len(self.covered) / total if total else 1.0
+
+    def missing(self) -> list[messages.ShardOutcome]:
+        """Returns every pinned shard that is not covered, with the reason."""
+        return [
+            messages.ShardOutcome(
+                shard.id, self.failed.get(shard.id, "deadline")
+            )
+            for shard in self.snapshot.shards
+            if shard.id not in self.covered
+        ]
+
+
+def create_query(
+    query_id: str, snapshot: manifest.Snapshot, limit: int
+) -> Query:
+    """Returns a query that pins a snapshot."""
+    return Query(query_id, snapshot, limit)
+
+
+def parts_of(
+    snapshot: manifest.Snapshot, wanted: set[str]
+) -> list[messages.Part]:
+    """Groups the wanted shards of a snapshot by service."""
+    by_service: dict[str, list[str]] = {}
+    for shard in snapshot.shards:
+        if shard.id in wanted:
+            by_service.setdefault(shard.service, []).append(shard.id)
+    return [messages.Part(name, ids) for name, ids in by_service.items()]
+
+
+def accept(query: Query, reply: messages.SearchReply) -> bool:
+    """Merges a reply into a query.
+
+    A reply from another snapshot or for shards that already have hits adds
+    nothing, so late, doubled and crossed replies are harmless.
+
+    Returns:
+        Whether the reply changed the query.
+    """
+    if reply.snapshot != query.snapshot.version:
+        return False
+    known = {shard.id for shard in query.snapshot.shards}
+    fresh = set()
+    changed = False
+    for outcome in reply.outcomes:
+        shard = outcome.shard
+        if shard not in known or shard in query.covered:
+            continue
+        if outcome.status == "ok":
+            fresh.add(shard)
+            query.failed.pop(shard, None)
+        elif shard in query.pending:
+            query.failed[shard] = outcome.status
+        else:
+            continue
+        query.pending.discard(shard)
+        changed = True
+    query.covered |= fresh
+    found = [hit for hit in reply.hits if hit.shard in fresh]
+    query.hits = hits.merge([query.hits, found], query.limit)
+    query.retry_after_ms = max(query.retry_after_ms, reply.retry_after_ms)
+    return changed
+
+
+def next_snapshot(
+    query: Query,
+    snapshots: list[manifest.Snapshot],
+    tried: set[str],
+) -> manifest.Snapshot | None:
+    """Chooses the snapshot for a whole restart of a query.
+
+    Args:
+        query: Attempt whose shards all have an outcome.
+        snapshots: Of the manifest in force, newest first.
+        tried: Versions that were pinned before.
+
+    Returns:
+        The newest untried snapshot where a searcher no longer or not yet
+        holds the pinned one; otherwise None.
+    """
+    if not VERSION_STATUSES & set(query.failed.values()):
+        return None
+    for snapshot in snapshots:
+        if snapshot.version not in tried:
+            return snapshot
+    return None
+
+
+class Coverage(typing.TypedDict):
+    """Coverage as callers see it."""
+
+    fraction: float
+    shards: int
+    missing: list[dict[str, str]]
+
+
+def coverage_of(query: Query) -> Coverage:
+    """Returns the coverage of a query's hits."""
+    return {
+        "fraction": query.fraction,
+        "shards": len(query.snapshot.shards),
+        "missing": [
+            {"shard": outcome.shard, "reason": outcome.status}
+            for outcome in query.missing()
+        ],
+    }
--- /dev/null
+++ b/laurelrock/entry.py
@@ -0,0 +1,218 @@
+"""Entry: the role that callers ask.
+
+Serves the HTTP endpoints of docs/API.md over the searches and saves of this
+process.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import math
+import time
+import typing
+import uuid
+
+import msgspec
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from laurelrock import callers
+from laurelrock import daemon as daemons
+from laurelrock import errors
+from laurelrock import search
+from laurelrock import settings
+from laurelrock.adapters import logs
+from laurelrock.core import query as queries
+
+__all__ = ["run"]
+
+_log = logs.get_logger(__name__)
+
+Endpoint = collections.abc.Callable[
+    [requests.Request, str], collections.abc.Awaitable[typing.Any]
+]
+
+
+class Entry:
+    """State of the role.
+
+    Attributes:
+        daemon: Process that it runs in.
+        searches: Queries in flight.
+        in_flight: Requests being answered.
+        answers: Count of answers by kind or code.
+    """
+
+    def __init__(
+        self, daemon: daemons.Daemon, searches: search.Searches
+    ) -> None:
+        self.daemon = daemon
+        self.searches = searches
+        self.in_flight = 0
+        self.answers: collections.Counter[str] = collections.Counter()
+        self.latency = daemon.metrics.histogram(
+            "laurelrock_answer_ms", "Time to answer callers"
+        )
+
+
+async def run(options: settings.Settings) -> None:
+    """Runs an entry until SIGTERM, then drains it."""
+    daemon = await daemons.open_daemon(options, "entry")
+    entry = Entry(daemon, search.create_searches(daemon))
+    _register_metrics(entry)
+    vm = options.vm
+    server = daemons.create_server(
+        create_app(entry), vm.address, options.entry.http_port
+    )
+    admin = daemons.create_admin(daemon)
+    serving = daemon.spawn(daemons.serve(server, "HTTP"))
+    admin_serving = daemon.spawn(daemons.serve(admin, "admin"))
+    daemon.spawn(watch_readiness(entry))
+    stopping = daemon.spawn(daemon.stopping.wait())
+    try:
+        await asyncio.wait(
+            [serving, admin_serving, stopping],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if daemon.stopping.is_set():
+            daemon.ready = False
+            _log.info("shutdown-begins", in_flight=entry.in_flight)
+            await asyncio.sleep(options.entry.shutdown_notice_ms / 1000)
+            server.should_exit = True
+        await serving
+        admin.should_exit = True
+        await admin_serving
+        _log.info("shutdown-ends", in_flight=entry.in_flight)
+    finally:
+        await daemons.close_daemon(daemon)
+
+
+async def watch_readiness(entry: Entry) -> None:
+    """Marks the entry ready once it has a manifest and knows relays."""
+    daemon = entry.daemon
+    while not daemon.stopping.is_set():
+        daemon.ready = bool(daemon.relays(daemon.settings.vm.region))
+        await asyncio.sleep(0.1)
+
+
+def create_app(entry: Entry) -> applications.Starlette:
+    """Returns the callers' HTTP application."""
+    return applications.Starlette(
+        routes=[
+            routing.Route(
+                "/v1/applications/{application}/search",
+                guarded(entry, lambda *args: answer_search(entry, *args)),
+                methods=["POST"],
+            ),
+        ]
+    )
+
+
+def guarded(entry: Entry, endpoint: Endpoint) -> typing.Any:
+    """Wraps an endpoint: request id, limits, refusals and the log line."""
+
+    async def handle(request: requests.Request) -> responses.Response:
+        request_id = uuid.uuid4().hex
+        began = time.monotonic()
+        entry.in_flight += 1
+        try:
+            if entry.in_flight > entry.daemon.settings.entry.max_in_flight:
+                raise errors.OverloadedError("too many requests", "no", 1.0)
+            body = await endpoint(request, request_id)
+            response = json_response(body)
+            kind = "partial" if body.get("partial") else "whole"
+        except errors.RefusalError as error:
+            response = problem_response(error, request_id)
+            kind = error.code
+        finally:
+            entry.in_flight -= 1
+        elapsed_ms = (time.monotonic() - began) * 1000
+        entry.answers[kind] += 1
+        entry.latency.record(elapsed_ms, {"kind": kind})
+        _log.info(
+            "answer",
+            request_id=request_id,
+            path=request.url.path,
+            kind=kind,
+            elapsed_ms=round(elapsed_ms, 2),
+        )
+        return response
+
+    return handle
+
+
+async def answer_search(
+    entry: Entry, request: requests.Request, request_id: str
+) -> dict[str, typing.Any]:
+    """Answers one search."""
+    config, _ = search.current_manifest(entry.daemon)
+    application = request.path_params["application"]
+    header = request.headers.get("authorization")
+    caller = callers.authorize(config, header, application)
+    limit = entry.daemon.settings.entry.max_body_bytes
+    raw = await callers.read_body(request, limit)
+    policy = config.applications[application].policy
+    asked = callers.read_search(raw, policy, request_id, caller, application)
+    answer = await search.run(entry.searches, asked)
+    query = answer.query
+    return {
+        "request_id": request_id,
+        "snapshot": query.snapshot.version,
+        "generation": answer.generation,
+        "partial": bool(query.missing()),
+        "coverage": queries.coverage_of(query),
+        "hits": [hit._asdict() for hit in query.hits],
+    }
+
+
+def json_response(body: typing.Any) -> responses.Response:
+    """Returns a 200 answer."""
+    return responses.Response(
+        msgspec.json.encode(body), media_type="application/json"
+    )
+
+
+def problem_response(
+    error: errors.RefusalError, request_id: str
+) -> responses.Response:
+    """Returns the RFC 9457 document of a refusal."""
+    body: dict[str, typing.Any] = {
+        "type": "about:blank",
+        "title": error.message,
+        "status": error.status,
+        "code": error.code,
+        "ran": error.ran,
+        "request_id": request_id,
+    }
+    headers = {}
+    if error.retry_after_s is not None:
+        body["retry_after_ms"] = error.retry_after_s * 1000
+        headers["Retry-After"] = str(math.ceil(error.retry_after_s))
+    return responses.Response(
+        msgspec.json.encode(body),
+        error.status,
+        headers,
+        "application/problem+json",
+    )
+
+
+def _register_metrics(entry: Entry) -> None:
+    meters = entry.daemon.metrics
+    searches = entry.searches
+    meters.counters(
+        "laurelrock_answers", lambda: dict(entry.answers), "Answers by kind"
+    )
+    meters.gauge(
+        "laurelrock_in_flight", lambda: entry.in_flight, "Requests in flight"
+    )
+    meters.counters(
+        "laurelrock_searches",
+        lambda: {
+            "dropped": searches.dropped,
+            "restarts": searches.restarts,
+            "fallbacks": searches.fallbacks,
+        },
+        "Unusual events of searches",
+    )
--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -41,6 +41,12 @@
     code = "manifest-invalid"
 
 
+class ListenError(LaurelrockError):
+    """A port could not be opened."""
+
+    code = "listen-failed"
+
+
 class FrameError(LaurelrockError):
     """A frame on the port between daemons could not be decoded."""
 
--- a/laurelrock/messages.py
+++ b/laurelrock/messages.py
@@ -143,6 +143,24 @@
     retry_after_ms: float = 0.0
 
 
+class Ping(typing.NamedTuple):
+    """Asks a relay for a sign of life; entry to relay."""
+
+    start_id: str
+
+
+class Pong(typing.NamedTuple):
+    """Answers a `Ping`; relay to entry.
+
+    Attributes:
+        start_id: Of the relay.
+        accepting: False once the relay is shutting down.
+    """
+
+    start_id: str
+    accepting: bool
+
+
 Message = typing.Any
 
 #: Kind byte of each message type.
@@ -152,10 +170,12 @@
     b"c": Cancel,
     b"s": Save,
     b"t": SaveReply,
+    b"p": Ping,
+    b"o": Pong,
 }
 
 _kind_of = {kind: byte for byte, kind in KINDS.items()}
-_decoders = {
+_decoders: dict[bytes, msgspec.msgpack.Decoder[Message]] = {
     byte: msgspec.msgpack.Decoder(kind) for byte, kind in KINDS.items()
 }
 _encoder = msgspec.msgpack.Encoder()
--- a/laurelrock/ports/platform.py
+++ b/laurelrock/ports/platform.py
@@ -61,7 +61,7 @@
             The object, or None when `wait_s` passed first.
         """
 
-    async def list(self, prefix: str) -> dict[str, int]:
+    async def list_versions(self, prefix: str) -> dict[str, int]:
         """Returns the versions of all objects below a prefix, by key."""
 
     async def vms(self) -> list[Vm]:
