Read a query as any JSON value

Cause: msgspec's Raw is not taken inside a TypedDict; every search was refused. Change: decode it and encode it again.

--- a/laurelrock/callers.py
+++ b/laurelrock/callers.py
@@ -23,7 +23,7 @@
 class SearchBody(typing.TypedDict, total=False):
     """Body of a search as callers send it."""
 
-    query: typing.Required[msgspec.Raw]
+    query: typing.Required[typing.Any]
     limit: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_LIMIT)]
     deadline_ms: typing.Annotated[float, msgspec.Meta(gt=0)]
     min_coverage: manifest.Fraction
@@ -102,7 +102,7 @@
         request_id=request_id,
         caller=caller,
         application=application,
-        query=bytes(body["query"]),
+        query=msgspec.json.encode(body["query"]),
         limit=body.get("limit", DEFAULT_LIMIT),
         deadline_ms=deadline_ms,
         min_coverage=body.get("min_coverage", policy.min_coverage),
