Ask the next owner when a relay leaves; refuse at once without relays

Cause: a query whose services had no live relay waited for its deadline, and a relay that had left still took work. Change: outcomes no-relay and relay-leaving; the entry asks the next owner once for what a relay did not take; silent relays are probed only while they are members. Ruled out: answering draining for a leaving relay, which can't be told from both searchers of a service draining.

--- a/laurelrock/core/query.py
+++ b/laurelrock/core/query.py
@@ -11,7 +11,15 @@
 from laurelrock import messages
 from laurelrock.core import hits
 
-__all__ = ["Query", "accept", "create_query", "next_snapshot", "parts_of"]
+__all__ = [
+    "Query",
+    "accept",
+    "create_query",
+    "fail",
+    "next_snapshot",
+    "parts_of",
+    "reopen",
+]
 
 #: Outcomes that another snapshot may mend.
 VERSION_STATUSES = frozenset(["version-gone", "version-unknown"])
@@ -117,6 +125,21 @@
     return changed
 
 
+def fail(query: Query, shards: list[str], status: messages.ShardStatus) -> None:
+    """Gives pending shards an outcome that is known without a reply."""
+    for shard in query.pending & set(shards):
+        query.failed[shard] = status
+    query.pending -= set(shards)
+
+
+def reopen(query: Query, shards: list[str]) -> None:
+    """Makes shards that failed pending again."""
+    again = set(shards) & query.failed.keys()
+    for shard in again:
+        del query.failed[shard]
+    query.pending |= again
+
+
 def next_snapshot(
     query: Query,
     snapshots: list[manifest.Snapshot],
--- a/laurelrock/messages.py
+++ b/laurelrock/messages.py
@@ -25,6 +25,8 @@
     "protocol",
     "unknown-service",
     "cancelled",
+    "no-relay",
+    "relay-leaving",
 ]
 
 
--- a/laurelrock/relay.py
+++ b/laurelrock/relay.py
@@ -77,6 +77,7 @@
         outcomes: Count of shard outcomes by status.
         calls: Calls made to searchers.
         idle: Set while nothing is gathered.
+        leaving: Whether new work is refused.
     """
 
     def __init__(self, daemon: daemons.Daemon) -> None:
@@ -86,10 +87,14 @@
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.calls = 0
         self.idle = asyncio.Event()
+        self.leaving = False
 
     def on_search(self, sender: bytes, search: messages.Search) -> None:
         key = (search.start_id, search.query_id)
         gathering = Gathering(sender, search)
+        if self.leaving:
+            refuse(self, gathering)
+            return
         self.gatherings[key] = gathering
         self.idle.clear()
         for part in search.parts:
@@ -110,7 +115,7 @@
         return gathering
 
     def on_ping(self, sender: bytes, ping: messages.Ping) -> None:
-        accepting = not self.daemon.stopping.is_set()
+        accepting = not self.leaving
         pong = messages.Pong(self.daemon.start_id, accepting)
         self.daemon.bus.reply(sender, pong)
 
@@ -147,6 +152,7 @@
         daemon.ready = False
         if daemon.stopping.is_set():
             await asyncio.sleep(options.relay.shutdown_notice_ms / 1000)
+            relay.leaving = True
             if relay.gatherings:
                 await relay.idle.wait()
         admin.should_exit = True
@@ -189,6 +195,16 @@
         loop.call_later(FLUSH_S, flush, relay, gathering)
 
 
+def refuse(relay: Relay, gathering: Gathering) -> None:
+    """Answers a search that came after this relay left."""
+    gathering.outcomes = [
+        messages.ShardOutcome(shard, "relay-leaving")
+        for part in gathering.search.parts
+        for shard in part.shards
+    ]
+    flush(relay, gathering)
+
+
 def choose_upstream(
     relay: Relay,
     search: messages.Search,
--- a/laurelrock/search.py
+++ b/laurelrock/search.py
@@ -28,8 +28,18 @@
 DEFAULT_RETRY_S = 1.0
 #: Outcomes that prove that a shard was not run.
 NOT_RUN = frozenset(
-    ["shed", "draining", "version-gone", "version-unknown", "unknown-service"]
+    [
+        "shed",
+        "draining",
+        "version-gone",
+        "version-unknown",
+        "unknown-service",
+        "no-relay",
+        "relay-leaving",
+    ]
 )
+#: Outcomes after which the next owner of the service is asked.
+OTHER_RELAY = frozenset(["unknown-service", "relay-leaving"])
 
 _log = logs.get_logger(__name__)
 
@@ -52,20 +62,28 @@
     Attributes:
         request: What was asked.
         query: What is known.
+        policy: Of the application.
+        deadline: Loop time.
         done: Resolved once every shard has an outcome.
         sent: Services asked of each relay, by the relay's address.
         sent_at: Loop time of the last send to each relay.
+        refused: Services that each relay did not take, by its address.
     """
 
     def __init__(
         self,
         request: callers.SearchRequest,
         query: queries.Query,
+        policy: manifest.Policy,
+        deadline: float,
         done: asyncio.Future[None],
     ) -> None:
         self.request = request
         self.query = query
+        self.policy = policy
+        self.deadline = deadline
         self.done = done
+        self.refused: dict[str, set[str]] = {}
         self.sent: dict[str, set[str]] = {}
         self.sent_at: dict[str, float] = {}
 
@@ -102,6 +120,8 @@
             self.dropped += 1
             return
         queries.accept(attempt.query, reply)
+        if any(outcome.status in OTHER_RELAY for outcome in reply.outcomes):
+            send_elsewhere(self, attempt, sender[1:].decode(), reply)
         if attempt.query.done and not attempt.done.done():
             attempt.done.set_result(None)
 
@@ -131,6 +151,8 @@
     daemon = searches.daemon
     while True:
         await asyncio.sleep(daemon.settings.entry.silence_ms / 1000)
+        relays = daemon.relays(daemon.settings.vm.region)
+        searches.suspects &= {relay.address for relay in relays}
         for address in list(searches.suspects):
             daemon.bus.forget(address)
             daemon.bus.send(address, messages.Ping(daemon.start_id))
@@ -195,12 +217,12 @@
     loop = asyncio.get_running_loop()
     query_id = str(next(searches.ids))
     query = queries.create_query(query_id, snapshot, request.limit)
-    attempt = Attempt(request, query, loop.create_future())
+    attempt = Attempt(request, query, policy, deadline, loop.create_future())
     searches.attempts[query_id] = attempt
     began = loop.time()
     silence_s = searches.daemon.settings.entry.silence_ms / 1000
     try:
-        send_parts(searches, attempt, policy, deadline, set(query.pending))
+        send_parts(searches, attempt, set(query.pending))
         while not query.done and loop.time() < deadline:
             step = min(deadline - loop.time(), silence_s / 2)
             if policy.partial == "early":
@@ -213,7 +235,7 @@
                     step = min(step, early - loop.time())
             await asyncio.wait([attempt.done], timeout=max(step, 0.001))
             if not query.done:
-                fall_back(searches, attempt, policy, deadline, silence_s)
+                fall_back(searches, attempt, silence_s)
     finally:
         del searches.attempts[query_id]
         if not query.done:
@@ -224,14 +246,16 @@
 def send_parts(
     searches: Searches,
     attempt: Attempt,
-    policy: manifest.Policy,
-    deadline: float,
     wanted: set[str],
 ) -> None:
-    """Sends the parts of the wanted shards to the relays that own them."""
+    """Sends the parts of the wanted shards to the relays that own them.
+
+    Shards that no relay was ever asked for and none can be asked for now get
+    the outcome "no-relay".
+    """
     daemon = searches.daemon
     now = daemon.bus.loop.time()
-    time_left_ms = (deadline - now) * 1000
+    time_left_ms = (attempt.deadline - now) * 1000
     if time_left_ms <= 0:
         return
     relays = daemon.relays(daemon.settings.vm.region)
@@ -240,6 +264,8 @@
         address = choose_relay(searches, attempt, part.service, relays)
         if address is not None:
             chosen.setdefault(address, []).append(part)
+        elif not attempt.sent:
+            queries.fail(attempt.query, part.shards, "no-relay")
     for address, parts in chosen.items():
         attempt.sent.setdefault(address, set()).update(
             part.service for part in parts
@@ -254,7 +280,7 @@
                 application=attempt.request.application,
                 snapshot=attempt.query.snapshot.version,
                 time_left_ms=time_left_ms,
-                priority=policy.priority,
+                priority=attempt.policy.priority,
                 limit=attempt.request.limit,
                 query=attempt.request.query,
                 parts=parts,
@@ -284,7 +310,9 @@
     for relay in ownership.owners(key, relays):
         if relay.address in searches.suspects:
             continue
-        if service not in attempt.sent.get(relay.address, ()):
+        if service in attempt.sent.get(relay.address, ()):
+            continue
+        if service not in attempt.refused.get(relay.address, ()):
             return relay.address
     return None
 
@@ -292,8 +320,6 @@
 def fall_back(
     searches: Searches,
     attempt: Attempt,
-    policy: manifest.Policy,
-    deadline: float,
     silence_s: float,
 ) -> None:
     """Finds relays that are silent and sends their parts to others."""
@@ -319,7 +345,32 @@
         attempt.sent[address] -= lost
         wanted = {shard for name in lost for shard in waiting[name]}
         searches.fallbacks += len(lost)
-        send_parts(searches, attempt, policy, deadline, wanted)
+        send_parts(searches, attempt, wanted)
+
+
+def send_elsewhere(
+    searches: Searches,
+    attempt: Attempt,
+    address: str,
+    reply: messages.SearchReply,
+) -> None:
+    """Sends shards that a relay did not take to the next owner."""
+    shards = {
+        outcome.shard
+        for outcome in reply.outcomes
+        if outcome.status in OTHER_RELAY
+    } - attempt.query.covered
+    parts = queries.parts_of(attempt.query.snapshot, shards)
+    refused = attempt.refused.setdefault(address, set())
+    fresh = [part for part in parts if part.service not in refused]
+    refused.update(part.service for part in fresh)
+    for part in fresh:
+        relays = searches.daemon.relays(searches.daemon.settings.vm.region)
+        if choose_relay(searches, attempt, part.service, relays) is None:
+            continue
+        searches.fallbacks += 1
+        queries.reopen(attempt.query, part.shards)
+        send_parts(searches, attempt, set(part.shards))
 
 
 def cancel(searches: Searches, attempt: Attempt) -> None:
