--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -265,7 +265,7 @@
         await wait_for(all_ready, "every daemon is ready")
 
 
-async def publish(cluster: Cluster, path: pathlib.Path) -> None:
+async def publish(cluster: Cluster, path: pathlib.Path, *options: str) -> None:
     """Publishes a manifest by the command line."""
     process = await asyncio.create_subprocess_exec(
         sys.executable,
@@ -275,6 +275,7 @@
         str(path),
         "--platform",
         cluster.platform_url,
+        *options,
         cwd=ROOT,
     )
     if await process.wait():
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,160 @@
+"""Demo: one deployment under load while its snapshot changes.
+
+Usage: `python -m bench.demo`. Starts the stand-ins and 9 VMs for Techos del
+Sol, sends queries and saves, publishes a repartitioned snapshot meanwhile and
+prints one JSON object as its last line.
+"""
+
+import asyncio
+import sys
+import time
+import typing
+
+import aiohttp
+import msgspec
+
+from bench import cluster
+from examples import generate
+from fakes import checks
+from fakes import load
+from laurelrock import document
+from laurelrock import manifest
+
+__all__ = ["main"]
+
+#: Length of the load, in seconds.
+SECONDS = 30.0
+#: When the second manifest is published, in seconds.
+PUBLISH_AT_S = 12.0
+#: Queries a second of each application.
+RATES = {"cotizador": 60.0, "portal-franquicia": 15.0, "expedientes": 10.0}
+SAVES = {"cotizador": 60}
+SEED = 20261203
+TOKEN = "franchise-tablets-token"
+
+
+class Ledger(typing.NamedTuple):
+    """What the searchers of a deployment ran.
+
+    Attributes:
+        asked: Items of search calls.
+        ran: Of them, run.
+        saved: Keys of the saves that ran.
+    """
+
+    asked: int
+    ran: int
+    saved: list[str]
+
+
+async def read_ledger(
+    running: cluster.Cluster, session: aiohttp.ClientSession
+) -> Ledger:
+    """Adds up the ledgers of all failure domains."""
+    asked = ran = 0
+    saved: list[str] = []
+    for domain in running.domains:
+        url = f"{running.control_url(domain)}/control/ledger"
+        async with session.get(url) as response:
+            body = await response.json()
+        for row in body["searchers"].values():
+            asked += row.get("asked", 0)
+            ran += row.get("ran", 0)
+        saved += [row["key"] for row in body["saves"]]
+    return Ledger(asked, ran, saved)
+
+
+async def move_snapshot(
+    running: cluster.Cluster,
+    session: aiohttp.ClientSession,
+    second: manifest.Manifest,
+) -> None:
+    """Loads the second snapshot in the searchers, then publishes it."""
+    await asyncio.sleep(PUBLISH_AT_S)
+    added = [
+        {
+            "application": name,
+            "snapshot": document.unstructure(application.snapshots[0]),
+        }
+        for name, application in second.applications.items()
+    ]
+    for domain in running.domains:
+        url = f"{running.control_url(domain)}/control"
+        await cluster.post(session, url, {"add": added})
+    path = running.folder / "second.json"
+    path.write_bytes(manifest.encode(second))
+    began = time.monotonic()
+    await cluster.publish(running, path, "--wait")
+    elapsed = time.monotonic() - began
+    print(f"second manifest in force everywhere after {elapsed:.2f} s")
+
+
+def summarize(
+    result: load.Result, ledger: Ledger, needed: int
+) -> dict[str, typing.Any]:
+    """Returns the object of the last line."""
+    summary = load.summary(result)
+    faults = checks.faults_of_saves(result.outcomes, ledger.saved)
+    wrong = summary.get("wrong", 0) + len(faults.denied)
+    wrong += len(faults.invented) + len(faults.crossed)
+    return {
+        "queries": summary["queries"],
+        "whole": summary.get("whole", 0),
+        "partial": summary.get("partial", 0),
+        "refused": summary.get("refused", 0),
+        "errors": summary.get("errors", 0),
+        "wrong": wrong,
+        "saves": summary.get("saves", 0),
+        "saves_run_twice": len(faults.run_twice),
+        "saves_yes": summary.get("saves_yes", 0),
+        "saves_no": summary.get("saves_no", 0),
+        "saves_unknown": summary.get("saves_unknown", 0),
+        "snapshots": summary["snapshots"],
+        "codes": summary["codes"],
+        "p50_ms": round(summary["p50_ms"], 1),
+        "p99_ms": round(summary["p99_ms"], 1),
+        "extra_load": round(ledger.ran / needed, 4) if needed else 0.0,
+        "examples": summary["examples"],
+    }
+
+
+async def run(log_level: str) -> dict[str, typing.Any]:
+    """Runs the demo; returns the object of the last line."""
+    first = manifest.decode(cluster.TECHOS.manifest.read_bytes())
+    second = generate.repartitioned(first)
+    async with (
+        aiohttp.ClientSession() as session,
+        cluster.open_cluster(cluster.TECHOS, log_level) as running,
+    ):
+        print(f"{len(running.processes)} processes are up")
+        plan = load.Plan(
+            urls=running.entry_urls,
+            manifests=[first, second],
+            targets=[
+                load.Target(name, TOKEN, rate, SAVES.get(name, 0))
+                for name, rate in RATES.items()
+            ],
+            seconds=SECONDS,
+            seed=SEED,
+        )
+        moving = asyncio.create_task(move_snapshot(running, session, second))
+        result = await load.run(plan)
+        await moving
+        ledger = await read_ledger(running, session)
+        needed = sum(
+            histogram.get_total_count() * len(first.applications[name].services)
+            for name, histogram in result.latency_us.items()
+        )
+        return summarize(result, ledger, needed)
+
+
+def main(argv: list[str]) -> int:
+    """Runs the command line."""
+    level = argv[1] if len(argv) > 1 else "warning"
+    summary = asyncio.run(run(level))
+    print(msgspec.json.encode(summary).decode())
+    return 1 if summary["wrong"] or summary["saves_run_twice"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv))
