--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example deployments."""
--- /dev/null
+++ b/examples/generate.py
@@ -0,0 +1,279 @@
+"""Writes the example manifests and VM lists.
+
+Usage: `python -m examples.generate`, at the root of the project.
+
+Reading of the sizes:
+
+- A service holds one shard of its application's index. The map of shards
+  belongs to the snapshot, so another snapshot may give a service several.
+- "2 searchers each" is two replicas of the service in all, on two different
+  failure domains in rotation. Larger services are spread evenly.
+- expedientes is one service with six searchers; facturacion, teamlists and
+  matchdays are one service with three searchers each.
+- Connections and slots are those of one searcher.
+"""
+
+import hashlib
+import pathlib
+import typing
+
+import msgspec
+
+from laurelrock import document
+from laurelrock import manifest
+
+__all__ = ["repartitioned", "techos", "vanderplas", "vms"]
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+FIRST_PORT = 20_000
+VMS_PER_DOMAIN = 3
+
+
+class Kind(typing.NamedTuple):
+    """Size of an application.
+
+    Attributes:
+        services: Number of services.
+        replicas: Searchers of each service.
+        slots: Calls that a searcher runs at the same time.
+        connections: Most connections of a searcher.
+        connect_ms: Time to open a connection.
+        policy: How its queries are treated.
+    """
+
+    services: int
+    replicas: int
+    slots: int
+    connections: int
+    connect_ms: float
+    policy: manifest.Policy
+
+
+class Deployment(typing.NamedTuple):
+    """Size of a deployment.
+
+    Attributes:
+        name: Of the deployment.
+        region: Its only region.
+        domains: Failure domains.
+        searcher_network: First three numbers of the searchers' addresses.
+        vm_network: First three numbers of the VMs' addresses.
+        kinds: Applications by name.
+        callers: Applications that each caller may ask, by its name.
+    """
+
+    name: str
+    region: str
+    domains: list[str]
+    searcher_network: str
+    vm_network: str
+    kinds: dict[str, Kind]
+    callers: dict[str, list[str]]
+
+
+def wait(priority: int, share: float, deadline_ms: float) -> manifest.Policy:
+    """Returns a policy that waits for whole coverage."""
+    return manifest.Policy(
+        priority=priority, share=share, deadline_ms=deadline_ms
+    )
+
+
+TECHOS = Deployment(
+    name="techos-del-sol",
+    region="gt-central",
+    domains=["gt-a", "gt-b", "gt-c"],
+    searcher_network="127.0.2",
+    vm_network="127.0.1",
+    kinds={
+        "cotizador": Kind(20, 2, 2, 25, 6.0, wait(0, 0.4, 1000.0)),
+        "portal-franquicia": Kind(30, 2, 2, 25, 6.0, wait(1, 0.2, 2000.0)),
+        "expedientes": Kind(1, 6, 2, 110, 1.0, wait(2, 0.1, 3000.0)),
+        "facturacion": Kind(1, 3, 2, 110, 1.0, wait(3, 0.1, 5000.0)),
+    },
+    callers={
+        "franchise-tablets": ["cotizador", "portal-franquicia"],
+        "back-office": [
+            "cotizador",
+            "portal-franquicia",
+            "expedientes",
+            "facturacion",
+        ],
+    },
+)
+
+VANDERPLAS = Deployment(
+    name="vanderplas-teamreizen",
+    region="vlaanderen",
+    domains=["vl-a", "vl-b", "vl-c"],
+    searcher_network="127.0.3",
+    vm_network="127.0.4",
+    kinds={
+        "tripdesk": Kind(
+            20,
+            2,
+            2,
+            25,
+            6.0,
+            manifest.Policy(
+                priority=0,
+                share=0.4,
+                deadline_ms=800.0,
+                partial="early",
+                early_ms=250.0,
+                min_coverage=0.9,
+            ),
+        ),
+        "billing": Kind(30, 2, 2, 25, 6.0, wait(1, 0.1, 3000.0)),
+        "teamlists": Kind(1, 3, 3, 40, 1.0, wait(2, 0.1, 3000.0)),
+        "matchdays": Kind(1, 3, 3, 40, 1.0, wait(3, 0.1, 3000.0)),
+    },
+    callers={
+        "trip-desk": ["tripdesk", "billing", "teamlists", "matchdays"],
+        "clubs": ["teamlists", "matchdays"],
+    },
+)
+
+
+def service_name(application: str, index: int) -> str:
+    """Returns the name of an application's service."""
+    return f"{application}-{index:02d}"
+
+
+def token_of(caller: str) -> str:
+    """Returns the bearer token of a caller."""
+    return f"{caller}-token"
+
+
+def snapshot(
+    application: str, version: str, services: int, shards: int
+) -> manifest.Snapshot:
+    """Returns a snapshot whose shards go round the services in turn."""
+    return manifest.Snapshot(
+        version=version,
+        shards=[
+            manifest.Shard(
+                f"s{index:02d}", service_name(application, index % services)
+            )
+            for index in range(shards)
+        ],
+    )
+
+
+def techos() -> manifest.Manifest:
+    """Returns the manifest of Techos del Sol."""
+    return build(TECHOS)
+
+
+def vanderplas() -> manifest.Manifest:
+    """Returns the manifest of Vanderplas."""
+    return build(VANDERPLAS)
+
+
+def build(deployment: Deployment) -> manifest.Manifest:
+    """Returns the manifest of a deployment."""
+    ports = dict.fromkeys(deployment.domains, FIRST_PORT)
+    applications = {}
+    turn = 0
+    for name, kind in deployment.kinds.items():
+        services = {}
+        for index in range(kind.services):
+            service = service_name(name, index)
+            services[service] = _searchers(
+                deployment, kind, service, turn, ports
+            )
+            turn += 1
+        applications[name] = manifest.Application(
+            services=services,
+            snapshots=[snapshot(name, "v1", kind.services, kind.services)],
+            save_service=service_name(name, 0),
+            policy=kind.policy,
+        )
+    return manifest.Manifest(
+        name=deployment.name,
+        regions={deployment.region: deployment.domains},
+        applications=applications,
+        callers={
+            name: manifest.Caller(
+                hashlib.sha256(token_of(name).encode()).hexdigest(), asked
+            )
+            for name, asked in deployment.callers.items()
+        },
+    )
+
+
+def _searchers(
+    deployment: Deployment,
+    kind: Kind,
+    service: str,
+    turn: int,
+    ports: dict[str, int],
+) -> list[manifest.Searcher]:
+    searchers = []
+    for replica in range(kind.replicas):
+        place = (turn + replica) % len(deployment.domains)
+        domain = deployment.domains[place]
+        host = f"{deployment.searcher_network}.{place + 1}"
+        searchers.append(
+            manifest.Searcher(
+                id=f"{service}-r{replica}",
+                address=f"{host}:{ports[domain]}",
+                failure_domain=domain,
+                slots=kind.slots,
+                connections=kind.connections,
+                connect_ms=kind.connect_ms,
+            )
+        )
+        ports[domain] += 1
+    return searchers
+
+
+def repartitioned(
+    source: manifest.Manifest, version: str = "v2"
+) -> manifest.Manifest:
+    """Returns the manifest with a newer snapshot of a fifth more shards.
+
+    The newer snapshot stands first in each application; the ones of the
+    source stay behind it.
+    """
+    applications = {}
+    for name, application in source.applications.items():
+        services = len(application.services)
+        shards = services + max(1, services // 5)
+        newer = snapshot(name, version, services, shards)
+        snapshots = [newer, *application.snapshots]
+        applications[name] = application._replace(snapshots=snapshots)
+    return source._replace(applications=applications)
+
+
+def vms(deployment: Deployment) -> list[dict[str, str]]:
+    """Returns the platform's list of the deployment's VMs."""
+    return [
+        {
+            "vm": f"{domain}-{index}",
+            "address": f"{deployment.vm_network}."
+            f"{place * VMS_PER_DOMAIN + index + 1}",
+            "failure_domain": domain,
+            "state": "live",
+        }
+        for place, domain in enumerate(deployment.domains)
+        for index in range(VMS_PER_DOMAIN)
+    ]
+
+
+def _write(name: str, value: typing.Any) -> None:
+    text = msgspec.json.format(msgspec.json.encode(value), indent=1)
+    (FOLDER / name).write_bytes(text + b"\n")
+
+
+def main() -> None:
+    """Writes the files beside this module."""
+    deployments = {"techos": TECHOS, "vanderplas": VANDERPLAS}
+    for name, deployment in deployments.items():
+        first = build(deployment)
+        manifest.decode(manifest.encode(first))
+        _write(f"{name}.json", document.unstructure(first))
+        _write(f"vms-{name}.json", {"vms": vms(deployment)})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fakes/checks.py
@@ -0,0 +1,117 @@
+"""Checks of answers and of ledgers against what the searchers hold."""
+
+import collections
+import collections.abc
+import typing
+
+from fakes import corpus
+from laurelrock import manifest
+
+__all__ = ["SaveAnswer", "SaveOutcome", "fault_of_answer", "faults_of_saves"]
+
+#: Largest error of a coverage fraction.
+FRACTION_TOLERANCE = 1e-6
+
+#: Shard ids of each version of each application.
+ShardLists = dict[tuple[str, str], list[str]]
+
+
+class SaveAnswer(typing.NamedTuple):
+    """One answer to a save; `ran` is empty where none came."""
+
+    ran: str
+    result: typing.Any = None
+
+
+class SaveOutcome(typing.NamedTuple):
+    """All answers to the attempts with one key."""
+
+    key: str
+    body: typing.Any
+    answers: list[SaveAnswer]
+
+
+class SaveFaults(typing.NamedTuple):
+    """Keys of saves that break a promise.
+
+    Attributes:
+        run_twice: Run more than once.
+        denied: Run, although every attempt was answered by "no".
+        invented: Answered by "yes", but not run.
+        crossed: Answered with another save's result.
+    """
+
+    run_twice: list[str]
+    denied: list[str]
+    invented: list[str]
+    crossed: list[str]
+
+
+def shard_lists(
+    manifests: collections.abc.Iterable[manifest.Manifest],
+) -> ShardLists:
+    """Returns the shard lists of all snapshots of some manifests."""
+    return {
+        (name, snapshot.version): [shard.id for shard in snapshot.shards]
+        for source in manifests
+        for name, application in source.applications.items()
+        for snapshot in application.snapshots
+    }
+
+
+def fault_of_answer(
+    answer: dict[str, typing.Any],
+    lists: ShardLists,
+    application: str,
+    query: typing.Any,
+    limit: int,
+) -> str | None:
+    """Returns what is wrong with a 200 answer to a search, or None."""
+    try:
+        version, coverage = answer["snapshot"], answer["coverage"]
+        missing = [item["shard"] for item in coverage["missing"]]
+        hits = [
+            (hit["score"], hit["id"], hit["shard"], hit["document"])
+            for hit in answer["hits"]
+        ]
+        fraction, count = coverage["fraction"], coverage["shards"]
+        partial = answer["partial"]
+    except (KeyError, TypeError) as error:
+        return f"malformed: {error!r}"
+    shards = lists.get((application, version))
+    if shards is None:
+        return f"unknown snapshot {version!r}"
+    if len(set(missing)) != len(missing) or not set(missing) <= set(shards):
+        return f"missing names {missing}"
+    if count != len(shards) or partial != bool(missing):
+        return f"{count} shards, partial is {partial}"
+    covered = set(shards) - set(missing)
+    if abs(fraction - len(covered) / len(shards)) > FRACTION_TOLERANCE:
+        return f"fraction {fraction}"
+    right = corpus.expected(query, version, shards, covered, limit)
+    return None if hits == [tuple(hit) for hit in right] else "hits differ"
+
+
+def result_of_save(body: typing.Any) -> dict[str, str]:
+    """Returns the result with which a searcher answers a save."""
+    return {"saved": corpus.digest_of(body)}
+
+
+def faults_of_saves(
+    outcomes: collections.abc.Iterable[SaveOutcome],
+    ran_keys: collections.abc.Iterable[str],
+) -> SaveFaults:
+    """Compares answers with the keys that the searchers ran."""
+    runs = collections.Counter(ran_keys)
+    faults = SaveFaults([key for key, n in runs.items() if n > 1], [], [], [])
+    for key, body, answers in outcomes:
+        said = {answer.ran for answer in answers}
+        if runs[key] and said == {"no"}:
+            faults.denied.append(key)
+        if not runs[key] and "yes" in said:
+            faults.invented.append(key)
+        right = result_of_save(body)
+        results = [answer.result for answer in answers if answer.ran == "yes"]
+        if any(result != right for result in results):
+            faults.crossed.append(key)
+    return faults
--- /dev/null
+++ b/fakes/load.py
@@ -0,0 +1,379 @@
+"""Caller load: scheduled arrivals, skewed queries, checked answers.
+
+Usage: `python -m fakes.load --url URL ... --manifest FILE ... --token TOKEN
+--application NAME ... [--per-s N] [--seconds N] [--saves N] [--seed N]`.
+Prints one JSON object.
+
+Arrivals are an exponential process that does not wait for answers; latency
+counts from the scheduled time.
+"""
+
+import argparse
+import asyncio
+import collections
+import itertools
+import pathlib
+import random
+import time
+import typing
+import uuid
+
+import aiohttp
+from hdrh import histogram
+import msgspec
+
+from fakes import checks
+from laurelrock import manifest
+
+__all__ = ["Plan", "Result", "Target", "run", "summary"]
+
+#: Wait beyond the deadline before an attempt is given up.
+GRACE_MS = 3000.0
+
+#: Range of the latency histograms, in microseconds, and their digits.
+MAX_LATENCY_US = 120_000_000
+LATENCY_DIGITS = 3
+
+#: Kinds of wrong answers that are kept as examples.
+MAX_EXAMPLES = 10
+
+RAN = ("no", "yes", "unknown")
+
+
+class Target(typing.NamedTuple):
+    """What is asked of one application.
+
+    Attributes:
+        application: Name in the manifest.
+        token: Bearer token of the caller.
+        per_s: Mean rate of queries.
+        saves: Number of saves, spread over the run.
+    """
+
+    application: str
+    token: str
+    per_s: float
+    saves: int = 0
+
+
+class Plan(typing.NamedTuple):
+    """One run.
+
+    Attributes:
+        urls: Base URLs of the entries, used in rotation.
+        manifests: Every manifest that may be in force in the run.
+        targets: What is asked.
+        seconds: Length of the run.
+        seed: Of arrivals, queries and keys.
+        vocabulary: Number of distinct queries of each application.
+        skew: Exponent of the queries' Zipf distribution.
+        limit: Most hits.
+        deadline_ms: Of each query; None leaves it to the policy.
+        min_coverage: Of each query; None leaves it to the policy.
+        save_deadline_ms: Of each save.
+        resent: Fraction of saves sent again, through another entry, half of
+            them at the same time and half after the first answer.
+    """
+
+    urls: list[str]
+    manifests: list[manifest.Manifest]
+    targets: list[Target]
+    seconds: float
+    seed: int = 1
+    vocabulary: int = 500
+    skew: float = 1.0
+    limit: int = 10
+    deadline_ms: float | None = None
+    min_coverage: float | None = None
+    save_deadline_ms: float = 3000.0
+    resent: float = 0.3
+
+
+class Result(typing.NamedTuple):
+    """What came of a run.
+
+    Attributes:
+        counts: Of queries by "queries", "whole", "partial", "refused",
+            "wrong", "errors"; of save attempts by "saves", "saves_yes",
+            "saves_no", "saves_unknown", "saves_errors".
+        codes: Of refusals, by code.
+        snapshots: Of good answers, by version.
+        latency_us: By application, of good answers.
+        outcomes: Of the saves.
+        examples: Some wrong answers and errors.
+    """
+
+    counts: collections.Counter[str]
+    codes: collections.Counter[str]
+    snapshots: collections.Counter[str]
+    latency_us: dict[str, histogram.HdrHistogram]
+    outcomes: list[checks.SaveOutcome]
+    examples: list[str]
+
+
+class Arrival(typing.NamedTuple):
+    """One scheduled request; `key` is empty for a query."""
+
+    at_s: float
+    target: Target
+    body: typing.Any
+    key: str = ""
+    resend: typing.Literal["", "together", "after"] = ""
+
+
+class Run:
+    """State of a run.
+
+    Attributes:
+        lists: Shard lists by application and version.
+        urls: Rotation of the entries.
+    """
+
+    def __init__(self, plan: Plan, session: aiohttp.ClientSession) -> None:
+        self.plan = plan
+        self.session = session
+        self.lists = checks.shard_lists(plan.manifests)
+        self.urls = itertools.cycle(plan.urls)
+        self.result = Result(
+            collections.Counter(),
+            collections.Counter(),
+            collections.Counter(),
+            {item.application: new_histogram() for item in plan.targets},
+            [],
+            [],
+        )
+
+    def note(self, kind: str, text: str) -> None:
+        """Counts a bad answer and keeps an example."""
+        self.result.counts[kind] += 1
+        if len(self.result.examples) < MAX_EXAMPLES:
+            self.result.examples.append(f"{kind}: {text}")
+
+
+class Reply(typing.NamedTuple):
+    """Status and decoded body of an answer."""
+
+    status: int
+    body: dict[str, typing.Any]
+
+
+def new_histogram() -> histogram.HdrHistogram:
+    """Returns an empty histogram of microseconds."""
+    return histogram.HdrHistogram(1, MAX_LATENCY_US, LATENCY_DIGITS)
+
+
+def new_key(rng: random.Random) -> str:
+    """Returns a UUID of version 7 for the present time."""
+    number = int(time.time() * 1000) << 80 | rng.getrandbits(80)
+    number = number & ~(0xF << 76) | 0x7 << 76
+    return str(uuid.UUID(int=number & ~(0x3 << 62) | 0x2 << 62))
+
+
+def schedule(plan: Plan) -> list[Arrival]:
+    """Returns all arrivals of a run in the order of their times."""
+    rng = random.Random(plan.seed)
+    ranks = range(plan.vocabulary)
+    weights = list(
+        itertools.accumulate(1 / (rank + 1) ** plan.skew for rank in ranks)
+    )
+    arrivals = []
+    for target in plan.targets:
+        at_s = rng.expovariate(target.per_s) if target.per_s else plan.seconds
+        while at_s < plan.seconds:
+            rank = rng.choices(ranks, cum_weights=weights)[0]
+            query = {"text": f"{target.application} {rank}"}
+            arrivals.append(Arrival(at_s, target, query))
+            at_s += rng.expovariate(target.per_s)
+        arrivals += [_save(plan, target, rng) for _ in range(target.saves)]
+    return sorted(arrivals, key=lambda arrival: arrival.at_s)
+
+
+def _save(plan: Plan, target: Target, rng: random.Random) -> Arrival:
+    at_s = rng.uniform(0, plan.seconds)
+    body = {"quote": rng.getrandbits(64)}
+    resend: typing.Literal["", "together", "after"] = ""
+    if rng.random() < plan.resent:
+        resend = "together" if rng.random() < 1 / 2 else "after"
+    return Arrival(at_s, target, body, new_key(rng), resend)
+
+
+async def post(
+    run_: Run, target: Target, path: str, body: typing.Any, key: str = ""
+) -> Reply:
+    """Sends one request through the next entry.
+
+    Raises:
+        aiohttp.ClientError: The connection failed.
+        TimeoutError: No answer came.
+        msgspec.DecodeError: The answer is not JSON.
+    """
+    url = f"{next(run_.urls)}/v1/applications/{target.application}/{path}"
+    headers = {"Authorization": f"Bearer {target.token}"}
+    if key:
+        headers["Idempotency-Key"] = key
+    data = msgspec.json.encode(body)
+    async with run_.session.post(url, data=data, headers=headers) as answer:
+        return Reply(answer.status, msgspec.json.decode(await answer.read()))
+
+
+FAILURES = (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError)
+
+
+async def ask(run_: Run, arrival: Arrival, due_s: float) -> None:
+    """Sends a query and checks its answer."""
+    plan, counts = run_.plan, run_.result.counts
+    options = {
+        "limit": plan.limit,
+        "deadline_ms": plan.deadline_ms,
+        "min_coverage": plan.min_coverage,
+    }
+    body = {k: v for k, v in options.items() if v is not None}
+    body["query"] = arrival.body
+    counts["queries"] += 1
+    application = arrival.target.application
+    try:
+        reply = await post(run_, arrival.target, "search", body)
+    except FAILURES as error:
+        run_.note("errors", f"{application}: {error!r}")
+        return
+    latency_us = int((asyncio.get_running_loop().time() - due_s) * 1e6)
+    if reply.status != 200:
+        count_refusal(run_, "refused", reply)
+        return
+    fault = checks.fault_of_answer(
+        reply.body, run_.lists, application, arrival.body, plan.limit
+    )
+    if fault is not None:
+        run_.note("wrong", f"{application}: {fault}")
+        return
+    counts["partial" if reply.body["partial"] else "whole"] += 1
+    run_.result.snapshots[reply.body["snapshot"]] += 1
+    run_.result.latency_us[application].record_value(max(1, latency_us))
+
+
+def count_refusal(run_: Run, kind: str, reply: Reply) -> None:
+    """Counts a refusal, or a wrong answer where it is malformed."""
+    body = reply.body
+    if "code" not in body or body.get("ran") not in RAN:
+        run_.note("wrong", f"status {reply.status}, {body}")
+        return
+    run_.result.counts[kind] += 1
+    run_.result.codes[body["code"]] += 1
+
+
+async def save_once(run_: Run, arrival: Arrival) -> checks.SaveAnswer:
+    """Sends one attempt of a save."""
+    body = {"body": arrival.body, "deadline_ms": run_.plan.save_deadline_ms}
+    counts = run_.result.counts
+    counts["save_attempts"] += 1
+    try:
+        reply = await post(run_, arrival.target, "saves", body, arrival.key)
+    except FAILURES as error:
+        run_.note("save_errors", repr(error))
+        return checks.SaveAnswer("")
+    if reply.status != 200:
+        ran = reply.body.get("ran", "")
+        count_refusal(run_, f"saves_{ran}", reply)
+        return checks.SaveAnswer(ran)
+    counts["saves_yes"] += 1
+    return checks.SaveAnswer("yes", reply.body.get("result"))
+
+
+async def save(run_: Run, arrival: Arrival) -> None:
+    """Sends a save, and sends it again where the schedule says so."""
+    run_.result.counts["saves"] += 1
+    if arrival.resend == "together":
+        pair = save_once(run_, arrival), save_once(run_, arrival)
+        answers = list(await asyncio.gather(*pair))
+    else:
+        answers = [await save_once(run_, arrival)]
+        if arrival.resend == "after":
+            answers.append(await save_once(run_, arrival))
+    outcome = checks.SaveOutcome(arrival.key, arrival.body, answers)
+    run_.result.outcomes.append(outcome)
+
+
+async def run(plan: Plan) -> Result:
+    """Sends the load of a plan and waits for all answers."""
+    loop = asyncio.get_running_loop()
+    longest_ms = max(plan.deadline_ms or 10_000.0, plan.save_deadline_ms)
+    timeout = aiohttp.ClientTimeout(total=(longest_ms + GRACE_MS) / 1000)
+    connector = aiohttp.TCPConnector(limit=0)
+    arrivals = schedule(plan)
+    async with (
+        aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
+        asyncio.TaskGroup() as group,
+    ):
+        state = Run(plan, session)
+        began_s = loop.time()
+        for arrival in arrivals:
+            due_s = began_s + arrival.at_s
+            await asyncio.sleep(max(0.0, due_s - loop.time()))
+            if arrival.key:
+                group.create_task(save(state, arrival))
+            else:
+                group.create_task(ask(state, arrival, due_s))
+    return state.result
+
+
+def percentile_ms(values: histogram.HdrHistogram, percent: float) -> float:
+    """Returns a percentile in milliseconds."""
+    return float(values.get_value_at_percentile(percent)) / 1000
+
+
+def summary(result: Result) -> dict[str, typing.Any]:
+    """Returns the result as JSON values."""
+    total = new_histogram()
+    for values in result.latency_us.values():
+        total.add(values)
+    return {
+        **result.counts,
+        "codes": dict(result.codes),
+        "snapshots": dict(result.snapshots),
+        "p50_ms": percentile_ms(total, 50),
+        "p99_ms": percentile_ms(total, 99),
+        "p999_ms": percentile_ms(total, 99.9),
+        "applications": {
+            name: {
+                "answers": values.get_total_count(),
+                "p50_ms": percentile_ms(values, 50),
+                "p99_ms": percentile_ms(values, 99),
+            }
+            for name, values in result.latency_us.items()
+        },
+        "examples": result.examples,
+    }
+
+
+def main() -> None:
+    """Runs the command line."""
+    parser = argparse.ArgumentParser(description="Caller load.")
+    parser.add_argument("--url", action="append", required=True)
+    parser.add_argument(
+        "--manifest", action="append", type=pathlib.Path, required=True
+    )
+    parser.add_argument("--application", action="append", required=True)
+    parser.add_argument("--token", required=True)
+    parser.add_argument("--per-s", type=float, default=50.0)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--saves", type=int, default=0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--deadline-ms", type=float)
+    args = parser.parse_args()
+    plan = Plan(
+        urls=args.url,
+        manifests=[manifest.decode(p.read_bytes()) for p in args.manifest],
+        targets=[
+            Target(name, args.token, args.per_s, args.saves)
+            for name in args.application
+        ],
+        seconds=args.seconds,
+        seed=args.seed,
+        deadline_ms=args.deadline_ms,
+    )
+    result = asyncio.run(run(plan))
+    print(msgspec.json.encode(summary(result)).decode())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fakes/platform.py
@@ -0,0 +1,372 @@
+"""Stand-in for the platform: objects with versions, and the list of VMs.
+
+Usage: `python -m fakes.platform --listen 127.0.0.1:7100 [--vms FILE]`.
+
+State is kept in memory. `POST /control` with a JSON object of `Faults` fields
+makes it misbehave, and `{"vms": [...]}` sets the list of VMs;
+`GET /control/stats` returns the calls counted.
+"""
+
+import argparse
+import asyncio
+import collections
+import collections.abc
+import math
+import pathlib
+import time
+import typing
+
+from aiohttp import web
+import msgspec
+
+from laurelrock import document
+
+__all__ = ["Platform", "start"]
+
+MAX_OBJECT_BYTES = 1_000_000
+MAX_WAIT_MS = 60_000.0
+WRITES_PER_S = 500.0
+READS_PER_S = 2000.0
+
+Handler = collections.abc.Callable[
+    [web.Request], collections.abc.Awaitable[web.StreamResponse]
+]
+
+
+class Faults(typing.NamedTuple):
+    """How the platform misbehaves.
+
+    Attributes:
+        outage: Every call is answered by 503.
+        hang: Every call waits until this ends, then is answered by 503.
+        slow_ms: Added to each call.
+        lose_replies: Writes still to take effect without a reply.
+        refuse_from: Source addresses whose connections are closed.
+        vms_lag_ms: Age of the list of VMs that is served.
+        writes_per_s: Limit of the rate.
+        reads_per_s: Limit of the rate.
+    """
+
+    outage: bool = False
+    hang: bool = False
+    slow_ms: float = 0.0
+    lose_replies: int = 0
+    refuse_from: list[str] = []
+    vms_lag_ms: float = 0.0
+    writes_per_s: float = WRITES_PER_S
+    reads_per_s: float = READS_PER_S
+
+
+class StoredObject(typing.NamedTuple):
+    """One version of an object; the body is None once it is deleted."""
+
+    version: int
+    body: bytes | None
+
+
+class Bucket:
+    """Token bucket that holds at most one second's worth of calls."""
+
+    def __init__(self, now_s: float, rate: float) -> None:
+        self.tokens = rate
+        self.filled_s = now_s
+
+    def take(self, now_s: float, rate: float) -> bool:
+        self.tokens += (now_s - self.filled_s) * rate
+        self.tokens = min(self.tokens, rate)
+        self.filled_s = now_s
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class Platform:
+    """State of the stand-in.
+
+    Attributes:
+        objects: By key, with the deleted ones.
+        faults: How it misbehaves now.
+        counts: Calls by kind.
+        vms: Lists of VMs with the times they were set, oldest first.
+    """
+
+    def __init__(self, clock: collections.abc.Callable[[], float]) -> None:
+        self.clock = clock
+        self.objects: dict[str, StoredObject] = {}
+        self.faults = Faults()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.writes = Bucket(clock(), WRITES_PER_S)
+        self.reads = Bucket(clock(), READS_PER_S)
+        self.vms: list[tuple[float, list[dict[str, str]]]] = [(0.0, [])]
+        self.changed = asyncio.Event()
+        self.watchers: dict[str, set[asyncio.Event]] = {}
+
+    def notify(self, key: str | None = None) -> None:
+        """Wakes the watches of a key, or all of them."""
+        keys = list(self.watchers) if key is None else [key]
+        for name in keys:
+            for event in self.watchers.get(name, ()):
+                event.set()
+
+    def is_refused(self, request: web.Request) -> bool:
+        """Tells whether the request's source is cut off."""
+        return bool(request.remote in self.faults.refuse_from)
+
+    def set_vms(self, vms: list[dict[str, str]]) -> None:
+        """Takes the list of VMs in force from now on."""
+        self.vms.append((self.clock(), vms))
+
+    def listed_vms(self) -> list[dict[str, str]]:
+        """Returns the list of VMs with its lag."""
+        until = self.clock() - self.faults.vms_lag_ms / 1000
+        found = self.vms[0][1]
+        for since, vms in self.vms:
+            if since <= until:
+                found = vms
+        return found
+
+    def control(self, change: dict[str, typing.Any]) -> None:
+        """Applies `Faults` fields and "vms"."""
+        if "vms" in change:
+            self.set_vms(change.pop("vms"))
+        fields = self.faults._asdict() | change
+        self.faults = document.structure(Faults, fields)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        self.notify()
+
+    def put(self, key: str, body: bytes | None) -> int:
+        """Stores a new version and returns it."""
+        held = self.objects.get(key)
+        version = 1 + (held.version if held else 0)
+        self.objects[key] = StoredObject(version, body)
+        self.notify(key)
+        return version
+
+
+def etag_of(version: int) -> dict[str, str]:
+    """Returns the header that carries a version."""
+    return {"ETag": f'"{version}"'}
+
+
+def close(request: web.Request) -> web.Response:
+    """Closes the connection in place of an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=503)
+
+
+def held_object(platform: Platform, key: str) -> StoredObject | None:
+    """Returns the object unless it is missing or deleted."""
+    held = platform.objects.get(key)
+    return held if held and held.body is not None else None
+
+
+async def read_object(
+    platform: Platform, request: web.Request
+) -> web.StreamResponse:
+    """Answers a read or a watch."""
+    key = request.match_info["key"]
+    if "after" not in request.query:
+        held = held_object(platform, key)
+        if held is None:
+            return web.Response(status=404)
+        return web.Response(body=held.body, headers=etag_of(held.version))
+    try:
+        after = int(request.query["after"])
+        wait_ms = min(float(request.query.get("wait_ms", "0")), MAX_WAIT_MS)
+    except ValueError:
+        return web.Response(status=400)
+    return await watch_object(platform, request, after, wait_ms)
+
+
+async def watch_object(
+    platform: Platform, request: web.Request, after: int, wait_ms: float
+) -> web.StreamResponse:
+    """Waits for a version above `after`."""
+    key = request.match_info["key"]
+    loop = asyncio.get_running_loop()
+    until = loop.time() + wait_ms / 1000
+    event = asyncio.Event()
+    platform.watchers.setdefault(key, set()).add(event)
+    try:
+        while True:
+            event.clear()
+            if platform.is_refused(request):
+                return close(request)
+            if platform.faults.outage:
+                return web.Response(status=503)
+            held = held_object(platform, key)
+            if held is not None and held.version > after:
+                headers = etag_of(held.version)
+                return web.Response(body=held.body, headers=headers)
+            async with asyncio.timeout_at(until):
+                await event.wait()
+    except TimeoutError:
+        return web.Response(status=304)
+    finally:
+        platform.watchers[key].discard(event)
+        if not platform.watchers[key]:
+            del platform.watchers[key]
+
+
+def condition_fails(
+    platform: Platform, request: web.Request
+) -> web.Response | None:
+    """Returns the answer to a write whose condition does not hold."""
+    held = held_object(platform, request.match_info["key"])
+    headers = etag_of(held.version) if held else {}
+    match = request.headers.get("If-Match")
+    none_match = request.headers.get("If-None-Match")
+    if match is None and none_match is None:
+        return web.Response(status=428)
+    if match is not None and match != headers.get("ETag"):
+        return web.Response(status=412, headers=headers)
+    if none_match is not None and held is not None:
+        return web.Response(status=412, headers=headers)
+    return None
+
+
+async def write_object(
+    platform: Platform, request: web.Request
+) -> web.StreamResponse:
+    """Answers a conditional write or delete."""
+    body = await request.read() if request.method == "PUT" else None
+    failed = condition_fails(platform, request)
+    if failed is not None:
+        return failed
+    version = platform.put(request.match_info["key"], body)
+    lost = platform.faults.lose_replies
+    if lost > 0:
+        platform.faults = platform.faults._replace(lose_replies=lost - 1)
+        return close(request)
+    if body is None:
+        return web.Response(status=204)
+    return web.Response(headers=etag_of(version))
+
+
+async def list_objects(
+    platform: Platform, request: web.Request
+) -> web.StreamResponse:
+    """Answers the keys and versions below a prefix."""
+    prefix = request.query.get("prefix", "")
+    found = [
+        {"key": key, "version": held.version}
+        for key, held in sorted(platform.objects.items())
+        if key.startswith(prefix) and held.body is not None
+    ]
+    return web.json_response({"objects": found})
+
+
+async def list_vms(
+    platform: Platform, request: web.Request
+) -> web.StreamResponse:
+    """Answers the lagging list of VMs."""
+    return web.json_response({"vms": platform.listed_vms()})
+
+
+def over_rate(platform: Platform, request: web.Request) -> web.Response | None:
+    """Counts the call and returns 429 where it is over the rate."""
+    now_s = platform.clock()
+    faults = platform.faults
+    if request.method in ("PUT", "DELETE"):
+        kind, bucket, rate = "writes", platform.writes, faults.writes_per_s
+    else:
+        kind, bucket, rate = "reads", platform.reads, faults.reads_per_s
+    platform.counts["watches" if "after" in request.query else kind] += 1
+    if bucket.take(now_s, rate):
+        return None
+    platform.counts["limited"] += 1
+    retry_after_s = math.ceil(1 / rate) if rate > 0 else 1
+    return web.Response(status=429, headers={"Retry-After": str(retry_after_s)})
+
+
+async def misbehave(
+    platform: Platform, request: web.Request
+) -> web.Response | None:
+    """Applies the faults that come before a call is looked at."""
+    while platform.faults.hang:
+        await platform.changed.wait()
+    if platform.is_refused(request):
+        return close(request)
+    if platform.faults.slow_ms > 0:
+        await asyncio.sleep(platform.faults.slow_ms / 1000)
+    if platform.faults.outage:
+        platform.counts["outage"] += 1
+        return web.Response(status=503)
+    return over_rate(platform, request)
+
+
+def application(platform: Platform) -> web.Application:
+    """Returns the routes of the stand-in."""
+
+    def guarded(
+        answer: collections.abc.Callable[
+            [Platform, web.Request],
+            collections.abc.Awaitable[web.StreamResponse],
+        ],
+    ) -> Handler:
+        async def handle(request: web.Request) -> web.StreamResponse:
+            refused = await misbehave(platform, request)
+            return refused or await answer(platform, request)
+
+        return handle
+
+    async def control(request: web.Request) -> web.Response:
+        try:
+            platform.control(msgspec.json.decode(await request.read()))
+        except document.DocumentError as error:
+            return web.json_response({"error": str(error)}, status=400)
+        return web.json_response(platform.faults._asdict())
+
+    async def stats(request: web.Request) -> web.Response:
+        return web.json_response(dict(platform.counts))
+
+    app = web.Application(client_max_size=MAX_OBJECT_BYTES)
+    app.router.add_get("/v1/objects/{key:.+}", guarded(read_object))
+    app.router.add_put("/v1/objects/{key:.+}", guarded(write_object))
+    app.router.add_delete("/v1/objects/{key:.+}", guarded(write_object))
+    app.router.add_get("/v1/list", guarded(list_objects))
+    app.router.add_get("/v1/vms", guarded(list_vms))
+    app.router.add_post("/control", control)
+    app.router.add_get("/control/stats", stats)
+    return app
+
+
+async def start(platform: Platform, address: str) -> web.AppRunner:
+    """Serves on "host:port"; `cleanup` of the runner ends it."""
+    host, _, port = address.partition(":")
+    runner = web.AppRunner(
+        application(platform), access_log=None, shutdown_timeout=0
+    )
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port)).start()
+    return runner
+
+
+async def serve(address: str, vms: list[dict[str, str]]) -> None:
+    """Serves until cancelled."""
+    platform = Platform(time.monotonic)
+    platform.set_vms(vms)
+    await start(platform, address)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Runs the command line."""
+    parser = argparse.ArgumentParser(description="Stand-in for the platform.")
+    parser.add_argument("--listen", default="127.0.0.1:7100")
+    parser.add_argument("--vms", type=pathlib.Path, help="JSON list of VMs")
+    args = parser.parse_args()
+    vms = []
+    if args.vms:
+        vms = msgspec.json.decode(args.vms.read_bytes())["vms"]
+    try:
+        asyncio.run(serve(args.listen, vms))
+    except KeyboardInterrupt:
+        pass
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fakes/searcher.py
@@ -0,0 +1,259 @@
+"""Stand-in for searchers; one process holds many, each on its own port.
+
+Usage: `python -m fakes.searcher --manifest FILE [--domain NAME] [--seed N]
+[--control HOST:PORT]`.
+
+`POST /control` takes `{"searchers": [ids], "behaviour": {...}, "add": [...],
+"drop": [...], "silence": true}`; see `Control`. `GET /control/ledger` returns
+what the searchers really ran.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import typing
+
+import msgspec
+
+from fakes import contract
+from fakes import slots
+from fakes import wire
+from laurelrock import document
+from laurelrock import manifest
+
+__all__ = ["Fleet", "start"]
+
+search_decoder = msgspec.json.Decoder(contract.SearchCall)
+cancel_decoder = msgspec.json.Decoder(contract.CancelCall)
+save_decoder = msgspec.json.Decoder(contract.SaveCall)
+
+
+class Fleet:
+    """The searchers of one process.
+
+    Attributes:
+        searchers: By id.
+        saved: Saves that ran, over all searchers.
+    """
+
+    def __init__(self) -> None:
+        self.searchers: dict[str, slots.Searcher] = {}
+        self.saved: list[contract.SavedKey] = []
+        self.listeners: list[asyncio.Server] = []
+
+    async def close(self) -> None:
+        """Stops listening and closes all connections."""
+        for listener in self.listeners:
+            listener.close()
+        for searcher in self.searchers.values():
+            for connection in list(searcher.connections):
+                connection.transport.abort()
+
+
+def search(
+    searcher: slots.Searcher, connection: wire.Connection, body: bytes
+) -> None:
+    """Takes a search call."""
+    items = search_decoder.decode(body)["items"]
+    slots.admit(searcher, slots.Job(connection, items, None, slots.now()))
+
+
+def save(
+    searcher: slots.Searcher, connection: wire.Connection, body: bytes
+) -> None:
+    """Takes a save call."""
+    call = save_decoder.decode(body)
+    job = slots.Job(connection, [], call, slots.now())
+    slots.admit_save(searcher, job, call)
+
+
+def cancel(
+    searcher: slots.Searcher, connection: wire.Connection, body: bytes
+) -> None:
+    """Takes a cancel call."""
+    items = cancel_decoder.decode(body)["items"]
+    named = {(item["request_id"], item["start_id"]) for item in items}
+    for job in [*searcher.queue, *searcher.running]:
+        if job.save is None:
+            slots.cancel_items(searcher, job, named)
+    slots.answer(searcher, connection, {})
+
+
+def health(searcher: slots.Searcher, connection: wire.Connection) -> None:
+    """Answers a health call."""
+    behaviour = searcher.behaviour
+    body = {
+        "state": behaviour.report_state or behaviour.state,
+        "snapshots": list(searcher.snapshots),
+        "load": searcher.reported_load(slots.now())._asdict(),
+    }
+    slots.answer(searcher, connection, body)
+
+
+def dispatch(
+    searcher: slots.Searcher,
+    connection: wire.Connection,
+    request: wire.Request,
+) -> None:
+    """Takes one request."""
+    calls = {"/v1/search": search, "/v1/cancel": cancel, "/v1/save": save}
+    if request.path == "/v1/health":
+        health(searcher, connection)
+        return
+    if request.path not in calls:
+        connection.reply(404, {})
+        return
+    try:
+        calls[request.path](searcher, connection, request.body)
+    except msgspec.DecodeError as error:
+        connection.reply(400, {"error": str(error)})
+
+
+def handlers_of(searcher: slots.Searcher) -> wire.Handlers:
+    """Returns what the searcher's port does."""
+
+    def opened(connection: wire.Connection) -> None:
+        full = len(searcher.connections) >= searcher.spec.connections
+        if full or searcher.behaviour.fault == "crash":
+            searcher.counts["connections_refused"] += 1
+            connection.transport.abort()
+            return
+        searcher.counts["connections"] += 1
+        searcher.connections.add(connection)
+
+    def requested(connection: wire.Connection, request: wire.Request) -> None:
+        if connection.used:
+            dispatch(searcher, connection, request)
+            return
+        asyncio.get_running_loop().call_later(
+            searcher.spec.connect_ms / 1000,
+            dispatch,
+            searcher,
+            connection,
+            request,
+        )
+
+    return wire.Handlers(opened, requested, searcher.connections.discard)
+
+
+def add_snapshot(
+    searcher: slots.Searcher, added: contract.AddedSnapshot
+) -> None:
+    """Loads a snapshot where it is the searcher's application."""
+    if added.application == searcher.application:
+        searcher.snapshots[added.snapshot.version] = added.snapshot
+
+
+def drop_snapshot(
+    searcher: slots.Searcher, dropped: contract.DroppedSnapshot
+) -> None:
+    """Drops a snapshot where it is the searcher's application."""
+    if dropped.application == searcher.application:
+        searcher.snapshots.pop(dropped.version, None)
+        searcher.dropped.add(dropped.version)
+
+
+def control(fleet: Fleet, change: contract.Control) -> None:
+    """Applies a control call."""
+    names = fleet.searchers if change.searchers is None else change.searchers
+    for searcher in [fleet.searchers[name] for name in names]:
+        fields = searcher.behaviour._asdict() | change.behaviour
+        fields = document.unstructure(fields)
+        searcher.behaviour = document.structure(contract.Behaviour, fields)
+        for added in change.add:
+            add_snapshot(searcher, added)
+        for dropped in change.drop:
+            drop_snapshot(searcher, dropped)
+        for connection in list(searcher.connections):
+            if searcher.behaviour.fault == "crash":
+                connection.transport.abort()
+            elif change.silence:
+                connection.silence()
+
+
+def ledger(fleet: Fleet) -> dict[str, typing.Any]:
+    """Returns what the searchers ran."""
+    return {
+        "searchers": {
+            name: dict(item.counts) for name, item in fleet.searchers.items()
+        },
+        "saves": [item._asdict() for item in fleet.saved],
+    }
+
+
+def control_handlers(fleet: Fleet) -> wire.Handlers:
+    """Returns what the control port does."""
+
+    def requested(connection: wire.Connection, request: wire.Request) -> None:
+        if (request.method, request.path) == ("GET", "/control/ledger"):
+            connection.reply(200, ledger(fleet))
+            return
+        try:
+            value = msgspec.json.decode(request.body)
+            control(fleet, document.structure(contract.Control, value))
+        except (document.DocumentError, msgspec.DecodeError) as error:
+            connection.reply(400, {"error": str(error)})
+        except KeyError as error:
+            connection.reply(400, {"error": f"no searcher {error}"})
+        else:
+            connection.reply(200, {})
+
+    return wire.Handlers(wire.ignore, requested, wire.ignore)
+
+
+async def start(
+    source: manifest.Manifest,
+    domain: str | None = None,
+    seed: int = 1,
+    control_address: str | None = None,
+) -> Fleet:
+    """Starts the searchers of a failure domain, or of all."""
+    fleet = Fleet()
+    for name, application in source.applications.items():
+        for service, specs in application.services.items():
+            for spec in specs:
+                if domain in (None, spec.failure_domain):
+                    fleet.searchers[spec.id] = slots.Searcher(
+                        spec,
+                        name,
+                        service,
+                        application.snapshots,
+                        seed,
+                        fleet.saved,
+                    )
+    for searcher in fleet.searchers.values():
+        handlers = handlers_of(searcher)
+        server = await wire.serve(searcher.spec.address, handlers)
+        fleet.listeners.append(server)
+    if control_address is not None:
+        handlers = control_handlers(fleet)
+        fleet.listeners.append(await wire.serve(control_address, handlers))
+    return fleet
+
+
+async def serve(args: argparse.Namespace) -> None:
+    """Serves until cancelled."""
+    source = manifest.decode(args.manifest.read_bytes())
+    fleet = await start(source, args.domain, args.seed, args.control)
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await fleet.close()
+
+
+def main() -> None:
+    """Runs the command line."""
+    parser = argparse.ArgumentParser(description="Stand-in for searchers.")
+    parser.add_argument("--manifest", type=pathlib.Path, required=True)
+    parser.add_argument("--domain")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--control", metavar="HOST:PORT")
+    args = parser.parse_args()
+    try:
+        asyncio.run(serve(args))
+    except KeyboardInterrupt:
+        pass
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fakes/slots.py
@@ -0,0 +1,336 @@
+"""Slots and queue of one stand-in searcher.
+
+A call waits in the queue, runs on a slot for a drawn service time and is then
+answered. Cancel and deadline end it early.
+"""
+
+import asyncio
+import collections
+import math
+import random
+import typing
+
+from fakes import contract
+from fakes import corpus
+from fakes import wire
+from laurelrock import manifest
+
+__all__ = ["Job", "Searcher", "admit", "admit_save", "cancel_items"]
+
+#: Bound of a service time, in mean service times.
+MAX_SERVICE_MEANS = 5.0
+
+#: Load reports kept for those that lag.
+LOAD_HISTORY = 4096
+
+
+class Job:
+    """A call that waits for a slot or runs on one.
+
+    Attributes:
+        verdicts: Status of each item, None while it is open.
+        arrived_s: When the call came, on the loop's clock.
+        until_s: Latest deadline of its items, once it runs.
+        timer: Ends the service time.
+    """
+
+    def __init__(
+        self,
+        connection: wire.Connection,
+        items: list[contract.SearchItem],
+        save: contract.SaveCall | None,
+        arrived_s: float,
+    ) -> None:
+        self.connection = connection
+        self.items = items
+        self.save = save
+        self.verdicts: list[contract.Status | None] = [None] * len(items)
+        self.arrived_s = arrived_s
+        self.until_s = math.inf
+        self.timer: asyncio.TimerHandle | None = None
+
+    def deadline_s(self, index: int) -> float:
+        """Returns an item's deadline on the loop's clock."""
+        return self.arrived_s + self.items[index]["time_left_ms"] / 1000
+
+    def open_items(self) -> list[int]:
+        """Returns the items without a verdict."""
+        return [i for i, verdict in enumerate(self.verdicts) if not verdict]
+
+    def expire(self, now_s: float) -> int:
+        """Marks items past their deadline; returns how many."""
+        late = [i for i in self.open_items() if self.deadline_s(i) <= now_s]
+        for index in late:
+            self.verdicts[index] = "deadline"
+        return len(late)
+
+
+class Searcher:
+    """State of one searcher.
+
+    Attributes:
+        spec: Its entry in the manifest.
+        snapshots: That it holds, by version.
+        dropped: Versions that it held once.
+        connections: Those open now.
+        queue: Jobs that wait for a slot.
+        running: Jobs on a slot.
+        counts: Of items, by what became of them.
+        saved: Saves that ran, shared by the searchers of a process.
+    """
+
+    def __init__(
+        self,
+        spec: manifest.Searcher,
+        application: str,
+        service: str,
+        snapshots: list[manifest.Snapshot],
+        seed: int,
+        saved: list[contract.SavedKey],
+    ) -> None:
+        self.spec = spec
+        self.application = application
+        self.service = service
+        self.snapshots = {item.version: item for item in snapshots}
+        self.dropped: set[str] = set()
+        self.behaviour = contract.Behaviour()
+        self.random = random.Random(f"{seed}/{spec.id}")
+        self.connections: set[wire.Connection] = set()
+        self.queue: collections.deque[Job] = collections.deque()
+        self.running: set[Job] = set()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.saved = saved
+        self.history: collections.deque[tuple[float, contract.Load]] = (
+            collections.deque(maxlen=LOAD_HISTORY)
+        )
+
+    def load(self) -> contract.Load:
+        """Returns the true load."""
+        return contract.Load(
+            len(self.running), len(self.queue), self.spec.slots
+        )
+
+    def reported_load(self, now_s: float) -> contract.Load:
+        """Returns the load as it reports it."""
+        if self.behaviour.report_load is not None:
+            return self.behaviour.report_load
+        if self.behaviour.report_lag_ms <= 0:
+            return self.load()
+        until = now_s - self.behaviour.report_lag_ms / 1000
+        for since, load in reversed(self.history):
+            if since <= until:
+                return load
+        return contract.Load(0, 0, self.spec.slots)
+
+    def draw_ms(self, items: int) -> float:
+        """Draws the service time of a call."""
+        behaviour = self.behaviour
+        means = min(self.random.expovariate(1.0), MAX_SERVICE_MEANS)
+        time_ms = behaviour.mean_ms * means
+        if self.random.random() < behaviour.straggler_fraction:
+            time_ms *= behaviour.straggler_factor
+        if behaviour.state == "cold":
+            time_ms *= behaviour.cold_factor
+        return time_ms + behaviour.item_ms * max(0, items - 1)
+
+
+def now() -> float:
+    """Returns the loop's clock in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+def load_refusal_of(searcher: Searcher) -> contract.Status | None:
+    """Returns why no work at all is taken, or None."""
+    if searcher.behaviour.state == "draining":
+        return "draining"
+    if len(searcher.queue) >= searcher.behaviour.queue_bound:
+        return "shed"
+    return None
+
+
+def version_refusal_of(
+    searcher: Searcher, item: contract.SearchItem
+) -> contract.Status | None:
+    """Returns why the snapshot of an item is not held, or None."""
+    if item["snapshot"] in searcher.snapshots:
+        return None
+    if item["snapshot"] in searcher.dropped:
+        return "version-gone"
+    return "version-unknown"
+
+
+def refusal_of(
+    searcher: Searcher, item: contract.SearchItem
+) -> contract.Status | None:
+    """Returns why an item is not taken, or None."""
+    return load_refusal_of(searcher) or version_refusal_of(searcher, item)
+
+
+def hits_of(searcher: Searcher, item: contract.SearchItem) -> list[corpus.Hit]:
+    """Returns the best hits of the item's shards that it holds."""
+    snapshot = searcher.snapshots[item["snapshot"]]
+    digest = corpus.digest_of(item["query"])
+    hits: list[corpus.Hit] = []
+    for position, shard in enumerate(snapshot.shards):
+        if shard.id in item["shards"] and shard.service == searcher.service:
+            count = len(snapshot.shards)
+            version = snapshot.version
+            hits += corpus.shard_hits(
+                digest, version, shard.id, position, count
+            )[: item["limit"]]
+    return sorted(hits, key=corpus.rank)[: item["limit"]]
+
+
+def echoed_id(searcher: Searcher, request_id: str) -> str:
+    """Returns the request id that a reply echoes."""
+    wrong = searcher.behaviour.fault == "wrong-id"
+    return f"{request_id}x" if wrong else request_id
+
+
+def item_result(
+    searcher: Searcher,
+    item: contract.SearchItem,
+    verdict: contract.Status | None,
+) -> dict[str, typing.Any]:
+    """Returns the result of one item."""
+    hits = hits_of(searcher, item) if verdict == "ok" else []
+    refused = verdict in ("shed", "draining")
+    return {
+        "request_id": echoed_id(searcher, item["request_id"]),
+        "start_id": item["start_id"],
+        "status": verdict,
+        "snapshot": item["snapshot"],
+        "hits": [hit._asdict() for hit in hits],
+        "retry_after_ms": searcher.behaviour.retry_after_ms if refused else 0.0,
+    }
+
+
+def search_reply(searcher: Searcher, job: Job) -> dict[str, typing.Any]:
+    """Returns the body that answers a search call."""
+    results = [
+        item_result(searcher, item, verdict)
+        for item, verdict in zip(job.items, job.verdicts, strict=True)
+    ]
+    load = searcher.reported_load(now())._asdict()
+    return {"results": results, "load": load}
+
+
+def save_reply(
+    searcher: Searcher, save: contract.SaveCall, status: contract.Status
+) -> dict[str, typing.Any]:
+    """Returns the body that answers a save call."""
+    body: dict[str, typing.Any] = {
+        "request_id": echoed_id(searcher, save["request_id"]),
+        "start_id": save["start_id"],
+        "status": status,
+        "ran": status == "ok",
+    }
+    if status == "ok":
+        body["result"] = {"saved": corpus.digest_of(save["body"])}
+    else:
+        body["retry_after_ms"] = searcher.behaviour.retry_after_ms
+    return body
+
+
+def answer(
+    searcher: Searcher, connection: wire.Connection, value: typing.Any
+) -> None:
+    """Sends a reply, subject to the searcher's fault."""
+    fault = searcher.behaviour.fault
+    if fault == "hang":
+        return
+    connection.reply(200, b"{garbage" if fault == "garbage" else value)
+
+
+def finish(searcher: Searcher, job: Job, now_s: float) -> None:
+    """Ends a job and answers it."""
+    searcher.running.discard(job)
+    if job.save is not None:
+        reply = save_reply(searcher, job.save, "ok")
+    else:
+        searcher.counts["expired"] += job.expire(now_s)
+        for index in job.open_items():
+            gone = version_refusal_of(searcher, job.items[index])
+            job.verdicts[index] = gone or "ok"
+            searcher.counts["gone" if gone else "finished"] += 1
+        reply = search_reply(searcher, job)
+    answer(searcher, job.connection, reply)
+    pump(searcher)
+
+
+def begin(searcher: Searcher, job: Job) -> None:
+    """Runs a job on a slot."""
+    now_s = now()
+    time_ms = searcher.draw_ms(len(job.items))
+    if job.save is not None:
+        saved = contract.SavedKey(
+            job.save["key"], len(searcher.saved), searcher.spec.id
+        )
+        searcher.saved.append(saved)
+        searcher.counts["saves"] += 1
+    else:
+        searcher.counts["expired"] += job.expire(now_s)
+        live = job.open_items()
+        if not live:
+            answer(searcher, job.connection, search_reply(searcher, job))
+            return
+        searcher.counts["calls"] += 1
+        searcher.counts["ran"] += len(live)
+        job.until_s = max(job.deadline_s(index) for index in live)
+    searcher.running.add(job)
+    done_s = min(now_s + time_ms / 1000, job.until_s)
+    loop = asyncio.get_running_loop()
+    job.timer = loop.call_at(done_s, finish, searcher, job, done_s)
+
+
+def pump(searcher: Searcher) -> None:
+    """Gives free slots to the jobs that wait."""
+    while searcher.queue and len(searcher.running) < searcher.spec.slots:
+        begin(searcher, searcher.queue.popleft())
+    if searcher.behaviour.report_lag_ms > 0:
+        searcher.history.append((now(), searcher.load()))
+
+
+def admit(searcher: Searcher, job: Job) -> None:
+    """Queues a job, or answers it at once where nothing of it is taken."""
+    for index, item in enumerate(job.items):
+        job.verdicts[index] = refusal_of(searcher, item)
+    searcher.counts["asked"] += len(job.items)
+    searcher.counts["refused"] += len(job.items) - len(job.open_items())
+    if not job.open_items():
+        answer(searcher, job.connection, search_reply(searcher, job))
+        return
+    searcher.queue.append(job)
+    pump(searcher)
+
+
+def admit_save(searcher: Searcher, job: Job, save: contract.SaveCall) -> None:
+    """Queues a save, or answers that it was not run."""
+    status = load_refusal_of(searcher)
+    if status is not None:
+        answer(searcher, job.connection, save_reply(searcher, save, status))
+        return
+    searcher.queue.append(job)
+    pump(searcher)
+
+
+def cancel_items(
+    searcher: Searcher, job: Job, named: set[tuple[str, str]]
+) -> None:
+    """Stops the named items of a job, and the job when none is left."""
+    stopped = [
+        index
+        for index in job.open_items()
+        if (job.items[index]["request_id"], job.items[index]["start_id"])
+        in named
+    ]
+    for index in stopped:
+        job.verdicts[index] = "deadline"
+    searcher.counts["cancelled"] += len(stopped)
+    if not stopped or job.open_items():
+        return
+    if job.timer is None:
+        searcher.queue.remove(job)
+    else:
+        job.timer.cancel()
+    finish(searcher, job, now())
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,111 @@
+"""Builders of test data."""
+
+import asyncio
+import collections.abc
+import hashlib
+import itertools
+import os
+
+from laurelrock import manifest
+
+#: Below the range from which clients' ports are taken.
+FIRST_PORT = 10_000
+
+#: Wait between two looks at a state.
+POLL_S = 0.001
+
+CALLER = "caller"
+TOKEN = "caller-token"
+APPLICATION = "quotes"
+
+
+ports = itertools.count(FIRST_PORT)
+
+
+def own_host() -> str:
+    """Returns a loopback address that other test processes do not use."""
+    pid = os.getpid()
+    return f"127.{64 + (pid >> 8) % 64}.{pid % 256}.1"
+
+
+def free_address() -> str:
+    """Returns an address on which nothing listens."""
+    return f"{own_host()}:{next(ports)}"
+
+
+def searcher(name: str = "r0", **fields) -> manifest.Searcher:
+    """Returns a searcher at a free address."""
+    defaults = {
+        "address": free_address(),
+        "failure_domain": "a",
+        "slots": 2,
+        "connections": 4,
+        "connect_ms": 1.0,
+    }
+    return manifest.Searcher(id=name, **(defaults | fields))
+
+
+def snapshot(version: str = "v1", **services: int) -> manifest.Snapshot:
+    """Returns a snapshot with some shards of each named service."""
+    names = [name for name, count in services.items() for _ in range(count)]
+    return manifest.Snapshot(
+        version,
+        [manifest.Shard(f"s{i}", name) for i, name in enumerate(names)],
+    )
+
+
+def application(
+    services: int = 2, replicas: int = 2, **fields
+) -> manifest.Application:
+    """Returns an application whose services hold one shard each."""
+    domains = ("a", "b", "c")
+    names = [f"service{index}" for index in range(services)]
+    held = {
+        name: [
+            searcher(
+                f"{name}-r{replica}",
+                failure_domain=domains[(index + replica) % len(domains)],
+            )
+            for replica in range(replicas)
+        ]
+        for index, name in enumerate(names)
+    }
+    first = snapshot("v1", **dict.fromkeys(names, 1))
+    defaults = {
+        "services": held,
+        "snapshots": [first],
+        "save_service": names[0],
+    }
+    return manifest.Application(**(defaults | fields))
+
+
+def small_manifest(services: int = 2, replicas: int = 2) -> manifest.Manifest:
+    """Returns a manifest with one application and one caller."""
+    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    return manifest.Manifest(
+        name="small",
+        regions={"r": ["a", "b", "c"]},
+        applications={APPLICATION: application(services, replicas)},
+        callers={CALLER: manifest.Caller(digest, [APPLICATION])},
+    )
+
+
+def search_item(**fields) -> dict:
+    """Returns one item of a searcher's search call."""
+    defaults = {
+        "request_id": "q1",
+        "start_id": "e1",
+        "snapshot": "v1",
+        "time_left_ms": 5000.0,
+        "limit": 10,
+        "service": "service0",
+        "shards": ["s0"],
+        "query": {"text": "panel"},
+    }
+    return defaults | fields
+
+
+async def until(is_true: collections.abc.Callable[[], bool]) -> None:
+    """Waits for a state of the test's own process."""
+    while not is_true():  # noqa: ASYNC110
+        await asyncio.sleep(POLL_S)
