--- a/laurelrock/document.py
+++ b/laurelrock/document.py
@@ -41,7 +41,9 @@
     return isinstance(kind, type) and hasattr(kind, "_fields")
 
 
-def structure(kind: typing.Any, value: typing.Any, path: str = "$") -> typing.Any:
+def structure(
+    kind: typing.Any, value: typing.Any, path: str = "$"
+) -> typing.Any:
     """Builds a value of a type from decoded JSON.
 
     Args:
--- a/laurelrock/manifest.py
+++ b/laurelrock/manifest.py
@@ -20,7 +20,8 @@
 MAX_MANIFEST_BYTES = 1_000_000
 
 Name = typing.Annotated[
-    str, msgspec.Meta(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9._-]+$")
+    str,
+    msgspec.Meta(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9._-]+$"),
 ]
 Address = typing.Annotated[
     str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")
