--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -47,6 +47,18 @@
     code = "listen-failed"
 
 
+class HeadError(LaurelrockError):
+    """The object that names the manifest in force is malformed."""
+
+    code = "head-invalid"
+
+
+class DeltaError(LaurelrockError):
+    """A delta is malformed or does not fit the document."""
+
+    code = "delta-invalid"
+
+
 class FrameError(LaurelrockError):
     """A frame on the port between daemons could not be decoded."""
 
