Mend the detector's and the spread's faults found by random histories

A heartbeat from a member that is not expected made it expected, so it was probed after its visit ended. A body that could not be used kept the head that named it, so a newer head was never read.

--- a/laurelrock/core/detector.py
+++ b/laurelrock/core/detector.py
@@ -56,8 +56,9 @@
         self.isolated = False
 
     def heard(self, address: str, now_s: float) -> None:
-        """Notes a sign of life."""
-        self.heard_s[address] = now_s
+        """Notes a sign of life of an expected member."""
+        if address in self.heard_s:
+            self.heard_s[address] = now_s
         self.probed_s.pop(address, None)
 
     def heard_anything(self, now_s: float) -> None:
--- a/laurelrock/core/pacing.py
+++ b/laurelrock/core/pacing.py
@@ -9,7 +9,7 @@
 __all__ = ["Pace"]
 
 #: First mean wait after a failed read, in seconds.
-FIRST_BACKOFF_S = 0.5
+FIRST_BACKOFF_S = 2.0
 
 #: Longest mean wait after failed reads, in seconds.
 LONGEST_BACKOFF_S = 15.0
--- a/laurelrock/core/spreading.py
+++ b/laurelrock/core/spreading.py
@@ -107,9 +107,18 @@
     return sum(_weight(address) > own for address in peers) < WATCHERS
 
 
-def start(state: Spreading, fleet: int, now_s: float) -> None:
-    """Delays the first read by the size of the fleet."""
-    state.pace.spread(fleet / START_READS_PER_S, now_s)
+def start(state: Spreading, fleet: int | None, now_s: float) -> None:
+    """Delays the first read by the size of the fleet.
+
+    Args:
+        state: What is started.
+        fleet: Number of VMs listed, or None where the platform did not say.
+        now_s: Present time.
+    """
+    if fleet is None:
+        state.pace.failed(now_s)
+    else:
+        state.pace.spread(fleet / START_READS_PER_S, now_s)
 
 
 def next_fetch(state: Spreading, watcher: bool, now_s: float) -> Fetch | None:
@@ -174,6 +183,7 @@
     else:
         rose = _take_copy(state, head.generation, head.digest, raw)
     if _is_behind(state, head):
+        state.head, state.head_version = None, 0
         state.pace.failed(now_s)
     else:
         pause_s = WATCH_PAUSE_S if watcher else POLL_S
--- a/laurelrock/spread.py
+++ b/laurelrock/spread.py
@@ -73,8 +73,8 @@
                 await self.members.listed.wait()
         except TimeoutError:
             pass
-        known = len(self.members.view.listed)
-        spreading.start(self.state, known, _now_s())
+        listed = len(self.members.view.listed)
+        spreading.start(self.state, listed or None, _now_s())
         while True:
             watcher = self.members.is_watcher()
             fetch = spreading.next_fetch(self.state, watcher, _now_s())
