--- /dev/null
+++ b/fakes/fleet.py
@@ -0,0 +1,464 @@
+"""A fleet in one process and in virtual time.
+
+Runs the cores of many daemons over an in-memory network and platform.
+Messages take a random time, are lost between addresses that are cut from one
+another, and wait for a process that is paused. A connection can go silent; it
+stays so until its sender opens a new one.
+"""
+
+import collections
+import collections.abc
+import heapq
+import itertools
+import random as randomness
+import typing
+
+import msgspec
+
+from laurelrock import head as heads
+from laurelrock import manifest
+from laurelrock import messages
+from laurelrock.core import delta
+from laurelrock.core import exchange
+from laurelrock.core import members
+from laurelrock.core import membership
+from laurelrock.core import records
+from laurelrock.core import spreading
+from laurelrock.core import view as views
+from laurelrock.ports import platform as platforms
+
+__all__ = ["Fleet", "Process", "plan", "small_manifest", "start"]
+
+#: Time between two ticks of a process, in seconds.
+TICK_S = 0.25
+
+#: Time of one read of the platform, in seconds.
+READ_S = 0.005
+
+#: Least and longest time of a message, in seconds.
+LATENCY_S = (0.0002, 0.02)
+
+#: Failure domains, in order.
+DOMAINS = ("a", "b", "c", "d", "e")
+
+
+def plan(size: int, domains: int) -> list[members.Member]:
+    """Returns relays spread evenly over failure domains."""
+    return [
+        members.Member(
+            vm=f"e{index}",
+            role="relay",
+            address=f"10.0.{index // 250}.{index % 250 + 1}:7000",
+            failure_domain=DOMAINS[index % domains],
+            region="gt-central",
+            start_id=f"start-{index}",
+        )
+        for index in range(size)
+    ]
+
+
+def small_manifest(text: str) -> bytes:
+    """Returns a valid manifest that holds a text."""
+    document = {
+        "name": "test",
+        "regions": {"r": ["a"]},
+        "applications": {},
+        "callers": {text: {"token_sha256": "0" * 64, "applications": []}},
+    }
+    return manifest.encode(manifest.decode(delta.canonical(document)))
+
+
+class Process:
+    """One start of a daemon.
+
+    Attributes:
+        view: Its membership.
+        spread: Its manifest.
+        skew_s: Its clock less the fleet's.
+        paused: Whether it does nothing.
+        reading: Whether a read of the platform is under way.
+        waiting: Messages that came while it was paused.
+        history: Generations that were in force, in order.
+    """
+
+    def __init__(
+        self, view: views.View, spread: spreading.Spreading, skew_s: float
+    ) -> None:
+        self.view = view
+        self.spread = spread
+        self.skew_s = skew_s
+        self.paused = False
+        self.reading = False
+        self.waiting: list[messages.Message] = []
+        self.history = [0]
+
+    @property
+    def address(self) -> str:
+        """Where it is reached."""
+        return self.view.me.address
+
+    @property
+    def generation(self) -> int:
+        """Of the manifest in force."""
+        return self.spread.catalog.generation
+
+    def is_watcher(self) -> bool:
+        """Tells whether it waits on the head for its failure domain."""
+        return spreading.is_watcher(
+            self.view.me,
+            [
+                record
+                for record in self.view.table.records.values()
+                if record.state != "dead"
+            ],
+        )
+
+
+Watch = tuple[Process, spreading.Fetch]
+
+
+class Fleet:
+    """Processes by address, the messages between them and the platform.
+
+    Attributes:
+        random: Source of all random choices.
+        now_s: Virtual time.
+        processes: By address.
+        cut_pairs: Sender and receiver whose messages are lost.
+        silent: Sender and receiver whose connection went silent.
+        sent: Messages by type.
+        sent_bytes: Encoded bytes of all messages, where they are counted.
+        objects: The platform's, by key.
+        down: Whether the platform does not answer.
+        cut_off: Addresses that do not reach the platform.
+        reads: Reads of the platform in each second.
+        generation: Last one committed.
+    """
+
+    def __init__(self, seed: int, counts_bytes: bool = False) -> None:
+        self.random = randomness.Random(seed)
+        self.now_s = 1000.0
+        self.queue: list[
+            tuple[float, int, collections.abc.Callable[[], None]]
+        ] = []
+        self.count = itertools.count()
+        self.processes: dict[str, Process] = {}
+        self.cut_pairs: set[tuple[str, str]] = set()
+        self.silent: set[tuple[str, str]] = set()
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.counts_bytes = counts_bytes
+        self.sent_bytes = 0
+        self.objects: dict[str, platforms.Stored] = {}
+        self.down = False
+        self.cut_off: set[str] = set()
+        self.reads: collections.Counter[int] = collections.Counter()
+        self.watches: list[Watch] = []
+        self.generation = 0
+        self.raw = b""
+
+    # Faults
+
+    def start(
+        self,
+        member: members.Member,
+        seeds: list[str] | None = None,
+        skew_s: float = 0.0,
+    ) -> Process:
+        """Starts a process at the member's address, in place of any other."""
+        me = records.Record(
+            address=member.address,
+            vm=member.vm,
+            role=member.role,
+            failure_domain=member.failure_domain,
+            region=member.region,
+            start_id=f"s{next(self.count)}",
+            epoch=int((self.now_s + skew_s) * 1000),
+        )
+        known = list(self.processes) if seeds is None else seeds
+        random = randomness.Random(self.random.random())
+        now_s = self.now_s + skew_s
+        view = membership.make(me, random, now_s, known)
+        spread = spreading.Spreading(member.address, random, now_s)
+        spreading.start(spread, len(known), now_s)
+        process = Process(view, spread, skew_s)
+        self.processes[member.address] = process
+        first_s = self.random.uniform(0, TICK_S)
+        self.after(first_s, lambda: self.tick(process))
+        return process
+
+    def stop(self, address: str) -> None:
+        """Ends a process without a word."""
+        self.processes.pop(address, None)
+
+    def resume(self, address: str) -> None:
+        """Ends a pause."""
+        process = self.processes[address]
+        process.paused = False
+        waiting, process.waiting = process.waiting, []
+        for message in waiting:
+            self.deliver(address, message)
+        self.tick(process)
+
+    def cut(self, ones: list[str], others: list[str]) -> None:
+        """Loses all messages between two groups of addresses."""
+        for one, other in itertools.product(ones, others):
+            self.cut_pairs |= {(one, other), (other, one)}
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self.cut_pairs.clear()
+        self.cut_off.clear()
+
+    def publish(self, raw: bytes, digest: str = "") -> None:
+        """Commits a manifest, as a publisher does."""
+        self.generation += 1
+        generation = self.generation
+        key, change = heads.full_key(generation, "p"), ""
+        self.put(key, raw)
+        if self.raw:
+            change = heads.delta_key(generation, "p")
+            before = msgspec.json.decode(self.raw)
+            after = msgspec.json.decode(raw)
+            self.put(change, delta.diff(before, after))
+        self.raw = raw
+        digest = digest or manifest.digest_of(raw)
+        head = heads.Head(generation, digest, "p", key, change)
+        self.put(heads.HEAD_KEY, heads.encode(head))
+        watches, self.watches = self.watches, []
+        for process, fetch in watches:
+            self.end_read_later(READ_S, process, fetch)
+
+    def put(self, key: str, body: bytes) -> None:
+        """Writes an object of the platform."""
+        held = self.objects.get(key)
+        version = held.version + 1 if held else 1
+        self.objects[key] = platforms.Stored(version, body)
+
+    # Time
+
+    def run(self, duration_s: float) -> None:
+        """Lets virtual time pass."""
+        end_s = self.now_s + duration_s
+        while self.queue and self.queue[0][0] <= end_s:
+            self.now_s, _, action = heapq.heappop(self.queue)
+            action()
+        self.now_s = end_s
+
+    def run_until(
+        self, reached: collections.abc.Callable[[], bool], limit_s: float
+    ) -> float:
+        """Runs until a condition holds; returns the time it took."""
+        begun_s = self.now_s
+        while not reached() and self.now_s - begun_s < limit_s:
+            self.run(0.05)
+        return self.now_s - begun_s
+
+    def after(
+        self, delay_s: float, action: collections.abc.Callable[[], None]
+    ) -> None:
+        """Plans an action."""
+        entry = (self.now_s + delay_s, next(self.count), action)
+        heapq.heappush(self.queue, entry)
+
+    def runs(self, process: Process) -> bool:
+        """Tells whether a process is there and not paused."""
+        present = self.processes.get(process.address) is process
+        return present and not process.paused
+
+    def tick(self, process: Process) -> None:
+        """Lets a process do what is due."""
+        if self.runs(process):
+            membership.tick(process.view, self.now_s + process.skew_s)
+            self.drain(process)
+            self.begin_read(process)
+            self.after(TICK_S, lambda: self.tick(process))
+
+    # Messages
+
+    def drain(self, process: Process) -> None:
+        """Sends what a process left in its outbox."""
+        outbox, process.view.outbox = process.view.outbox, []
+        for outgoing in outbox:
+            self.send(process.address, outgoing)
+
+    def send(self, sender: str, outgoing: views.Outgoing) -> None:
+        """Sends one message, unless it is lost."""
+        pair = (sender, outgoing.address)
+        self.sent[type(outgoing.message).__name__] += 1
+        if self.counts_bytes:
+            self.sent_bytes += sum(map(len, messages.encode(outgoing.message)))
+        if outgoing.fresh:
+            self.silent.discard(pair)
+        if pair in self.cut_pairs or pair in self.silent:
+            return
+        address, message = outgoing.address, outgoing.message
+        self.after(
+            self.random.uniform(*LATENCY_S),
+            lambda: self.deliver(address, message),
+        )
+
+    def deliver(self, address: str, message: messages.Message) -> None:
+        """Hands a message to the process at an address."""
+        process = self.processes.get(address)
+        if process is None:
+            return
+        if process.paused:
+            process.waiting.append(message)
+            return
+        now_s = self.now_s + process.skew_s
+        handler = exchange.HANDLERS.get(type(message))
+        if handler is not None:
+            handler(process.view, message, now_s)
+            membership.flush(process.view, now_s)
+        self.take_manifest(process, message, now_s)
+        self.drain(process)
+
+    def take_manifest(
+        self, process: Process, message: messages.Message, now_s: float
+    ) -> None:
+        """Gives a message to the spreading of the manifest."""
+        answer: messages.Message = None
+        if isinstance(message, messages.Heartbeat):
+            answer = spreading.on_heartbeat(process.spread, message, now_s)
+        elif isinstance(message, messages.ManifestWanted):
+            answer = spreading.on_wanted(process.spread, message, now_s)
+        elif isinstance(message, messages.ManifestSteps):
+            spreading.on_steps(process.spread, message)
+        elif isinstance(message, messages.ManifestCopy):
+            spreading.on_copy(process.spread, message)
+        if answer is not None:
+            views.send(process.view, message.address, answer)
+        self.note(process)
+
+    def note(self, process: Process) -> None:
+        """Announces a generation that came into force."""
+        catalog, view = process.spread.catalog, process.view
+        if catalog.generation != process.history[-1]:
+            process.history.append(catalog.generation)
+            view.generation = catalog.generation
+            view.digest = catalog.digest
+            membership.announce(view)
+            self.drain(process)
+
+    # Reads of the platform
+
+    def begin_read(self, process: Process) -> None:
+        """Makes the read that is due, if any."""
+        if process.reading:
+            return
+        now_s = self.now_s + process.skew_s
+        watcher = process.is_watcher()
+        fetch = spreading.next_fetch(process.spread, watcher, now_s)
+        if fetch is None:
+            return
+        process.reading = True
+        self.reads[int(self.now_s)] += 1
+        held = self.objects.get(heads.HEAD_KEY)
+        waits = held is not None and held.version <= fetch.after
+        if fetch.kind == "watch" and waits and not self.unreachable(process):
+            self.watches.append((process, fetch))
+            self.end_read_later(spreading.WATCH_S, process, fetch)
+        else:
+            self.end_read_later(READ_S, process, fetch)
+
+    def end_read_later(
+        self, delay_s: float, process: Process, fetch: spreading.Fetch
+    ) -> None:
+        """Plans the end of a read."""
+        self.after(delay_s, lambda: self.end_read(process, fetch))
+
+    def end_read(self, process: Process, fetch: spreading.Fetch) -> None:
+        """Takes in the outcome of a read."""
+        if not process.reading or not self.runs(process):
+            process.reading = False
+            return
+        process.reading = False
+        watch = (process, fetch)
+        self.watches = [item for item in self.watches if item != watch]
+        state, now_s = process.spread, self.now_s + process.skew_s
+        watcher = process.is_watcher()
+        if self.unreachable(process):
+            spreading.on_failure(state, now_s)
+            return
+        held = self.objects.get(_key_of(fetch))
+        if fetch.kind == "watch" and held and held.version <= fetch.after:
+            held = None
+        raw = held.body if held else None
+        if fetch.head is not None:
+            spreading.on_body(state, fetch, raw, watcher, now_s)
+            self.note(process)
+        else:
+            version = held.version if held else 0
+            spreading.on_head(state, version, raw, watcher, now_s)
+            self.begin_read(process)
+
+    def unreachable(self, process: Process) -> bool:
+        """Tells whether a process gets no answer from the platform."""
+        return self.down or process.address in self.cut_off
+
+    # Observations
+
+    def live(self) -> list[Process]:
+        """Returns the processes that run and are not paused."""
+        return [p for p in self.processes.values() if not p.paused]
+
+    def domain(self, name: str) -> list[str]:
+        """Returns the addresses of a failure domain."""
+        return [
+            address
+            for address, process in self.processes.items()
+            if process.view.me.failure_domain == name
+        ]
+
+    def generations(self) -> set[int]:
+        """Returns the generations in force on the processes that run."""
+        return {process.generation for process in self.live()}
+
+    def disagreements(self) -> list[str]:
+        """Names what differs between the views and the truth."""
+        truth = {
+            process.address: process.view.me.start_id
+            for process in self.live()
+            if process.view.me.state == "live"
+        }
+        wrong = []
+        for process in self.live():
+            seen = seen_by(process)
+            if seen != truth:
+                extra = sorted(seen.items() - truth.items())[:3]
+                lacks = sorted(truth.items() - seen.items())[:3]
+                wrong.append(f"{process.address}: +{extra} -{lacks}")
+        return wrong
+
+
+def seen_by(process: Process) -> dict[str, str]:
+    """Returns the start ids of the live members a process knows."""
+    return {
+        record.address: record.start_id
+        for record in process.view.table.records.values()
+        if record.state == "live"
+    }
+
+
+def start(
+    seed: int,
+    size: int,
+    domains: int,
+    join_s: float = 15.0,
+    **options: typing.Any,
+) -> Fleet:
+    """Returns a fleet whose members joined and hold generation 1."""
+    fleet = Fleet(seed, **options)
+    fleet.publish(small_manifest("first"))
+    found = plan(size, domains)
+    seeds = [member.address for member in found]
+    for member in found:
+        fleet.start(member, seeds)
+    fleet.run(join_s)
+    return fleet
+
+
+def _key_of(fetch: spreading.Fetch) -> str:
+    if fetch.head is None:
+        return heads.HEAD_KEY
+    return fetch.head.delta if fetch.kind == "delta" else fetch.head.full
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -5,16 +5,16 @@
 
 import msgspec
 
+from fakes import fleet
 from laurelrock import errors
 from laurelrock import manifest
 from laurelrock import messages
 from laurelrock.core import catalog as catalogs
 from laurelrock.core import delta
-from tests import spreadnet
 
 
 def chain(length: int) -> list[bytes]:
-    return [spreadnet.small_manifest(f"c{index}") for index in range(length)]
+    return [fleet.small_manifest(f"c{index}") for index in range(length)]
 
 
 def step_between(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,33 +2,24 @@
 
 import unittest
 
+from fakes import fleet
 from laurelrock.core import holddown
 from laurelrock.core import membership
 from laurelrock.core import table
-from tests import fleet
-from tests import network
 
 #: Time in which views agree again after the last fault, in seconds.
 CONVERGENCE_S = 60.0
 
 
-def domain_of(net: network.Network, domain: str) -> list[str]:
-    return [
-        address
-        for address, process in net.processes.items()
-        if process.view.me.failure_domain == domain
-    ]
-
-
-def relay_vms(net: network.Network, address: str) -> set[str]:
+def relay_vms(net: fleet.Fleet, address: str) -> set[str]:
     process = net.processes[address]
-    now_s = net.now_s + process.clock_skew_s
+    now_s = net.now_s + process.skew_s
     found = membership.roster(process.view, "relay", now_s)
     return {member.vm for member in found}
 
 
 class FleetCase(unittest.TestCase):
-    def assert_converged(self, net: network.Network) -> None:
+    def assert_converged(self, net: fleet.Fleet) -> None:
         self.assertEqual(net.disagreements(), [])
 
 
@@ -36,45 +27,45 @@
     def test_fleets_of_several_sizes_join(self):
         for size in (1, 2, 3, 9, 60):
             with self.subTest(size):
-                net = network.started(size, size, 3)
+                net = fleet.start(size, size, 3)
                 self.assert_converged(net)
 
     def test_newcomer_with_one_seed_is_known_to_all(self):
-        net = network.started(1, 9, 3)
-        newcomer = fleet.relays(10, 3)[9]
-        net.start(newcomer, [fleet.relays(1, 3)[0].address])
+        net = fleet.start(1, 9, 3)
+        newcomer = fleet.plan(10, 3)[9]
+        net.start(newcomer, [fleet.plan(1, 3)[0].address])
         net.run(5.0)
         self.assert_converged(net)
 
     def test_leaving_is_known_at_once(self):
-        net = network.started(2, 9, 3)
-        leaver = net.processes[fleet.relays(9, 3)[4].address]
+        net = fleet.start(2, 9, 3)
+        leaver = net.processes[fleet.plan(9, 3)[4].address]
         membership.leave(leaver.view, net.now_s)
-        net.drain(leaver.view.me.address, leaver)
+        net.drain(leaver)
         net.run(1.0)
-        for address in net.live():
-            self.assertNotIn("e4", relay_vms(net, address))
+        for process in net.live():
+            self.assertNotIn("e4", relay_vms(net, process.address))
 
     def test_death_is_known_to_all(self):
-        net = network.started(3, 60, 3)
-        net.stop(fleet.relays(60, 3)[7].address)
+        net = fleet.start(3, 60, 3)
+        net.stop(fleet.plan(60, 3)[7].address)
         net.run(8.0)
         self.assert_converged(net)
 
     def test_vm_list_is_believed_when_it_says_leaving_first(self):
-        net = network.started(4, 9, 3)
-        reader, leaver = fleet.relays(9, 3)[0], fleet.relays(9, 3)[4]
+        net = fleet.start(4, 9, 3)
+        reader, leaver = fleet.plan(9, 3)[0], fleet.plan(9, 3)[4]
         for member in (reader, leaver):
             view = net.processes[member.address].view
             membership.on_listed(view, {"e4"}, set(), net.now_s)
         self.assertNotIn("e4", relay_vms(net, reader.address))
         net.run(1.0)
-        for address in net.live():
-            self.assertNotIn("e4", relay_vms(net, address))
+        for process in net.live():
+            self.assertNotIn("e4", relay_vms(net, process.address))
 
     def test_two_of_two(self):
-        net = network.started(5, 2, 1)
-        first, second = (member.address for member in fleet.relays(2, 1))
+        net = fleet.start(5, 2, 1)
+        first, second = (member.address for member in fleet.plan(2, 1))
         net.stop(second)
         net.run(10.0)
         self.assertEqual(relay_vms(net, first), {"e0"})
@@ -82,7 +73,7 @@
 
 class SilentConnectionTest(FleetCase):
     def test_one_silent_connection_kills_nobody(self):
-        net = network.started(6, 9, 3)
+        net = fleet.start(6, 9, 3)
         for address in list(net.processes):
             for other in list(net.processes):
                 if other != address and net.random.random() < 0.3:
@@ -92,8 +83,8 @@
             self.assert_converged(net)
 
     def test_cut_between_two_members_kills_nobody(self):
-        net = network.started(7, 9, 3)
-        one, other = (member.address for member in fleet.relays(2, 3))
+        net = fleet.start(7, 9, 3)
+        one, other = (member.address for member in fleet.plan(2, 3))
         net.cut([one], [other])
         for _ in range(60):
             net.run(0.5)
@@ -102,9 +93,9 @@
 
 class PauseTest(FleetCase):
     def test_pause_of_a_minute_and_return(self):
-        net = network.started(8, 9, 3)
-        address = fleet.relays(9, 3)[2].address
-        net.pause(address)
+        net = fleet.start(8, 9, 3)
+        address = fleet.plan(9, 3)[2].address
+        net.processes[address].paused = True
         net.run(60.0)
         self.assert_converged(net)
         net.resume(address)
@@ -112,9 +103,9 @@
         self.assert_converged(net)
 
     def test_paused_member_judges_nobody_on_its_return(self):
-        net = network.started(9, 9, 3)
-        address = fleet.relays(9, 3)[2].address
-        net.pause(address)
+        net = fleet.start(9, 9, 3)
+        address = fleet.plan(9, 3)[2].address
+        net.processes[address].paused = True
         net.run(60.0)
         net.resume(address)
         for _ in range(40):
@@ -127,15 +118,15 @@
     def test_new_start_at_the_same_address(self):
         for skew_s in (0.0, -5000.0, 5000.0):
             with self.subTest(skew_s):
-                net = network.started(10, 9, 3)
-                member = fleet.relays(9, 3)[5]
-                net.start(member, clock_skew_s=skew_s)
+                net = fleet.start(10, 9, 3)
+                member = fleet.plan(9, 3)[5]
+                net.start(member, skew_s=skew_s)
                 net.run(8.0)
                 self.assert_converged(net)
 
     def test_older_start_never_comes_back(self):
-        net = network.started(11, 9, 3)
-        member = fleet.relays(9, 3)[5]
+        net = fleet.start(11, 9, 3)
+        member = fleet.plan(9, 3)[5]
         old = net.processes[member.address]
         net.start(member)
         net.run(5.0)
@@ -143,18 +134,18 @@
             self.assertFalse(view.table.put(old.view.me, net.now_s))
 
     def test_whole_domain_restarts_without_the_platform(self):
-        net = network.started(12, 9, 3)
+        net = fleet.start(12, 9, 3)
         seeds = list(net.processes)
-        for member in fleet.relays(9, 3):
+        for member in fleet.plan(9, 3):
             if member.failure_domain == "b":
                 net.start(member, seeds)
         net.run(6.0)
         self.assert_converged(net)
 
     def test_all_restart_at_once(self):
-        net = network.started(13, 30, 3)
+        net = fleet.start(13, 30, 3)
         seeds = list(net.processes)
-        for member in fleet.relays(30, 3):
+        for member in fleet.plan(30, 3):
             net.start(member, seeds)
         net.run(10.0)
         self.assert_converged(net)
@@ -162,21 +153,23 @@
 
 class CutTest(FleetCase):
     def test_domain_is_cut_off_and_heals(self):
-        net = network.started(14, 15, 5)
-        inside = domain_of(net, "c")
+        net = fleet.start(14, 15, 5)
+        inside = net.domain("c")
         outside = [a for a in net.processes if a not in inside]
         net.cut(inside, outside)
         net.run(30.0)
         for group in (inside, outside):
             for address in group:
-                self.assertEqual(set(net.seen_by(address)), set(group))
+                self.assertEqual(
+                    set(fleet.seen_by(net.processes[address])), set(group)
+                )
         net.heal()
         net.run(30.0)
         self.assert_converged(net)
 
     def test_lone_member_cut_off_blames_nobody(self):
-        net = network.started(15, 9, 3)
-        alone = fleet.relays(9, 3)[0].address
+        net = fleet.start(15, 9, 3)
+        alone = fleet.plan(9, 3)[0].address
         rest = [a for a in net.processes if a != alone]
         net.cut([alone], rest)
         net.run(30.0)
@@ -194,9 +187,9 @@
 
 class HoldDownTest(FleetCase):
     def test_flapping_vm_moves_ownership_ever_more_rarely(self):
-        net = network.started(16, 9, 3)
-        watcher = fleet.relays(9, 3)[0].address
-        flapping = fleet.relays(9, 3)[8]
+        net = fleet.start(16, 9, 3)
+        watcher = fleet.plan(9, 3)[0].address
+        flapping = fleet.plan(9, 3)[8]
         changes, before, flaps = 0, True, 20
         for _ in range(flaps):
             net.stop(flapping.address)
@@ -225,14 +218,14 @@
 
 class TableTest(unittest.TestCase):
     def test_dead_records_are_forgotten_alike(self):
-        net = network.started(17, 9, 3)
-        net.stop(fleet.relays(9, 3)[8].address)
+        net = fleet.start(17, 9, 3)
+        net.stop(fleet.plan(9, 3)[8].address)
         net.run(table.DEAD_KEPT_S + 60)
         for process in net.processes.values():
             self.assertEqual(len(process.view.table.records), 8)
 
     def test_quiet_fleet_sends_a_bounded_number(self):
-        net = network.started(18, 60, 3)
+        net = fleet.start(18, 60, 3)
         net.run(60.0)
         net.sent.clear()
         net.run(60.0)
@@ -250,8 +243,8 @@
                 self.check_history(seed)
 
     def check_history(self, seed: int) -> None:
-        plan = fleet.relays(15, 5)
-        net = network.started(seed, 15, 5)
+        plan = fleet.plan(15, 5)
+        net = fleet.start(seed, 15, 5)
         seeds = [member.address for member in plan]
         epochs: dict = {}
         for _ in range(40):
@@ -276,7 +269,7 @@
             skew_s = net.random.choice([0.0, 0.0, 3600.0, -3600.0])
             net.start(member, seeds, skew_s)
         elif action == "cut":
-            domain = domain_of(net, net.random.choice(fleet.DOMAINS))
+            domain = net.domain(net.random.choice(fleet.DOMAINS))
             net.cut(domain, [a for a in seeds if a not in domain])
         elif action == "heal":
             net.heal()
@@ -285,11 +278,11 @@
         elif action == "stop":
             net.stop(address)
         elif action == "pause":
-            net.pause(address)
+            net.processes[address].paused = True
         elif action == "resume" and process.paused:
             net.resume(address)
         elif action == "leave" and not process.paused:
-            now_s = net.now_s + process.clock_skew_s
+            now_s = net.now_s + process.skew_s
             membership.leave(process.view, now_s)
 
     def check_orders_only_rise(self, net, epochs) -> None:
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -4,13 +4,12 @@
 import random
 import unittest
 
+from fakes import fleet
 from laurelrock import head
 from laurelrock import manifest
 from laurelrock import membership
 from laurelrock.core import pacing
 from laurelrock.core import spreading
-from tests import fleet
-from tests import spreadnet
 
 #: Half of the platform's reads a second.
 READ_LIMIT = 1000
@@ -22,37 +21,30 @@
 IN_FORCE_S = 3.0
 
 
-def domain_of(net, domain: str) -> list[str]:
-    return [
-        address
-        for address, process in net.processes.items()
-        if process.view.me.failure_domain == domain
-    ]
-
-
 class SpreadTest(unittest.TestCase):
     def assert_only_rising(self, net) -> None:
-        for history in net.in_force.values():
+        for process in net.processes.values():
+            history = process.history
             self.assertEqual(history, sorted(set(history)))
 
     def test_in_force_everywhere_in_time(self):
         for size in (1, 2, 9, 60):
             with self.subTest(size):
-                net = spreadnet.started(size, size, 3)
+                net = fleet.start(size, size, 3)
                 self.assertEqual(net.generations(), {1})
                 for index in range(2, 6):
-                    net.publish(spreadnet.small_manifest(f"g{index}"))
+                    net.publish(fleet.small_manifest(f"g{index}"))
                     net.run(IN_FORCE_S)
                     self.assertEqual(net.generations(), {index})
                 self.assert_only_rising(net)
 
     def test_cut_off_domain_gets_it_after_healing(self):
-        net = spreadnet.started(1, 15, 5)
-        inside = domain_of(net, "d")
+        net = fleet.start(1, 15, 5)
+        inside = net.domain("d")
         outside = [a for a in net.processes if a not in inside]
         net.cut(inside, outside)
         net.cut_off |= set(inside)
-        net.publish(spreadnet.small_manifest("second"))
+        net.publish(fleet.small_manifest("second"))
         net.run(30.0)
         self.assertEqual(net.generations(), {1, 2})
         net.heal()
@@ -60,17 +52,17 @@
         self.assertEqual(net.generations(), {2})
 
     def test_domain_without_platform_gets_it_from_peers(self):
-        net = spreadnet.started(2, 15, 5)
-        net.cut_off |= set(domain_of(net, "d"))
-        net.publish(spreadnet.small_manifest("second"))
+        net = fleet.start(2, 15, 5)
+        net.cut_off |= set(net.domain("d"))
+        net.publish(fleet.small_manifest("second"))
         net.run(IN_FORCE_S)
         self.assertEqual(net.generations(), {2})
 
     def test_start_without_platform(self):
-        net = spreadnet.started(3, 9, 3)
-        net.platform.down = True
+        net = fleet.start(3, 9, 3)
+        net.down = True
         seeds = list(net.processes)
-        for member in fleet.relays(9, 3):
+        for member in fleet.plan(9, 3):
             if member.failure_domain == "b":
                 net.start(member, seeds)
         net.run(5.0)
@@ -80,24 +72,24 @@
         bad = [(b"{}", None), (b"not json", None), (b"", "0" * 32)]
         for raw, digest in bad:
             with self.subTest(raw):
-                net = spreadnet.started(4, 9, 3)
+                net = fleet.start(4, 9, 3)
                 key = "manifest/full/2-p"
-                good = spreadnet.small_manifest("second")
+                good = fleet.small_manifest("second")
                 net.publish(good, digest or manifest.digest_of(raw))
-                net.platform.put(key, raw)
-                net.platform.objects.pop("manifest/delta/2-p")
+                net.put(key, raw)
+                net.objects.pop("manifest/delta/2-p")
                 net.run(20.0)
                 self.assertEqual(net.generations(), {1})
                 alarms = [p.spread.alarms for p in net.processes.values()]
                 self.assertTrue(any(alarms))
-                net.publish(spreadnet.small_manifest("third"))
+                net.publish(fleet.small_manifest("third"))
                 net.run(30.0)
                 self.assertEqual(net.generations(), {3})
 
     def test_bad_delta_falls_back_to_the_copy(self):
-        net = spreadnet.started(5, 9, 3)
-        net.publish(spreadnet.small_manifest("second"))
-        net.platform.put("manifest/delta/2-p", b"\xc1")
+        net = fleet.start(5, 9, 3)
+        net.publish(fleet.small_manifest("second"))
+        net.put("manifest/delta/2-p", b"\xc1")
         net.run(10.0)
         self.assertEqual(net.generations(), {2})
 
@@ -107,16 +99,15 @@
                 self.check_history(seed)
 
     def check_history(self, seed: int) -> None:
-        plan = fleet.relays(15, 5)
-        net = spreadnet.started(seed, 15, 5)
+        plan = fleet.plan(15, 5)
+        net = fleet.start(seed, 15, 5)
         seeds = [member.address for member in plan]
         for count in range(30):
             self.step(net, plan, seeds, count)
             net.run(net.random.uniform(0.1, 8.0))
             self.assert_only_rising(net)
         net.heal()
-        net.cut_off.clear()
-        net.platform.down = False
+        net.down = False
         for address, process in list(net.processes.items()):
             if process.paused:
                 net.resume(address)
@@ -131,22 +122,21 @@
         )
         member = net.random.choice(plan)
         if action == "publish":
-            net.publish(spreadnet.small_manifest(f"{count}"))
+            net.publish(fleet.small_manifest(f"{count}"))
         elif action == "start":
             net.start(member, seeds)
         elif action == "stop":
-            net.processes.pop(member.address, None)
+            net.stop(member.address)
         elif action == "pause" and member.address in net.processes:
-            net.pause(member.address)
+            net.processes[member.address].paused = True
         elif action == "cut":
-            domain = domain_of(net, member.failure_domain)
+            domain = net.domain(member.failure_domain)
             net.cut(domain, [a for a in seeds if a not in domain])
             net.cut_off |= set(domain)
         elif action == "heal":
             net.heal()
-            net.cut_off.clear()
         elif action in ("down", "up"):
-            net.platform.down = action == "down"
+            net.down = action == "down"
 
 
 class Reader:
@@ -203,7 +193,7 @@
         self.random = random.Random(1)
         self.now_s = 0.0
         self.reads = collections.Counter()
-        self.raw = spreadnet.small_manifest("first")
+        self.raw = fleet.small_manifest("first")
         digest = manifest.digest_of(self.raw)
         key = head.full_key(1, "p")
         self.head = head.Head(1, digest, "p", key)
@@ -257,7 +247,7 @@
     def test_new_generation_after_an_outage(self):
         self.run_for(20.0)
         self.run_for(20.0, down=True)
-        self.raw = spreadnet.small_manifest("second")
+        self.raw = fleet.small_manifest("second")
         digest = manifest.digest_of(self.raw)
         self.head = head.Head(2, digest, "p", head.full_key(2, "p"))
         self.run_for(60.0)
