Run membership and spread in the daemons

The daemons polled the list of VMs and the head, so that a VM's death was known when the list said so and a domain cut off from the platform got no manifest. Daemon now takes its rosters from the membership service and its manifest from the spread service; SIGTERM announces the leaving.

--- a/laurelrock/core/membership.py
+++ b/laurelrock/core/membership.py
@@ -28,6 +28,9 @@
 #: The same before this daemon has joined, in seconds.
 JOIN_S = 0.5
 
+#: Part of the addresses given that may be unknown once it has joined.
+UNKNOWN_SHARE = 0.75
+
 #: Members that are asked to probe a silent one.
 HELPERS = 2
 
@@ -59,9 +62,7 @@
         view.holds.forget_old(now_s)
         announce(view)
     if now_s >= view.next_heal_s:
-        wait_s = HEAL_S if view.joined else JOIN_S
-        view.next_heal_s = now_s + wait_s * view.random.uniform(0.75, 1.25)
-        _reach_out(view)
+        _reach_out(view, now_s)
     flush(view, now_s)
 
 
@@ -200,13 +201,21 @@
     ]
 
 
-def _reach_out(view: views.View) -> None:
+def _reach_out(view: views.View, now_s: float) -> None:
     """Calls a daemon that is dead or unknown, so that cuts heal."""
     held = view.table.records
-    absent = [a for a in view.seeds | view.listed if a not in held]
-    absent += [a for a in view.table.dead_since_s if a != view.me.address]
-    if absent:
-        address = view.random.choice(sorted(absent))
-        views.send(view, address, exchange.heartbeat(view), fresh=True)
+    given = view.seeds | view.listed
+    unknown = [address for address in given if address not in held]
+    joined = view.joined and len(unknown) <= UNKNOWN_SHARE * len(given)
+    wait_s = HEAL_S if joined else JOIN_S
+    view.next_heal_s = now_s + wait_s * view.random.uniform(0.75, 1.25)
+    dead = [a for a in view.table.dead_since_s if a != view.me.address]
+    if view.called in unknown + dead:
+        view.closing.append(view.called)
+    view.called = ""
+    if unknown or dead:
+        view.called = view.random.choice(sorted(unknown + dead))
+        beat = exchange.heartbeat(view)
+        views.send(view, view.called, beat, fresh=True)
     if held[view.me.address].start_id != view.me.start_id:
         views.probe_own_address(view)
--- a/laurelrock/core/view.py
+++ b/laurelrock/core/view.py
@@ -59,6 +59,8 @@
         listed_leaving: VMs that the platform's list calls leaving.
         neighbours: Members that receive this daemon's heartbeats.
         visitor: The one neighbour that is chosen at random.
+        called: The dead or unknown daemon that was called last.
+        closing: Addresses whose connections are to be closed.
         unsent: Changed records to pass on, with the peer each came from.
         joined: Whether any peer's table was received.
         superseded: Whether another process has this address.
@@ -89,6 +91,8 @@
         self.listed_leaving: set[str] = set()
         self.neighbours: list[str] = []
         self.visitor = ""
+        self.called = ""
+        self.closing: list[str] = []
         self.unsent: dict[str, str] = {me.address: ""}
         self.joined = False
         self.superseded = False
--- a/laurelrock/daemon.py
+++ b/laurelrock/daemon.py
@@ -7,11 +7,11 @@
 import asyncio
 import collections.abc
 import contextlib
+import random
 import secrets
 import signal
 import typing
 
-import msgspec
 from starlette import applications
 from starlette import requests
 from starlette import responses
@@ -20,33 +20,20 @@
 
 from laurelrock import errors
 from laurelrock import manifest
+from laurelrock import membership
 from laurelrock import settings
+from laurelrock import spread
 from laurelrock.adapters import bus
 from laurelrock.adapters import logs
 from laurelrock.adapters import metrics
 from laurelrock.adapters import platform
 from laurelrock.core import members
-from laurelrock.ports import platform as platform_port
 
 __all__ = ["Daemon", "open_daemon"]
 
-#: Between reads of the manifest's head while the platform does not answer.
-RETRY_S = 0.5
-#: Longest wait of one watch of the manifest's head.
-WATCH_S = 20.0
-
 _log = logs.get_logger(__name__)
 
 
-class Head(typing.TypedDict):
-    """Body of the object `manifest/head`."""
-
-    generation: int
-    digest: str
-    publish_id: str
-    full: str
-
-
 class Daemon:
     """State of one process.
 
@@ -57,9 +44,8 @@
         platform: Object API.
         bus: Messages between daemons.
         metrics: Of this process.
-        manifest: In force, or None before the first one.
-        generation: Of the manifest in force.
-        vms: Last list of VMs.
+        members: The other daemons as this one knows them.
+        spread: Keeps the newest manifest in force.
         ready: Whether the balancer may send callers here.
         stopping: Set by SIGTERM.
         tasks: Background work, cancelled at the end.
@@ -72,16 +58,17 @@
         store: platform.HttpPlatform,
         channel: bus.ZmqBus,
         meters: metrics.Metrics,
+        fleet: membership.Membership,
+        configuration: spread.Spread,
     ) -> None:
         self.settings = options
         self.role = role
-        self.start_id = secrets.token_hex(8)
+        self.start_id = fleet.view.me.start_id
         self.platform = store
         self.bus = channel
         self.metrics = meters
-        self.manifest: manifest.Manifest | None = None
-        self.generation = 0
-        self.vms: list[platform_port.Vm] = []
+        self.members = fleet
+        self.spread = configuration
         self.ready = False
         self.stopping = asyncio.Event()
         self.tasks: set[asyncio.Task[typing.Any]] = set()
@@ -96,29 +83,24 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
+    @property
+    def manifest(self) -> manifest.Manifest | None:
+        """Manifest in force, or None before the first one."""
+        return self.spread.manifest
+
+    @property
+    def generation(self) -> int:
+        """Generation of the manifest in force."""
+        return self.spread.generation
+
     def relays(self, region: str) -> list[members.Member]:
-        """Returns the live relays of a region."""
-        port = self.settings.relay.bus_port
-        domains = self.domains_of(region)
+        """Returns the usable relays of a region."""
         return [
-            members.Member(
-                vm=row.vm,
-                role="relay",
-                address=f"{row.address}:{port}",
-                failure_domain=row.failure_domain,
-                region=region,
-                start_id="",
-            )
-            for row in self.vms
-            if row.state == "live" and row.failure_domain in domains
+            relay
+            for relay in self.members.roster("relay")
+            if relay.region == region
         ]
 
-    def domains_of(self, region: str) -> list[str]:
-        """Returns the failure domains of a region."""
-        if self.manifest is None:
-            return []
-        return self.manifest.regions.get(region, [])
-
 
 async def open_daemon(options: settings.Settings, role: members.Role) -> Daemon:
     """Opens everything that both roles need."""
@@ -133,12 +115,25 @@
     store = platform.open_platform(
         options.platform.url, options.platform.timeout_ms / 1000, vm.address
     )
-    channel = bus.open_bus(f"{vm.address}:{port}")
-    daemon = Daemon(
-        options, role, store, channel, metrics.create_metrics(vm.name, role)
+    address = f"{vm.address}:{port}"
+    channel = bus.open_bus(address)
+    me = members.Member(
+        vm=vm.name,
+        role=role,
+        address=address,
+        failure_domain=vm.failure_domain,
+        region=vm.region,
+        start_id=secrets.token_hex(8),
+    )
+    source = random.SystemRandom()
+    fleet = membership.open_membership(
+        me, channel, store, _membership_options(options), source
     )
-    daemon.spawn(follow_manifest(daemon))
-    daemon.spawn(follow_vms(daemon))
+    configuration = spread.open_spread(fleet, channel, store, source)
+    meters = metrics.create_metrics(vm.name, role)
+    daemon = Daemon(options, role, store, channel, meters, fleet, configuration)
+    daemon.spawn(fleet.run())
+    daemon.spawn(configuration.run())
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stopping.set)
@@ -146,6 +141,14 @@
     return daemon
 
 
+def _membership_options(options: settings.Settings) -> membership.Options:
+    return membership.Options(
+        seeds=options.peers.seeds,
+        ports=[options.entry.bus_port, options.relay.bus_port],
+        list_s=options.peers.vms_poll_ms / 1000,
+    )
+
+
 async def close_daemon(daemon: Daemon) -> None:
     """Ends the background work and closes everything."""
     for task in list(daemon.tasks):
@@ -155,56 +158,6 @@
     daemon.bus.close()
 
 
-async def follow_vms(daemon: Daemon) -> None:
-    """Keeps the list of VMs; the last one stays while the platform is out."""
-    while True:
-        try:
-            daemon.vms = await daemon.platform.vms()
-        except errors.PlatformError as error:
-            _log.warning("vms-unavailable", reason=error.message)
-        await asyncio.sleep(daemon.settings.peers.vms_poll_ms / 1000)
-
-
-async def follow_manifest(daemon: Daemon) -> None:
-    """Keeps the newest manifest in force; never an older one."""
-    seen = 0
-    while True:
-        try:
-            head = await daemon.platform.watch("manifest/head", seen, WATCH_S)
-            if head is None:
-                await asyncio.sleep(RETRY_S if seen == 0 else 0)
-                continue
-            await adopt(daemon, head.body)
-            seen = head.version
-        except errors.LaurelrockError as error:
-            _log.warning(
-                "manifest-unavailable", code=error.code, reason=error.message
-            )
-            await asyncio.sleep(RETRY_S)
-
-
-async def adopt(daemon: Daemon, raw: bytes) -> None:
-    """Puts the manifest that a head names in force, if it is newer."""
-    try:
-        head = msgspec.json.decode(raw, type=Head)
-    except msgspec.MsgspecError as error:
-        raise errors.ManifestError(f"manifest/head: {error}") from None
-    if head["generation"] <= daemon.generation:
-        return
-    stored = await daemon.platform.get(head["full"])
-    if stored is None:
-        raise errors.ManifestError(f"{head['full']} does not exist")
-    if manifest.digest_of(stored.body) != head["digest"]:
-        raise errors.ManifestError(f"{head['full']} has another digest")
-    daemon.manifest = manifest.decode(stored.body)
-    daemon.generation = head["generation"]
-    _log.info(
-        "manifest-in-force",
-        generation=daemon.generation,
-        publish_id=head["publish_id"],
-    )
-
-
 class Server(uvicorn.Server):
     """HTTP server that leaves signals to the daemon."""
 
--- a/laurelrock/entry.py
+++ b/laurelrock/entry.py
@@ -77,6 +77,7 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         if daemon.stopping.is_set():
+            daemon.members.leave()
             daemon.ready = False
             _log.info("shutdown-begins", in_flight=entry.in_flight)
             await asyncio.sleep(options.entry.shutdown_notice_ms / 1000)
--- a/laurelrock/membership.py
+++ b/laurelrock/membership.py
@@ -10,10 +10,9 @@
 import time
 import typing
 
-import structlog
-
 from laurelrock import errors
 from laurelrock import messages
+from laurelrock.adapters import logs
 from laurelrock.core import exchange
 from laurelrock.core import members
 from laurelrock.core import membership as fleet
@@ -35,9 +34,9 @@
 #: Mean time between two reads of the list of VMs, in seconds: by the few
 #: daemons that read for their failure domain, and by the others.
 WATCHER_LIST_S = 2.0
-LIST_S = 10.0
+LIST_S = 5.0
 
-logger = structlog.get_logger("membership")
+_log = logs.get_logger(__name__)
 
 HeartbeatListener = collections.abc.Callable[[messages.Heartbeat], None]
 
@@ -48,11 +47,13 @@
     Attributes:
         seeds: Addresses where other daemons may be.
         ports: Bus ports of the daemons of a VM, for the platform's list.
-        start_spread_s: Longest delay of the first read of that list.
+        list_s: Mean time between two reads of that list, in seconds.
+        start_spread_s: Longest delay of the first one.
     """
 
     seeds: list[str]
     ports: list[int]
+    list_s: float = LIST_S
     start_spread_s: float = START_SPREAD_S
 
 
@@ -130,11 +131,13 @@
             try:
                 rows = await self.platform.vms()
             except errors.PlatformError as error:
-                logger.warning("vm-list", error=error.message)
+                _log.warning("vm-list", error=error.message)
                 pace.failed(_now_s())
             else:
                 self.take_list(rows)
-                mean_s = WATCHER_LIST_S if self.is_watcher() else LIST_S
+                mean_s = self.options.list_s
+                if self.is_watcher():
+                    mean_s = min(mean_s, WATCHER_LIST_S)
                 pace.succeeded(mean_s, _now_s())
             self.listed.set()
 
@@ -175,6 +178,9 @@
 
     def deliver(self) -> None:
         """Sends what is in the outbox and logs what was decided."""
+        closing, self.view.closing = self.view.closing, []
+        for address in closing:
+            self.bus.forget(address)
         outbox, self.view.outbox = self.view.outbox, []
         for outgoing in outbox:
             if outgoing.fresh:
@@ -182,7 +188,7 @@
             self.bus.send(outgoing.address, outgoing.message)
         events, self.view.events = self.view.events, []
         for event in events:
-            logger.info(
+            _log.info(
                 f"member-{event.kind}",
                 vm=event.record.vm,
                 address=event.record.address,
@@ -200,7 +206,7 @@
             if self.rosters.get(role) != found:
                 self.rosters[role] = found
                 vms = [member.vm for member in found]
-                logger.info("roster", role=role, size=len(vms), vms=vms[:20])
+                _log.info("roster", role=role, size=len(vms), vms=vms[:20])
 
 
 def open_membership(
--- a/laurelrock/relay.py
+++ b/laurelrock/relay.py
@@ -151,6 +151,7 @@
         )
         daemon.ready = False
         if daemon.stopping.is_set():
+            daemon.members.leave()
             await asyncio.sleep(options.relay.shutdown_notice_ms / 1000)
             relay.leaving = True
             if relay.gatherings:
--- a/laurelrock/spread.py
+++ b/laurelrock/spread.py
@@ -8,13 +8,12 @@
 import random as randomness
 import time
 
-import structlog
-
 from laurelrock import errors
 from laurelrock import head as heads
 from laurelrock import manifest
 from laurelrock import membership
 from laurelrock import messages
+from laurelrock.adapters import logs
 from laurelrock.core import spreading
 from laurelrock.ports import bus as buses
 from laurelrock.ports import platform as platforms
@@ -27,7 +26,7 @@
 #: How long the first list of VMs is waited for, in seconds.
 LIST_WAIT_S = 3.0
 
-logger = structlog.get_logger("spread")
+_log = logs.get_logger(__name__)
 
 ChangeListener = collections.abc.Callable[[int, manifest.Manifest], None]
 
@@ -90,9 +89,7 @@
         try:
             stored = await self.make_read(fetch)
         except errors.PlatformError as error:
-            logger.warning(
-                "manifest-read", kind=fetch.kind, error=error.message
-            )
+            _log.warning("manifest-read", kind=fetch.kind, error=error.message)
             spreading.on_failure(self.state, _now_s())
             return
         raw = stored.body if stored else None
@@ -155,7 +152,7 @@
         catalog = self.state.catalog
         if catalog.generation == before or catalog.manifest is None:
             return
-        logger.info(
+        _log.info(
             "manifest-in-force",
             generation=catalog.generation,
             before=before,
@@ -172,7 +169,7 @@
         """Logs what was refused; the last good manifest stays in force."""
         alarms, self.state.alarms = self.state.alarms, []
         for error in alarms:
-            logger.error(
+            _log.error(
                 "manifest-refused",
                 code=error.code,
                 error=error.message,
--- /dev/null
+++ b/tests/test_control_plane.py
@@ -0,0 +1,149 @@
+"""Tests of the membership and spread services over pyzmq."""
+
+import asyncio
+import random
+import unittest
+
+from fakes import fleet
+from laurelrock import errors
+from laurelrock import head
+from laurelrock import manifest
+from laurelrock import membership
+from laurelrock import spread
+from laurelrock.adapters import bus
+from laurelrock.core import members
+from laurelrock.ports import platform
+
+#: Longest wait for what must come about, in seconds.
+TIMEOUT_S = 30.0
+
+
+class MemoryPlatform:
+    """Objects in memory."""
+
+    def __init__(self) -> None:
+        self.objects = {}
+        self.rows = []
+        self.down = False
+
+    def commit(self, generation: int, raw: bytes) -> None:
+        full = head.full_key(generation, "p")
+        digest = manifest.digest_of(raw)
+        body = head.encode(head.Head(generation, digest, "p", full))
+        self.objects[full] = platform.Stored(1, raw)
+        self.objects[head.HEAD_KEY] = platform.Stored(generation, body)
+
+    def check(self) -> None:
+        if self.down:
+            raise errors.PlatformError("down")
+
+    async def get(self, key):
+        self.check()
+        return self.objects.get(key)
+
+    async def watch(self, key, after, wait_s):
+        for _ in range(int(wait_s / 0.05)):
+            self.check()
+            if key in self.objects and self.objects[key].version > after:
+                return self.objects[key]
+            await asyncio.sleep(0.05)
+        return None
+
+    async def vms(self):
+        self.check()
+        return self.rows
+
+
+class Node:
+    """One daemon's control plane."""
+
+    def __init__(self, store, index: int, start_id: str) -> None:
+        address = f"127.0.30.{index}:7400"
+        me = members.Member(
+            f"e{index}", "relay", address, "ab"[index % 2], "r", start_id
+        )
+        options = membership.Options([], [7400], 0.5, 0.0)
+        source = random.Random(index)
+        self.bus = bus.open_bus(address)
+        self.members = membership.open_membership(
+            me, self.bus, store, options, source
+        )
+        self.spread = spread.open_spread(self.members, self.bus, store, source)
+        self.tasks = [
+            asyncio.create_task(self.members.run()),
+            asyncio.create_task(self.spread.run()),
+        ]
+
+    def roster(self) -> set[tuple[str, str]]:
+        found = self.members.roster("relay")
+        return {(member.vm, member.start_id) for member in found}
+
+    async def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.bus.close()
+
+
+class ControlPlaneTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = MemoryPlatform()
+        self.store.rows = [
+            platform.Vm(f"e{index}", f"127.0.30.{index}", "ab"[index % 2])
+            for index in range(1, 5)
+        ]
+        self.store.commit(1, fleet.small_manifest("first"))
+        self.nodes = {}
+        for index in range(1, 4):
+            self.start(index, "s")
+        await self.until(self.agreed, "the members agree")
+        await self.until(lambda: self.all_hold(1), "generation 1")
+
+    async def asyncTearDown(self):
+        for node in self.nodes.values():
+            await node.close()
+
+    def start(self, index: int, start_id: str) -> None:
+        self.nodes[index] = Node(self.store, index, start_id)
+
+    async def until(self, reached, what: str) -> None:
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + TIMEOUT_S
+        while not reached():
+            rosters = [node.roster() for node in self.nodes.values()]
+            self.assertLess(loop.time(), limit, f"{what}: {rosters}")
+            await asyncio.sleep(0.02)
+
+    def agreed(self) -> bool:
+        truth = {
+            (f"e{index}", node.members.view.me.start_id)
+            for index, node in self.nodes.items()
+            if node.members.view.me.state == "live"
+        }
+        return all(node.roster() == truth for node in self.nodes.values())
+
+    def all_hold(self, generation: int) -> bool:
+        return all(
+            node.spread.generation == generation for node in self.nodes.values()
+        )
+
+    async def test_leave_death_and_return(self):
+        self.nodes[2].members.leave()
+        await self.until(self.agreed, "e2 is leaving")
+        await self.nodes.pop(2).close()
+        await self.nodes.pop(3).close()
+        await self.until(self.agreed, "e3 is dead")
+        self.start(3, "again")
+        await self.until(self.agreed, "e3 came back")
+
+    async def test_generations_with_and_without_the_platform(self):
+        self.store.commit(2, fleet.small_manifest("second"))
+        await self.until(lambda: self.all_hold(2), "generation 2")
+        self.store.down = True
+        self.start(4, "s")
+        await self.until(lambda: self.all_hold(2), "e4 holds generation 2")
+        await self.until(self.agreed, "e4 joined")
+
+
+if __name__ == "__main__":
+    unittest.main()
