--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -199,3 +199,22 @@
 
     code = "outcome-unknown"
     status = 502
+
+
+class ResultNotKeptError(RefusalError):
+    """The request ran, but its result was too large to be kept."""
+
+    code = "result-not-kept"
+    status = 410
+
+
+class LedgerError(LaurelrockError):
+    """A ledger object on the platform cannot be read."""
+
+    code = "ledger-invalid"
+
+
+class WriteUnsettledError(LaurelrockError):
+    """A write may or may not have taken effect, and time ran out."""
+
+    code = "write-unsettled"
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -17,6 +17,8 @@
 CALLER = "caller"
 TOKEN = "caller-token"
 APPLICATION = "quotes"
+#: Wall clock of the tests, in milliseconds since 1970.
+NOW_MS = 1_790_000_000_000
 
 
 ports = itertools.count(FIRST_PORT)
@@ -109,3 +111,9 @@
     """Waits for a state of the test's own process."""
     while not is_true():  # noqa: ASYNC110
         await asyncio.sleep(POLL_S)
+
+
+def save_key(number: int = 0, time_ms: int = NOW_MS) -> str:
+    """Returns an idempotency key."""
+    value = (time_ms << 80) | (7 << 76) | (2 << 62) | number
+    return str(uuid.UUID(int=value))
--- /dev/null
+++ b/tests/histories.py
@@ -0,0 +1,251 @@
+"""Histories of saves: several daemons, every order of events and faults.
+
+The daemons run the real `saves` and `ledgers` over an in-memory platform, in
+virtual time. Whenever all tasks wait, a chooser picks what happens next: one
+call is answered, fails or is lost, a daemon pauses, continues or dies, a late
+write lands, or time passes. `check` judges the finished history.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import random
+import typing
+
+from laurelrock import errors
+from laurelrock import ledgers
+from laurelrock import saves
+from tests import builders
+from tests import memory
+from tests import virtual
+
+Choose = collections.abc.Callable[[int], int]
+Make = collections.abc.Callable[[ledgers.Ledgers], saves.Saves]
+
+MAX_STEPS = 400
+DEADLINE_S = 2.0
+
+
+class Asked(typing.NamedTuple):
+    """One caller's request: which daemon, which key, after how long."""
+
+    daemon: str
+    key: str
+    delay_s: float = 0.0
+    body: bytes = b"1"
+    caller: str = "c"
+
+
+class Parked(typing.NamedTuple):
+    """A call that waits for the chooser."""
+
+    daemon: str
+    kind: str
+    answer: "asyncio.Future[str]"
+
+
+class Event(typing.NamedTuple):
+    """One line of the history: asked, sent, ran, or an answer."""
+
+    asked: int
+    what: str
+    result: bytes = b""
+
+
+class World:
+    """One history under way.
+
+    Attributes:
+        asked: The callers' requests.
+        choose: Returns a number below its argument.
+        faults_left: Events out of the ordinary that may still happen.
+        parked: Calls that wait.
+        paused: Daemons that are stopped for now.
+        dead: Daemons that are stopped for good.
+        events: The history.
+    """
+
+    def __init__(
+        self, asked: list[Asked], make: Make, choose: Choose, faults: int
+    ) -> None:
+        self.asked = asked
+        self.choose = choose
+        self.faults_left = faults
+        self.parked: list[Parked] = []
+        self.paused: set[str] = set()
+        self.dead: set[str] = set()
+        self.events: list[Event] = []
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.steps = 0
+        self.store = memory.Store(self.gate)
+        self.loop = virtual.VirtualLoop(self.idle)
+        names = sorted({item.daemon for item in asked})
+        self.daemons = {name: self.daemon(name, make) for name in names}
+
+    def daemon(self, name: str, make: Make) -> saves.Saves:
+        port = memory.MemoryPlatform(self.store, name)
+        tuning = ledgers.Tuning(spacing_s=0.0, linger_s=0.0)
+        return make(ledgers.Ledgers(port, lambda: 0.5, tuning))
+
+    async def gate(self, call: memory.Call) -> memory.Fault:
+        kind = "put" if call.method == "put" else "read"
+        return typing.cast(memory.Fault, await self.park(call.caller, kind))
+
+    async def park(self, daemon: str, kind: str) -> str:
+        parked = Parked(daemon, kind, self.loop.create_future())
+        self.parked.append(parked)
+        return await parked.answer
+
+    async def execute(self, number: int) -> saves.Outcome:
+        """The one call to the searcher."""
+        asked = self.asked[number]
+        self.events.append(Event(number, "sent"))
+        fate = await self.park(asked.daemon, "send")
+        if fate == "refused":
+            return saves.Outcome("no")
+        self.runs[asked.key] += 1
+        result = str(self.runs[asked.key]).encode()
+        self.events.append(Event(number, "ran", result))
+        return saves.Outcome("unknown" if fate == "lost" else "yes", result)
+
+    async def ask(self, number: int) -> None:
+        asked = self.asked[number]
+        await asyncio.sleep(asked.delay_s)
+        request = saves.Request(
+            str(number), "a", asked.caller, asked.key, asked.body, DEADLINE_S
+        )
+        run = self.daemons[asked.daemon].run
+        try:
+            answer = await run(request, lambda: self.execute(number))
+        except errors.RefusalError as refusal:
+            event = Event(number, f"{refusal.ran}:{refusal.code}")
+        else:
+            what = "replayed" if answer.replayed else "answered"
+            event = Event(number, what, answer.result)
+        self.events.append(event)
+
+    def options(self, timeout: float | None) -> list[tuple[str, typing.Any]]:
+        """Returns what may happen next; the ordinary events come first."""
+        ready = [
+            parked
+            for parked in self.parked
+            if parked.daemon not in self.paused | self.dead
+        ]
+        found = [("ok", parked) for parked in ready]
+        if timeout is not None and (self.faults_left or not ready):
+            found.append(("time", timeout))
+        if not self.faults_left:
+            return found + [("continue", name) for name in sorted(self.paused)]
+        faults = {
+            "read": ["down"],
+            "put": ["down", "lost", "late"],
+            "send": ["refused", "lost"],
+        }
+        for parked in ready:
+            found += [(fault, parked) for fault in faults[parked.kind]]
+        for name in sorted({parked.daemon for parked in ready}):
+            found += [("pause", name), ("die", name)]
+        found += [("continue", name) for name in sorted(self.paused)]
+        return found + [("land", None)] * bool(self.store.late)
+
+    def idle(self, timeout: float | None) -> float:
+        """Lets the next event happen; returns how much time it takes."""
+        self.steps += 1
+        found = self.options(timeout)
+        if not found or self.steps > MAX_STEPS:
+            self.loop.stop()
+            return 0.0
+        what, about = found[self.choose(len(found))]
+        if what == "time":
+            self.faults_left -= any(option == "ok" for option, _ in found)
+            return float(about)
+        if what == "continue":
+            self.paused.discard(about)
+        elif what == "pause":
+            self.paused.add(about)
+        elif what == "die":
+            self.dead.add(about)
+        elif what == "land":
+            self.store.land()
+        else:
+            self.parked.remove(about)
+            about.answer.set_result(what)
+        self.faults_left -= what not in ("ok", "continue")
+        return 0.0
+
+    def run(self) -> list[Event]:
+        """Runs the history to its end and returns it."""
+        for number in range(len(self.asked)):
+            self.loop.create_task(self.ask(number))
+        self.loop.run_forever()
+        self.loop.decide = virtual.skip_to_timer
+        self.loop.finish()
+        return self.events
+
+
+def check(asked: list[Asked], events: list[Event]) -> list[str]:
+    """Returns how a history breaks the promises about saves."""
+    found = []
+    ran: dict[str, list[Event]] = collections.defaultdict(list)
+    for event in events:
+        item, key = asked[event.asked], asked[event.asked].key
+        first = ran[key][0] if ran[key] else None
+        own = [other for other in ran[key] if other.asked == event.asked]
+        ran_word, _, code = event.what.partition(":")
+        if event.what == "ran":
+            ran[key].append(event)
+            if first:
+                found.append(f"{key} ran twice")
+        elif event.what in ("answered", "replayed"):
+            if first is None or first.result != event.result:
+                found.append(f"{key}: {event.what} with another result")
+            elif asked[first.asked].body != item.body:
+                found.append(f"{key}: {event.what} for another body")
+            elif asked[first.asked].caller != item.caller:
+                found.append(f"{key}: {event.what} to another caller")
+        elif ran_word == "no" and own:
+            found.append(f"{key}: not run, said {code}, but it ran")
+        elif ran_word == "yes" and not first:
+            found.append(f"{key}: run, said {code}, but it did not")
+    late = {event.asked for event in events if event.what.startswith("no:")}
+    order = [(event.asked, event.what) for event in events]
+    for number in late:
+        said = next(
+            i
+            for i, (n, w) in enumerate(order)
+            if n == number and w[:3] == "no:"
+        )
+        if (number, "ran") in order[said:]:
+            found.append(f"{asked[number].key} ran after it was refused")
+    return found
+
+
+def every_history(
+    run: collections.abc.Callable[[Choose], typing.Any], limit: int
+) -> collections.abc.Iterator[typing.Any]:
+    """Yields the result of `run` for every sequence of choices."""
+    path: list[list[int]] = []
+    for _ in range(limit):
+        depth = 0
+
+        def choose(count: int) -> int:
+            nonlocal depth
+            if depth == len(path):
+                path.append([0, count])
+            depth += 1
+            return path[depth - 1][0]
+
+        yield run(choose)
+        while path and path[-1][0] + 1 == path[-1][1]:
+            path.pop()
+        if not path:
+            return
+        path[-1][0] += 1
+
+
+def make_saves(store: ledgers.Ledgers) -> saves.Saves:
+    """Returns the saves under test."""
+    identity = random.Random(store.platform.caller)  # type: ignore[attr-defined]
+    return saves.Saves(
+        store, lambda: builders.NOW_MS, lambda: identity.randbytes(12)
+    )
--- /dev/null
+++ b/tests/memory.py
@@ -0,0 +1,124 @@
+"""In-memory platform with scripted faults."""
+
+import collections
+import collections.abc
+import typing
+
+from laurelrock import errors
+from laurelrock.ports import platform
+
+#: ok: answered; down: nothing done, no answer; lost: done, no answer;
+#: late: no answer, and a write takes effect only at `land`.
+Fault = typing.Literal["ok", "down", "lost", "late"]
+
+
+class Call(typing.NamedTuple):
+    """One call of a daemon to the platform."""
+
+    caller: str
+    method: str
+    key: str
+    body: bytes = b""
+    expected: int = 0
+
+
+Gate = collections.abc.Callable[[Call], collections.abc.Awaitable[Fault]]
+
+
+class Store:
+    """State that all daemons share.
+
+    Attributes:
+        objects: By key.
+        script: Faults of the next calls, "ok" once it is empty.
+        gate: Decides on a call in place of the script.
+        late: Writes that have not landed yet.
+        calls: All calls, in order.
+        vms: The list of VMs.
+    """
+
+    def __init__(self, gate: Gate | None = None) -> None:
+        self.objects: dict[str, platform.Stored] = {}
+        self.script: collections.deque[Fault] = collections.deque()
+        self.gate = gate
+        self.late: list[Call] = []
+        self.calls: list[Call] = []
+        self.vms: list[platform.Vm] = []
+
+    async def fault(self, call: Call) -> Fault:
+        """Counts a call and says how it goes."""
+        self.calls.append(call)
+        if self.gate is not None:
+            return await self.gate(call)
+        return self.script.popleft() if self.script else "ok"
+
+    def write(self, call: Call) -> int:
+        """Applies a conditional write."""
+        held = self.objects.get(call.key)
+        version = held.version if held else platform.ABSENT
+        if version != call.expected:
+            raise errors.VersionConflictError(f"{call.key} has {version}")
+        self.objects[call.key] = platform.Stored(version + 1, call.body)
+        return version + 1
+
+    def land(self) -> None:
+        """Lets the late writes take effect where their condition holds."""
+        calls, self.late = self.late, []
+        for call in calls:
+            try:
+                self.write(call)
+            except errors.VersionConflictError:
+                pass
+
+
+class MemoryPlatform:
+    """One daemon's access to the store; see `ports.platform.Platform`."""
+
+    def __init__(self, store: Store, caller: str = "e1") -> None:
+        self.store = store
+        self.caller = caller
+
+    async def read(self, method: str, key: str) -> platform.Stored | None:
+        fault = await self.store.fault(Call(self.caller, method, key))
+        if fault != "ok":
+            raise errors.PlatformError(fault)
+        return self.store.objects.get(key)
+
+    async def get(self, key: str) -> platform.Stored | None:
+        return await self.read("get", key)
+
+    async def put(self, key: str, body: bytes, expected: int) -> int:
+        call = Call(self.caller, "put", key, body, expected)
+        fault = await self.store.fault(call)
+        if fault == "late":
+            self.store.late.append(call)
+        if fault in ("down", "late"):
+            raise errors.PlatformError(fault)
+        version = self.store.write(call)
+        if fault == "lost":
+            raise errors.PlatformError(fault)
+        return version
+
+    async def delete(self, key: str, expected: int) -> None:
+        held = await self.read("delete", key)
+        if held is None or held.version != expected:
+            raise errors.VersionConflictError(key)
+        del self.store.objects[key]
+
+    async def watch(
+        self, key: str, after: int, wait_s: float
+    ) -> platform.Stored | None:
+        held = await self.read("watch", key)
+        return held if held and held.version > after else None
+
+    async def list(self, prefix: str) -> dict[str, int]:
+        await self.read("list", prefix)
+        return {
+            key: held.version
+            for key, held in self.store.objects.items()
+            if key.startswith(prefix)
+        }
+
+    async def vms(self) -> list[platform.Vm]:
+        await self.read("vms", "")
+        return self.store.vms
