--- a/laurelrock/ledgers.py
+++ b/laurelrock/ledgers.py
@@ -12,10 +12,8 @@
 import contextlib
 import typing
 
-import structlog
-
 from laurelrock import errors
-
+from laurelrock.adapters import logs
 from laurelrock.core import ledger as ledgers
 from laurelrock.ports import platform
 
@@ -34,7 +32,7 @@
 #: Verdicts that a ledger seen earlier does not prove.
 STALE_KINDS = ("pending", "unknown", "gone")
 
-log = structlog.get_logger(module=__name__)
+log = logs.get_logger(__name__)
 
 
 class Tuning(typing.NamedTuple):
--- a/laurelrock/saves.py
+++ b/laurelrock/saves.py
@@ -10,11 +10,9 @@
 import collections.abc
 import typing
 
-import structlog
-
 from laurelrock import errors
 from laurelrock import ledgers as writers
-
+from laurelrock.adapters import logs
 from laurelrock.core import ledger
 
 __all__ = ["Answer", "Outcome", "Request", "Saves"]
@@ -25,7 +23,7 @@
 #: Time left below which a claimed save is not sent.
 MIN_TIME_LEFT_S = 0.001
 
-log = structlog.get_logger(module=__name__)
+log = logs.get_logger(__name__)
 
 
 class Request(typing.NamedTuple):
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -220,6 +220,11 @@
     return found
 
 
+def mostly_ordinary(source: random.Random) -> Choose:
+    """Returns a chooser that prefers the ordinary events."""
+    return lambda count: min(source.randrange(count) for _ in range(2))
+
+
 def every_history(
     run: collections.abc.Callable[[Choose], typing.Any], limit: int
 ) -> collections.abc.Iterator[typing.Any]:
