Serve saves: the entry's endpoint, the call to a relay, the relay's call

Cause: saves had no path. The entry claims the key, then sends one message to the relay that owns the save's service; the relay makes one call.

Ruled out: a pooled connection for the relay's call. A connection that went silent while idle would make the outcome unknown; a new connection costs its few milliseconds and fails with certainty that nothing left. Sending to a relay that was not heard of late was ruled out likewise: a ping costs one round trip, a dead relay would cost an unknown outcome.

Change: another searcher or relay is tried only where the first certainly did not run the save. A relay drops a message that it may have seen before (a window over the counter of the asking process) and refuses one whose time is over. Tables of both ends run in virtual time.

--- a/laurelrock/adapters/searcher.py
+++ b/laurelrock/adapters/searcher.py
@@ -64,6 +64,28 @@
     load: Load
 
 
+class SaveItem(typing.TypedDict):
+    """Body of a save."""
+
+    request_id: str
+    start_id: str
+    application: str
+    key: str
+    body: msgspec.Raw
+
+
+class SaveResult(typing.TypedDict, total=False):
+    """Outcome of a save; `ran` is certain either way."""
+
+    request_id: typing.Required[str]
+    start_id: typing.Required[str]
+    status: typing.Required[str]
+    ran: typing.Required[bool]
+    result: msgspec.Raw
+    retry_after_ms: float
+
+
+_save_decoder = msgspec.json.Decoder(SaveResult)
 _reply_decoder = msgspec.json.Decoder(Reply)
 
 
@@ -111,11 +133,31 @@
         self.load = reply.get("load", self.load)
         return results
 
+    async def save(
+        self, item: SaveItem, timeout_s: float, connect_s: float
+    ) -> SaveResult:
+        """Runs a save in one call; see `search`."""
+        raw = await self.post("/v1/save", item, timeout_s, connect_s)
+        try:
+            result = _save_decoder.decode(raw)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            message = f"{self.searcher.id}: {error}"
+            raise errors.SearcherProtocolError(message, True) from None
+        given = (result["request_id"], result["start_id"])
+        if given != (item["request_id"], item["start_id"]):
+            message = f"{self.searcher.id}: reply to another request"
+            raise errors.SearcherProtocolError(message, True)
+        return result
+
     async def post(
-        self, path: str, body: typing.Any, timeout_s: float
+        self,
+        path: str,
+        body: typing.Any,
+        timeout_s: float,
+        connect_s: float | None = None,
     ) -> bytes:
         """Posts JSON and returns the body of the 200 answer."""
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=connect_s)
         try:
             async with self.session.post(
                 self.url + path,
@@ -146,14 +188,24 @@
 
 
 def open_searcher(
-    searcher: manifest.Searcher, connections: int, local_address: str
+    searcher: manifest.Searcher,
+    connections: int,
+    local_address: str,
+    force_close: bool = False,
 ) -> HttpSearcher:
-    """Returns a client of one searcher; call `close` when done."""
+    """Returns a client of one searcher; call `close` when done.
+
+    Args:
+        searcher: From the manifest.
+        connections: Most that are open at a time.
+        local_address: IP number that connections leave from.
+        force_close: Whether each call opens a new connection.
+    """
     connector = aiohttp.TCPConnector(
         limit=connections,
         local_addr=(local_address, 0),
-        keepalive_timeout=60,
-        force_close=False,
+        keepalive_timeout=None if force_close else 60,
+        force_close=force_close,
     )
     session = aiohttp.ClientSession(connector=connector)
     return HttpSearcher(searcher, session)
--- a/laurelrock/callers.py
+++ b/laurelrock/callers.py
@@ -12,8 +12,10 @@
 from laurelrock import errors
 from laurelrock import manifest
 
-__all__ = ["SearchRequest", "authorize", "read_search"]
+__all__ = ["SearchRequest", "authorize", "read_save", "read_search"]
 
+#: Deadline of a save where the caller gives none.
+SAVE_DEADLINE_MS = 2000.0
 #: Hits of an answer where the caller gives no limit.
 DEFAULT_LIMIT = 10
 #: Most hits of an answer.
@@ -109,6 +111,57 @@
     )
 
 
+class SaveBody(typing.TypedDict, total=False):
+    """Body of a save as callers send it."""
+
+    body: typing.Required[typing.Any]
+    deadline_ms: typing.Annotated[float, msgspec.Meta(gt=0)]
+
+
+class SaveRequest(typing.NamedTuple):
+    """A checked save.
+
+    Attributes:
+        body: JSON text.
+        deadline_ms: From the arrival of the request.
+        service: That takes the application's saves.
+    """
+
+    body: bytes
+    deadline_ms: float
+    service: str
+
+
+def read_save(
+    raw: bytes, config: manifest.Manifest, caller: str, name: str
+) -> SaveRequest:
+    """Checks the body of a save and the right to save.
+
+    Raises:
+        BadRequestError: The body is malformed or out of range, or the
+            application takes no saves.
+        ForbiddenError: The caller may not save.
+    """
+    application = config.applications[name]
+    if not config.callers[caller].saves:
+        raise errors.ForbiddenError(f"{caller} may not save")
+    if application.save_service is None:
+        raise errors.BadRequestError(f"{name} takes no saves")
+    body = decode_body(raw, SaveBody)
+    policy = application.policy
+    default_ms = min(SAVE_DEADLINE_MS, policy.max_deadline_ms)
+    deadline_ms = body.get("deadline_ms", default_ms)
+    if deadline_ms > policy.max_deadline_ms:
+        raise errors.BadRequestError(
+            f"deadline_ms {deadline_ms:g} exceeds {policy.max_deadline_ms:g}"
+        )
+    return SaveRequest(
+        body=msgspec.json.encode(body["body"]),
+        deadline_ms=deadline_ms,
+        service=application.save_service,
+    )
+
+
 def decode_body(raw: bytes, kind: typing.Any) -> typing.Any:
     """Decodes a JSON body; raises `BadRequestError` if it does not fit."""
     try:
--- a/laurelrock/entry.py
+++ b/laurelrock/entry.py
@@ -21,6 +21,8 @@
 from laurelrock import callers
 from laurelrock import daemon as daemons
 from laurelrock import errors
+from laurelrock import savecall
+from laurelrock import saves
 from laurelrock import search
 from laurelrock import settings
 from laurelrock.adapters import logs
@@ -41,6 +43,8 @@
     Attributes:
         daemon: Process that it runs in.
         searches: Queries in flight.
+        saves: Runs saves at most once.
+        save_calls: Sends claimed saves to relays.
         in_flight: Requests being answered.
         answers: Count of answers by kind or code.
     """
@@ -50,6 +54,8 @@
     ) -> None:
         self.daemon = daemon
         self.searches = searches
+        self.saves = saves.create_saves(daemon)
+        self.save_calls = savecall.create_save_calls(daemon, searches)
         self.in_flight = 0
         self.answers: collections.Counter[str] = collections.Counter()
         self.latency = daemon.metrics.histogram(
@@ -82,6 +88,7 @@
             await asyncio.sleep(options.entry.shutdown_notice_ms / 1000)
             server.should_exit = True
         await serving
+        await entry.saves.close()
         admin.should_exit = True
         await admin_serving
         _log.info("shutdown-ends", in_flight=entry.in_flight)
@@ -106,6 +113,11 @@
                 guarded(entry, lambda *args: answer_search(entry, *args)),
                 methods=["POST"],
             ),
+            routing.Route(
+                "/v1/applications/{application}/saves",
+                guarded(entry, lambda *args: answer_save(entry, *args)),
+                methods=["POST"],
+            ),
         ]
     )
 
@@ -167,6 +179,40 @@
     }
 
 
+async def answer_save(
+    entry: Entry, request: requests.Request, request_id: str
+) -> dict[str, typing.Any]:
+    """Answers one save."""
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    config, _ = search.current_manifest(entry.daemon)
+    application = request.path_params["application"]
+    header = request.headers.get("authorization")
+    caller = callers.authorize(config, header, application)
+    limit = entry.daemon.settings.entry.max_body_bytes
+    raw = await callers.read_body(request, limit)
+    asked = callers.read_save(raw, config, caller, application)
+    until_s = began_s + asked.deadline_ms / 1000
+    save = saves.Request(
+        request_id=request_id,
+        application=application,
+        caller=caller,
+        key=request.headers.get("idempotency-key", ""),
+        body=asked.body,
+        time_left_s=until_s - loop.time(),
+    )
+    answer = await entry.saves.run(
+        save, lambda: entry.save_calls.run(save, asked.service, until_s)
+    )
+    return {
+        "request_id": request_id,
+        "key": save.key,
+        "ran": "yes",
+        "result": msgspec.Raw(answer.result),
+        "replayed": answer.replayed,
+    }
+
+
 def json_response(body: typing.Any) -> responses.Response:
     """Returns a 200 answer."""
     return responses.Response(
--- a/laurelrock/ledgers.py
+++ b/laurelrock/ledgers.py
@@ -172,13 +172,11 @@
         until_s = asyncio.get_running_loop().time() + SETTLE_PATIENCE_S
         return await self.enqueue(change, until_s).verdict
 
-    async def flush(self) -> None:
-        """Writes what waits without lingering; returns when it is written."""
+    def hurry(self) -> None:
+        """Lets outcomes wait no longer for a claim to share their write."""
         self.tuning = self.tuning._replace(linger_s=0.0)
-        for writer in list(self.writers.values()):
+        for writer in self.writers.values():
             writer.wake.set()
-            if writer.task is not None:
-                await asyncio.wait([writer.task])
 
     def enqueue(self, change: ledgers.Change, until_s: float) -> Waiting:
         """Queues a change at its ledger's writer, and starts the writer."""
--- a/laurelrock/messages.py
+++ b/laurelrock/messages.py
@@ -136,6 +136,8 @@
         ran: Whether the searcher ran it.
         result: The searcher's result as JSON text.
         retry_after_ms: When to come back, where it was not run.
+        reason: Word for the logs; "unknown-service" and "relay-leaving"
+            let the entry ask another relay.
     """
 
     query_id: str
@@ -143,6 +145,7 @@
     ran: errors.Ran
     result: bytes = b""
     retry_after_ms: float = 0.0
+    reason: str = ""
 
 
 class Ping(typing.NamedTuple):
--- a/laurelrock/relay.py
+++ b/laurelrock/relay.py
@@ -13,6 +13,7 @@
 from laurelrock import errors
 from laurelrock import manifest
 from laurelrock import messages
+from laurelrock import saverelay
 from laurelrock import settings
 from laurelrock.adapters import logs
 from laurelrock.adapters import searcher as searchers
@@ -140,6 +141,7 @@
     daemon.bus.on(messages.Search, relay.on_search)
     daemon.bus.on(messages.Cancel, relay.on_cancel)
     daemon.bus.on(messages.Ping, relay.on_ping)
+    saves = saverelay.create_save_relay(daemon)
     _register_metrics(relay)
     admin = daemons.create_admin(daemon)
     serving = daemon.spawn(daemons.serve(admin, "admin"))
@@ -155,6 +157,7 @@
             relay.leaving = True
             if relay.gatherings:
                 await relay.idle.wait()
+            await saves.close()
         admin.should_exit = True
         await serving
     finally:
--- a/laurelrock/saves.py
+++ b/laurelrock/saves.py
@@ -8,8 +8,13 @@
 
 import asyncio
 import collections.abc
+import contextlib
+import random
+import secrets
+import time
 import typing
 
+from laurelrock import daemon as daemons
 from laurelrock import errors
 from laurelrock import ledgers as writers
 from laurelrock.adapters import logs
@@ -22,6 +27,10 @@
 MAX_POLL_S = 0.8
 #: Time left below which a claimed save is not sent.
 MIN_TIME_LEFT_S = 0.001
+#: Size of the random id of an attempt.
+ATTEMPT_BYTES = 12
+#: Seconds that a daemon that ends gives to recording outcomes.
+CLOSE_S = 15.0
 
 log = logs.get_logger(__name__)
 
@@ -142,12 +151,15 @@
         attempt = Attempt(request, claim, until_s)
         return await asyncio.shield(self.start(self.follow(attempt, execute)))
 
-    async def close(self) -> None:
+    async def close(self, time_left_s: float = CLOSE_S) -> None:
         """Waits for the attempts under way and records their outcomes."""
-        flush = asyncio.ensure_future(self.ledgers.flush())
-        while self.tasks:
-            await asyncio.wait(self.tasks)
-        await flush
+        self.ledgers.hurry()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(time_left_s):
+                while self.tasks:
+                    await asyncio.wait(self.tasks)
+        if self.tasks:
+            log.warning("outcomes left unrecorded", count=len(self.tasks))
 
     def start(
         self,
@@ -268,6 +280,31 @@
         self.counts[kind] = self.counts.get(kind, 0) + 1
 
 
+def create_saves(daemon: daemons.Daemon) -> Saves:
+    """Returns the saves of an entry, over its platform."""
+    store = writers.Ledgers(daemon.platform, random.random, writers.Tuning())
+    saves = Saves(
+        store,
+        lambda: time.time() * 1000,
+        lambda: secrets.token_bytes(ATTEMPT_BYTES),
+    )
+    meters = daemon.metrics
+    meters.counters(
+        "laurelrock_saves", lambda: dict(saves.counts), "Saves by decision"
+    )
+    meters.counters(
+        "laurelrock_ledger_calls",
+        lambda: dict(store.counts),
+        "Groups, changes, conflicts and failures of ledgers",
+    )
+    meters.gauge(
+        "laurelrock_ledger_waiting",
+        lambda: store.waiting,
+        "Claims and outcomes that wait for the platform",
+    )
+    return saves
+
+
 def unknown(message: str) -> errors.OutcomeUnknownError:
     """Returns the refusal of a save that may have run."""
     return errors.OutcomeUnknownError(message, "unknown")
--- /dev/null
+++ b/tests/test_savecall.py
@@ -0,0 +1,242 @@
+"""The call that runs a save: both ends, and where another one is tried."""
+
+import asyncio
+import types
+import typing
+import unittest
+
+from laurelrock import errors
+from laurelrock import messages
+from laurelrock import savecall
+from laurelrock import saverelay
+from laurelrock import saves
+from laurelrock.core import members
+from laurelrock.core import window
+from tests import virtual
+
+SAVE = messages.Save("1", "p", "r", "a", "svc", "k", 1000.0, b"1")
+REQUEST = saves.Request("r", "a", "c", "k", b"1", 1.0)
+
+OK = {"status": "ok", "ran": True, "result": b"7"}
+SHED = {"status": "shed", "ran": False, "retry_after_ms": 9.0}
+REFUSED = errors.SearcherError("refused", False)
+RESET = errors.SearcherError("reset", True)
+CROSSED = errors.SearcherProtocolError("other id", True)
+
+
+class Bus:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.replies: list[messages.SaveReply] = []
+        self.sent: list[tuple[str, typing.Any]] = []
+        self.deliver: typing.Any = None
+
+    def reply(self, sender: bytes, message: typing.Any) -> bool:
+        self.replies.append(message)
+        return True
+
+    def send(self, address: str, message: typing.Any) -> bool:
+        return bool(self.deliver(address, message))
+
+
+class Client:
+    """A searcher that answers from a script and counts its calls."""
+
+    def __init__(
+        self, name: str, answer: typing.Any, called: list[str]
+    ) -> None:
+        self.searcher = types.SimpleNamespace(id=name)
+        self.answer = answer
+        self.called = called
+
+    async def save(
+        self, item: typing.Any, timeout_s: float, connect_s: float
+    ) -> typing.Any:
+        self.called.append(self.searcher.id)
+        if self.answer == "silent":
+            await asyncio.sleep(timeout_s)
+            raise RESET
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+
+class RelayTest(unittest.TestCase):
+    #: Answers of the searchers in turn; whether it ran, calls made.
+    CASES: list[tuple[list[typing.Any], str, int]] = [
+        ([OK, OK], "yes", 1),
+        ([REFUSED, OK], "yes", 2),
+        ([SHED, OK], "yes", 2),
+        ([RESET, OK], "unknown", 1),
+        ([CROSSED, OK], "unknown", 1),
+        (["silent", OK], "unknown", 1),
+        ([SHED, RESET, OK], "unknown", 2),
+        ([REFUSED, SHED], "no", 2),
+        ([REFUSED] * 5, "no", saverelay.MAX_TRIES),
+        ([], "no", 0),
+    ]
+
+    def relay(
+        self, answers: list[typing.Any], called: list[str]
+    ) -> saverelay.SaveRelay:
+        searchers = [
+            types.SimpleNamespace(id=f"s{i}", address=f"h{i}", state="live")
+            for i in range(len(answers))
+        ]
+        application = types.SimpleNamespace(services={"svc": searchers})
+        daemon = types.SimpleNamespace(
+            bus=Bus(),
+            stopping=asyncio.Event(),
+            manifest=types.SimpleNamespace(applications={"a": application}),
+            settings=types.SimpleNamespace(
+                relay=types.SimpleNamespace(connect_timeout_ms=500.0)
+            ),
+            spawn=lambda work: asyncio.ensure_future(work),
+        )
+        relay = saverelay.SaveRelay(typing.cast(typing.Any, daemon))
+        for searcher, answer in zip(searchers, answers, strict=True):
+            client = Client(searcher.id, answer, called)
+            relay.upstreams[searcher.id, searcher.address] = saverelay.Upstream(
+                typing.cast(typing.Any, client)
+            )
+        return relay
+
+    async def send(
+        self, answers: list[typing.Any], *sent: messages.Save
+    ) -> tuple[list[messages.SaveReply], list[str]]:
+        """Returns the replies and the searchers that were called."""
+        called: list[str] = []
+        relay = self.relay(answers, called)
+        for save in sent:
+            relay.on_save(b"e", save)
+        while relay.tasks:
+            await asyncio.wait(relay.tasks)
+        return typing.cast(Bus, relay.daemon.bus).replies, called
+
+    def test_tries_another_only_where_it_certainly_did_not_run(self) -> None:
+        for answers, ran, calls in self.CASES:
+            with self.subTest(answers=answers):
+                replies, called = virtual.run(self.send(answers, SAVE))
+                self.assertEqual([ran], [reply.ran for reply in replies])
+                self.assertEqual(calls, len(called))
+
+    def test_doubled_message_is_dropped(self) -> None:
+        replies, called = virtual.run(self.send([OK, OK], SAVE, SAVE))
+        self.assertEqual((1, 1), (len(replies), len(called)))
+
+    def test_message_whose_time_is_over_is_not_run(self) -> None:
+        late = SAVE._replace(time_left_ms=0.0)
+        replies, called = virtual.run(self.send([OK], late))
+        self.assertEqual(("no", []), (replies[0].ran, called))
+
+    def test_leaving_relay_takes_no_save(self) -> None:
+        async def go() -> str:
+            relay = self.relay([OK], [])
+            relay.daemon.stopping.set()
+            await relay.answer(b"e", SAVE, 9e9)
+            return typing.cast(Bus, relay.daemon.bus).replies[0].reason
+
+        self.assertEqual("relay-leaving", virtual.run(go()))
+
+
+class WindowTest(unittest.TestCase):
+    def test_no_id_is_taken_twice(self) -> None:
+        seen = window.Window()
+        numbers = [*range(2, 3 * window.MAX_IDS, 2), 5, 1]
+        taken = [n for n in numbers * 2 if seen.take(n)]
+        self.assertEqual(len(taken), len(set(taken)))
+        self.assertLessEqual(len(seen.ids), window.MAX_IDS)
+
+    def test_processes_have_their_own_windows(self) -> None:
+        windows = window.Windows()
+        self.assertTrue(windows.take("p", "1"))
+        self.assertTrue(windows.take("q", "1"))
+        self.assertFalse(windows.take("p", "1"))
+        self.assertFalse(windows.take("p", "x"))
+
+
+def reply(ran: errors.Ran, reason: str = "") -> messages.SaveReply:
+    return messages.SaveReply("", "p", ran, b"7", 0.0, reason)
+
+
+class CallTest(unittest.TestCase):
+    #: What each relay does in turn; whether it ran, messages sent.
+    CASES: list[tuple[list[typing.Any], str, int]] = [
+        ([reply("yes")], "yes", 1),
+        ([reply("no", "shed"), reply("yes")], "no", 1),
+        ([reply("no", "relay-leaving"), reply("yes")], "yes", 2),
+        ([reply("no", "unknown-service")] * 2, "no", 2),
+        ([reply("unknown"), reply("yes")], "unknown", 1),
+        (["full", reply("yes")], "yes", 1),
+        (["dead", reply("yes")], "yes", 1),
+        (["silent", reply("yes")], "unknown", 1),
+        (["crossed", reply("yes")], "unknown", 1),
+        (["dead", "full"], "no", 0),
+        ([], "no", 0),
+    ]
+
+    def calls(self, script: list[typing.Any]) -> savecall.SaveCalls:
+        relays = [
+            members.Member(f"r{i}", "relay", f"h{i}", "d", "r", "")
+            for i in range(len(script))
+        ]
+        loop = asyncio.get_running_loop()
+        searches = types.SimpleNamespace(suspects=set(), heard_at={})
+        searches.heard = lambda sender: None
+        daemon = types.SimpleNamespace(
+            bus=Bus(),
+            start_id="p",
+            relays=lambda region: relays,
+            settings=types.SimpleNamespace(
+                vm=types.SimpleNamespace(region="r"),
+                entry=types.SimpleNamespace(silence_ms=100.0),
+            ),
+        )
+        calls = savecall.SaveCalls(
+            typing.cast(typing.Any, daemon), typing.cast(typing.Any, searches)
+        )
+        turns = iter(script)
+        fates: dict[str, typing.Any] = {}
+
+        def deliver(address: str, message: typing.Any) -> bool:
+            if address not in fates:
+                fates[address] = next(turns)
+            fate = fates[address]
+            if isinstance(message, messages.Ping):
+                if fate != "dead":
+                    loop.call_later(
+                        0.001,
+                        lambda: searches.heard_at.update(
+                            {address: loop.time()}
+                        ),
+                    )
+                return True
+            if fate == "full":
+                return False
+            daemon.bus.sent.append((address, message))
+            start_id = "other" if fate == "crossed" else "p"
+            if isinstance(fate, messages.SaveReply) or fate == "crossed":
+                answer = reply("yes") if fate == "crossed" else fate
+                answer = answer._replace(
+                    query_id=message.query_id, start_id=start_id
+                )
+                loop.call_later(0.01, calls.on_reply, b"@h", answer)
+            return True
+
+        daemon.bus.deliver = deliver
+        return calls
+
+    def test_asks_another_relay_only_where_it_certainly_did_not_run(
+        self,
+    ) -> None:
+        async def go(script: list[typing.Any]) -> tuple[str, int]:
+            calls = self.calls(script)
+            until_s = asyncio.get_running_loop().time() + 1.0
+            outcome = await calls.run(REQUEST, "svc", until_s)
+            self.assertEqual({}, calls.waiting)
+            return outcome.ran, len(typing.cast(Bus, calls.daemon.bus).sent)
+
+        for script, ran, sent in self.CASES:
+            with self.subTest(script=script):
+                self.assertEqual((ran, sent), virtual.run(go(script)))
