--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import fcntl
 import json
 import pathlib
 import signal
@@ -25,6 +26,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "examples"
+#: Held while a deployment runs.
+LOCK = pathlib.Path(tempfile.gettempdir()) / "laurelrock-cluster.lock"
 
 SETTINGS = """\
 [vm]
@@ -228,8 +231,16 @@
 async def open_cluster(
     deployment: Deployment, log_level: str = "warning"
 ) -> collections.abc.AsyncIterator[Cluster]:
-    """Starts a deployment with its manifest in force; ends it afterwards."""
-    with tempfile.TemporaryDirectory(prefix="laurelrock-") as folder:
+    """Starts a deployment with its manifest in force; ends it afterwards.
+
+    The addresses are fixed, so a second deployment on the same machine waits
+    until the first one has ended.
+    """
+    with (
+        open(LOCK, "wb") as lock,
+        tempfile.TemporaryDirectory(prefix="laurelrock-") as folder,
+    ):
+        await asyncio.to_thread(fcntl.flock, lock, fcntl.LOCK_EX)
         cluster = Cluster(deployment, pathlib.Path(folder), log_level)
         try:
             await start_all(cluster)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,6 +5,7 @@
 import hashlib
 import itertools
 import os
+import uuid
 
 from laurelrock import manifest
 
