--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -236,17 +236,22 @@
     The addresses are fixed, so a second deployment on the same machine waits
     until the first one has ended.
     """
-    with (
-        open(LOCK, "wb") as lock,
-        tempfile.TemporaryDirectory(prefix="laurelrock-") as folder,
-    ):
-        await asyncio.to_thread(fcntl.flock, lock, fcntl.LOCK_EX)
+    with tempfile.TemporaryDirectory(prefix="laurelrock-") as folder:
+        lock = await asyncio.to_thread(take_lock)
         cluster = Cluster(deployment, pathlib.Path(folder), log_level)
         try:
             await start_all(cluster)
             yield cluster
         finally:
             cluster.close()
+            lock.close()
+
+
+def take_lock() -> typing.IO[bytes]:
+    """Waits for the machine's other deployment to end."""
+    lock = open(LOCK, "wb")  # noqa: SIM115
+    fcntl.flock(lock, fcntl.LOCK_EX)
+    return lock
 
 
 async def start_all(cluster: Cluster) -> None:
