Publish manifests by conditional update of the head

Cause: operators and pipelines race, and a write's reply can be lost, so a publisher that trusts the reply tells the winner that it lost.

Change: `core.publish` writes the full copy and the delta, then moves the head by a conditional update. A lost reply is settled by reading the head again: it names the publish id in force and the 32 before it, and the version of the object that the commit replaced. The loser is told the generation, the publish id and the digest in force; an outcome that the head cannot prove is a `PublishUnknownError`.

Ruled out: settling by the generation alone.

--- /dev/null
+++ b/laurelrock/adapters/admin.py
@@ -0,0 +1,74 @@
+"""Admin port of a daemon over HTTP."""
+
+import asyncio
+import typing
+
+import aiohttp
+import msgspec
+
+from laurelrock import errors
+
+__all__ = ["Admin", "Status", "open_admin"]
+
+#: Connections that are open at the same time.
+MAX_CONNECTIONS = 64
+
+
+class Status(typing.TypedDict):
+    """Answer to `GET /status`."""
+
+    vm: str
+    role: str
+    failure_domain: str
+    start_id: str
+    generation: int
+    ready: bool
+
+
+_decoder = msgspec.json.Decoder(Status)
+
+
+class Admin:
+    """Asks daemons how they are.
+
+    Attributes:
+        session: HTTP client.
+        timeout_s: Of one request, without the wait for a free connection.
+        slots: Limits the requests in flight.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, timeout_s: float
+    ) -> None:
+        self.session = session
+        self.timeout_s = timeout_s
+        self.slots = asyncio.Semaphore(MAX_CONNECTIONS)
+
+    async def status(self, address: str) -> Status:
+        """Returns the status of the daemon whose admin port is `IP:port`.
+
+        Raises:
+            PeerSilentError: It does not answer, or not as it should.
+        """
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        url = f"http://{address}/status"
+        try:
+            async with (
+                self.slots,
+                self.session.get(url, timeout=timeout) as response,
+            ):
+                return _decoder.decode(await response.read())
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            reason = str(error) or type(error).__name__
+            raise errors.PeerSilentError(f"{address}: {reason}") from None
+        except msgspec.MsgspecError as error:
+            raise errors.PeerSilentError(f"{address}: {error}") from None
+
+    async def close(self) -> None:
+        await self.session.close()
+
+
+def open_admin(timeout_s: float) -> Admin:
+    """Returns a client of admin ports; call `close` when done."""
+    connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=True)
+    return Admin(aiohttp.ClientSession(connector=connector), timeout_s)
--- a/laurelrock/commands/_mapping.py
+++ b/laurelrock/commands/_mapping.py
@@ -2,7 +2,9 @@
 
 COMMANDS = {
     "entry": "laurelrock.commands.entry",
+    "publish": "laurelrock.commands.publish",
     "relay": "laurelrock.commands.relay",
     "settings": "laurelrock.commands.settings",
+    "status": "laurelrock.commands.status",
     "validate": "laurelrock.commands.validate",
 }
--- /dev/null
+++ b/laurelrock/commands/status.py
@@ -0,0 +1,73 @@
+"""Prints the manifest in force and the state of every daemon."""
+
+import argparse
+import asyncio
+
+import msgspec
+
+from laurelrock import fleet
+from laurelrock import operators
+from laurelrock.commands import _options
+
+__all__ = ["add_arguments", "run"]
+
+ROW = "{:<16} {:<6} {:<16} {:<22} {:>10} {}"
+TITLES = ("vm", "role", "failure domain", "address", "generation", "state")
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declares the command's arguments."""
+    _options.add_target(parser)
+    parser.add_argument(
+        "--json", action="store_true", help="print one JSON object"
+    )
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Prints the overview; silent daemons are named as such."""
+    target = _options.target_of(arguments)
+    overview = asyncio.run(operators.status(target))
+    print(encode(overview) if arguments.json else describe(overview))
+    return 0
+
+
+def encode(overview: operators.Overview) -> str:
+    """Returns the overview as JSON text."""
+    document = {
+        "head": overview.head._asdict() if overview.head else None,
+        "malformed": overview.malformed,
+        "places": [place._asdict() for place in overview.places],
+    }
+    return msgspec.json.encode(document).decode()
+
+
+def describe(overview: operators.Overview) -> str:
+    """Returns the overview as a table."""
+    head = overview.head
+    first = "head: malformed" if overview.malformed else "head: none"
+    if head is not None:
+        first = (
+            f"head: generation {head.generation}, publish id"
+            f" {head.publish_id}, digest {head.digest}"
+        )
+    rows = [describe_place(place) for place in overview.places]
+    return "\n".join([first, ROW.format(*TITLES), *rows])
+
+
+def describe_place(place: fleet.Place) -> str:
+    """Returns one line of the table."""
+    if place.status is None:
+        state, generation = f"silent: {place.reason}", "-"
+    else:
+        state = "ready" if place.status["ready"] else "not ready"
+        generation = str(place.generation)
+    if place.state == "leaving":
+        state += " (leaving)"
+    return ROW.format(
+        place.vm,
+        place.role,
+        place.failure_domain,
+        place.address,
+        generation,
+        state,
+    )
--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -71,6 +71,56 @@
     code = "generation-conflict"
 
 
+class PublishError(LaurelrockError):
+    """A manifest could not be published."""
+
+    code = "publish-failed"
+
+
+class PublishConflictError(PublishError):
+    """Another manifest is in force; nothing of this one is or will be.
+
+    Attributes:
+        generation: In force, 0 if there is none.
+        publish_id: Of the run that put it in force.
+        digest: Of its canonical JSON.
+    """
+
+    code = "publish-conflict"
+
+    def __init__(
+        self,
+        message: str,
+        generation: int,
+        publish_id: str = "",
+        digest: str = "",
+    ) -> None:
+        super().__init__(message)
+        self.generation = generation
+        self.publish_id = publish_id
+        self.digest = digest
+
+
+class PublishUnknownError(PublishError):
+    """The manifest may or may not be in force.
+
+    Attributes:
+        publish_id: To be given again to learn the outcome.
+    """
+
+    code = "publish-unknown"
+
+    def __init__(self, message: str, publish_id: str) -> None:
+        super().__init__(message)
+        self.publish_id = publish_id
+
+
+class NotInForceError(PublishError):
+    """The manifest is not yet in force at every daemon."""
+
+    code = "not-in-force"
+
+
 class FrameError(LaurelrockError):
     """A frame on the port between daemons could not be decoded."""
 
--- a/laurelrock/head.py
+++ b/laurelrock/head.py
@@ -12,12 +12,27 @@
 
 from laurelrock import errors
 
-__all__ = ["HEAD_KEY", "Head", "decode", "delta_key", "encode", "full_key"]
+__all__ = [
+    "HEAD_KEY",
+    "Commit",
+    "Head",
+    "decode",
+    "delta_key",
+    "encode",
+    "full_key",
+]
 
 #: Key of the head.
 HEAD_KEY = "manifest/head"
 
 
+class Commit(typing.NamedTuple):
+    """One committed generation and the publish id that made it."""
+
+    generation: int
+    publish_id: str
+
+
 class Head(typing.NamedTuple):
     """The committed generation.
 
@@ -27,6 +42,9 @@
         publish_id: Random id of the publishing run.
         full: Key of the canonical JSON.
         delta: Key of the delta from the generation before, or empty.
+        recent: Generations before this one, newest first.
+        replaces: Version of the head's object that the commit replaced; no
+            two commits replace the same one.
     """
 
     generation: int
@@ -34,6 +52,8 @@
     publish_id: str
     full: str
     delta: str = ""
+    recent: list[Commit] = []
+    replaces: int = 0
 
 
 class HeadDocument(typing.TypedDict):
@@ -44,6 +64,8 @@
     publish_id: typing.Annotated[str, msgspec.Meta(min_length=1)]
     full: typing.Annotated[str, msgspec.Meta(pattern="^manifest/full/")]
     delta: str
+    recent: typing.NotRequired[list[Commit]]
+    replaces: typing.NotRequired[int]
 
 
 def full_key(generation: int, publish_id: str) -> str:
