--- a/laurelrock/commands/publish.py
+++ b/laurelrock/commands/publish.py
@@ -12,6 +12,7 @@
 
 from laurelrock import errors
 from laurelrock import fleet
+from laurelrock import head as heads
 from laurelrock import operators
 from laurelrock.commands import _options
 from laurelrock.commands import validate
@@ -50,12 +51,21 @@
     )
     parser.add_argument(
         "--publish-id",
-        default="",
+        type=checked_id,
         metavar="ID",
         help="of an earlier run whose outcome is unknown",
     )
 
 
+def checked_id(text: str) -> str:
+    """Returns a publish id that can be part of a key."""
+    try:
+        heads.full_key(1, text)
+    except errors.HeadError as error:
+        raise argparse.ArgumentTypeError(error.message) from None
+    return text
+
+
 def run(arguments: argparse.Namespace) -> int:
     """Publishes; a lost race is a `PublishConflictError`."""
     target = _options.target_of(arguments)
--- a/laurelrock/operators.py
+++ b/laurelrock/operators.py
@@ -56,7 +56,7 @@
     target: Target,
     text: bytes | str,
     *,
-    publish_id: str = "",
+    publish_id: str | None = None,
     base: int | None = None,
     above: int = 0,
     timeout_s: float = 30.0,
