--- a/laurelrock/manifest.py
+++ b/laurelrock/manifest.py
@@ -160,6 +160,8 @@
         raise errors.ManifestError(f"$: not JSON: {error}") from None
     except document.DocumentError as error:
         raise errors.ManifestError(str(error)) from None
+    except RecursionError:
+        raise errors.ManifestError("$: nested too deeply") from None
     for path, reason in _contradictions(manifest):
         raise errors.ManifestError(f"{path}: {reason}")
     return manifest
