--- /dev/null
+++ b/tests/test_upstreams.py
@@ -0,0 +1,146 @@
+"""Upstreams: choice, ejection, ramp and drain, in virtual time."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from laurelrock.core import upstreams
+from tests import builders
+
+#: Past the ramp of a searcher that was opened at time 0.
+WARM_S = upstreams.RAMP_S
+
+
+def upstream(name="r0", **fields):
+    row = builders.searcher(name, address="127.0.0.1:1", **fields)
+    return upstreams.Upstream(row, 0.0)
+
+
+def names(rows, snapshot="v1", now_s=WARM_S):
+    return [row.searcher.id for row in upstreams.usable(rows, snapshot, now_s)]
+
+
+class ChoiceTest(unittest.TestCase):
+    def test_table(self):
+        cases = [
+            ("idle one", {"in_flight": 1}, {}, "b"),
+            ("slow one", {"mean_s": 0.1}, {"in_flight": 1}, "b"),
+            (
+                "its report counts little",
+                {"reported": 9},
+                {"in_flight": 1},
+                "a",
+            ),
+            ("report breaks a tie", {"reported": 1}, {}, "b"),
+            ("fewest calls breaks a tie", {"calls": 5}, {"calls": 4}, "b"),
+        ]
+        for name, first, second, expected in cases:
+            with self.subTest(name):
+                rows = [upstream("a"), upstream("b")]
+                for row, fields in zip(rows, (first, second), strict=True):
+                    vars(row).update(fields)
+                chosen = upstreams.choose_least_loaded(rows)
+                self.assertEqual(chosen.searcher.id, expected)
+
+    def test_random_covers_all(self):
+        rows = [upstream("a"), upstream("b")]
+        for draw, expected in ((0.0, "a"), (0.99, "b")):
+            chosen = upstreams.choose_random(lambda draw=draw: draw)(rows)
+            self.assertEqual(chosen.searcher.id, expected)
+
+
+class FaultTest(unittest.TestCase):
+    def test_ejection_backs_off_and_one_reply_ends_it(self):
+        row = upstream()
+        ejected = [row.failed(WARM_S, True) for _ in range(3)]
+        self.assertEqual(ejected, [False, False, True])
+        self.assertFalse(row.takes_work(WARM_S))
+        back_s = WARM_S + upstreams.EJECT_S
+        self.assertTrue(row.takes_work(back_s))
+        self.assertEqual(row.window(back_s), 1)
+        self.assertTrue(row.failed(back_s, True))
+        self.assertFalse(row.takes_work(back_s + upstreams.EJECT_S))
+        row.replied(0.01, back_s, slow=False)
+        self.assertTrue(row.takes_work(back_s))
+        self.assertEqual(row.window(back_s), 1)
+        self.assertEqual(row.window(back_s + upstreams.RAMP_S), 2)
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 2),
+                strategies.booleans(),
+                strategies.floats(0.0, 3.0),
+            ),
+            max_size=80,
+        )
+    )
+    def test_never_all_ejected(self, events):
+        rows = [upstream(name) for name in "abc"]
+        now_s = WARM_S
+        for index, works, pause_s in events:
+            now_s += pause_s
+            row = rows[index]
+            others = any(
+                other is not row and other.takes_work(now_s) for other in rows
+            )
+            if works:
+                row.replied(0.01, now_s, slow=False)
+            else:
+                row.failed(now_s, others)
+            self.assertTrue(upstreams.usable(rows, "v1", now_s))
+
+    def test_who_takes_work(self):
+        cases = [
+            ("leaving", {"state": "leaving"}, None, ["b"]),
+            ("draining", {}, ("draining", "v1", 0.0), ["b"]),
+            ("shed", {}, ("shed", "v1", 0.1), ["b"]),
+            ("lacks it", {}, ("version-unknown", "v1", 0.0), ["b"]),
+            ("lacks another", {}, ("version-gone", "v0", 0.0), ["a", "b"]),
+        ]
+        for name, fields, refusal, expected in cases:
+            with self.subTest(name):
+                rows = [upstream("a", **fields), upstream("b")]
+                if refusal is not None:
+                    rows[0].refused(*refusal, WARM_S)
+                self.assertEqual(names(rows), expected)
+
+    def test_what_all_refuse_goes_nowhere_but_a_lack_is_asked_again(self):
+        rows = [upstream("a"), upstream("b")]
+        for row in rows:
+            row.refused("version-unknown", "v1", 0.0, WARM_S)
+        self.assertEqual(names(rows), ["a", "b"])
+        for row in rows:
+            row.refused("draining", "v1", 0.0, WARM_S)
+        self.assertEqual(names(rows), [])
+        later_s = WARM_S + upstreams.DRAIN_RECHECK_S
+        self.assertEqual(names(rows, now_s=later_s), ["a", "b"])
+
+
+class EstimateTest(unittest.TestCase):
+    def test_slow_quantile_is_learned(self):
+        row = upstream()
+        # 1 of 20 calls takes 100 ms: the 97th percentile is above 10 ms.
+        for index in range(4000):
+            row.replied(0.1 if index % 20 == 0 else 0.01, WARM_S, slow=False)
+        self.assertGreater(row.slow_s, 0.01)
+        self.assertLess(row.slow_s, 0.2)
+        for _ in range(4000):
+            row.replied(0.005, WARM_S, slow=False)
+        self.assertLess(row.slow_s, 0.01)
+
+    def test_ramp(self):
+        row = upstream(slots=4)
+        part_s = upstreams.RAMP_S / 4
+        windows = [row.window(index * part_s) for index in range(6)]
+        self.assertEqual(windows, [1, 1, 2, 3, 4, 4])
+
+    @hypothesis.given(strategies.integers(1, 64), strategies.integers(2, 1000))
+    def test_two_relays_stay_within_the_connections(self, slots, connections):
+        row = builders.searcher(
+            address="127.0.0.1:1", slots=slots, connections=connections
+        )
+        limit = upstreams.connection_limit(row)
+        self.assertGreaterEqual(limit, 1)
+        self.assertLessEqual(2 * limit, connections)
