Place work by the queue, the searchers' state and hedges

Cause: the relay called the searcher with the fewest calls and waited on a semaphore: no order, no refusal, no hedge, no ejection; a cancelled call closed its connection, and a new one takes 6 ms. A reply that broke the contract left its connection in use, since the client had already taken it back. Change: calls lose by POST /v1/cancel and their late replies are read and dropped; after a bad reply later calls use new connections; each call has an id of its own, so that cancelling one spares its hedge.

--- a/laurelrock/adapters/searcher.py
+++ b/laurelrock/adapters/searcher.py
@@ -4,6 +4,8 @@
 bounded number of connections.
 """
 
+import collections
+import collections.abc
 import typing
 
 import aiohttp
@@ -11,57 +13,21 @@
 
 from laurelrock import errors
 from laurelrock import manifest
-from laurelrock import messages
+from laurelrock.ports import searcher as port
 
 __all__ = ["HttpSearcher", "open_searcher"]
 
-
-class Item(typing.TypedDict):
-    """One sub-query of a call."""
-
-    request_id: str
-    start_id: str
-    snapshot: str
-    time_left_ms: float
-    limit: int
-    service: str
-    shards: list[str]
-    query: msgspec.Raw
-
-
-class HitRow(typing.TypedDict, total=False):
-    """One hit of a result."""
-
-    score: typing.Required[float]
-    id: typing.Required[str]
-    shard: typing.Required[str]
-    document: typing.Any
-
-
-class Load(typing.TypedDict):
-    """A searcher's report of its load."""
-
-    busy: int
-    queued: int
-    slots: int
-
-
-class Result(typing.TypedDict, total=False):
-    """Outcome of one sub-query."""
-
-    request_id: typing.Required[str]
-    start_id: typing.Required[str]
-    status: typing.Required[messages.ShardStatus]
-    snapshot: str
-    hits: list[HitRow]
-    retry_after_ms: float
+#: Time that an idle connection stays open, in seconds.
+KEEPALIVE_S = 60.0
+#: Of every request.
+HEADERS = {"Content-Type": "application/json"}
 
 
 class Reply(typing.TypedDict, total=False):
     """Answer to a call."""
 
-    results: typing.Required[list[Result]]
-    load: Load
+    results: typing.Required[list[port.Result]]
+    load: port.Load
 
 
 class SaveItem(typing.TypedDict):
@@ -85,87 +51,140 @@
     retry_after_ms: float
 
 
+#: What a body is decoded to.
+Body = typing.TypeVar("Body")
+
+
+class Health(typing.TypedDict):
+    """Answer to a health call."""
+
+    state: str
+
+
+_health_decoder = msgspec.json.Decoder(Health)
 _save_decoder = msgspec.json.Decoder(SaveResult)
 _reply_decoder = msgspec.json.Decoder(Reply)
 
 
 class HttpSearcher:
-    """Calls one searcher.
+    """Implements `ports.searcher.Searcher`.
 
     Attributes:
         searcher: From the manifest.
-        session: HTTP client.
+        connect: Returns a new HTTP client.
+        session: HTTP client of the next call.
+        in_use: Calls in flight by HTTP client.
         url: Base URL.
         load: Last report of the searcher.
     """
 
     def __init__(
-        self, searcher: manifest.Searcher, session: aiohttp.ClientSession
+        self,
+        searcher: manifest.Searcher,
+        connect: collections.abc.Callable[[], aiohttp.ClientSession],
     ) -> None:
         self.searcher = searcher
-        self.session = session
+        self.connect = connect
+        self.session = connect()
+        self.in_use: collections.Counter[aiohttp.ClientSession] = (
+            collections.Counter()
+        )
         self.url = f"http://{searcher.address}"
-        self.load: Load = {"busy": 0, "queued": 0, "slots": searcher.slots}
-
-    async def search(self, items: list[Item], timeout_s: float) -> list[Result]:
-        """Runs sub-queries in one call.
-
-        Returns:
-            One result for each item, in order.
+        self.load: port.Load = {"busy": 0, "queued": 0, "slots": searcher.slots}
 
-        Raises:
-            SearcherError: The call failed.
-            SearcherProtocolError: The reply does not match the call; the
-                connection is closed.
-        """
-        raw = await self.post("/v1/search", {"items": items}, timeout_s)
-        try:
+    async def search(
+        self, items: list[port.Item], timeout_s: float
+    ) -> list[port.Result]:
+        def read(raw: bytes) -> Reply:
             reply = _reply_decoder.decode(raw)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            message = f"{self.searcher.id}: {error}"
-            raise errors.SearcherProtocolError(message, True) from None
-        results = reply["results"]
-        asked = [(item["request_id"], item["start_id"]) for item in items]
-        given = [(row["request_id"], row["start_id"]) for row in results]
-        if asked != given:
-            message = f"{self.searcher.id}: reply to another request"
-            raise errors.SearcherProtocolError(message, True)
+            if not _matches(items, reply["results"]):
+                message = f"{self.searcher.id}: reply to another request"
+                raise errors.SearcherProtocolError(message, True)
+            return reply
+
+        reply = await self.post("/v1/search", {"items": items}, timeout_s, read)
         self.load = reply.get("load", self.load)
-        return results
+        return reply["results"]
 
     async def save(
         self, item: SaveItem, timeout_s: float, connect_s: float
     ) -> SaveResult:
-        """Runs a save in one call; see `search`."""
-        raw = await self.post("/v1/save", item, timeout_s, connect_s)
-        try:
+        """Runs a save in one call; see `request`."""
+
+        def read(raw: bytes) -> SaveResult:
             result = _save_decoder.decode(raw)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            message = f"{self.searcher.id}: {error}"
-            raise errors.SearcherProtocolError(message, True) from None
-        given = (result["request_id"], result["start_id"])
-        if given != (item["request_id"], item["start_id"]):
-            message = f"{self.searcher.id}: reply to another request"
-            raise errors.SearcherProtocolError(message, True)
-        return result
+            given = (result["request_id"], result["start_id"])
+            if given != (item["request_id"], item["start_id"]):
+                message = f"{self.searcher.id}: reply to another request"
+                raise errors.SearcherProtocolError(message, True)
+            return result
+
+        return await self.post("/v1/save", item, timeout_s, read, connect_s)
+
+    async def cancel(self, items: list[port.CallId], timeout_s: float) -> None:
+        await self.post("/v1/cancel", {"items": items}, timeout_s, _ignore)
+
+    async def state(self, timeout_s: float) -> str:
+        decode = _health_decoder.decode
+        health = await self.request(
+            "GET", "/v1/health", None, timeout_s, decode
+        )
+        return health["state"]
 
     async def post(
         self,
         path: str,
         body: typing.Any,
         timeout_s: float,
+        read: collections.abc.Callable[[bytes], Body],
+        connect_s: float | None = None,
+    ) -> Body:
+        """Posts JSON; see `request`."""
+        data = msgspec.json.encode(body)
+        return await self.request(
+            "POST", path, data, timeout_s, read, connect_s
+        )
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        data: bytes | None,
+        timeout_s: float,
+        read: collections.abc.Callable[[bytes], Body],
         connect_s: float | None = None,
-    ) -> bytes:
-        """Posts JSON and returns the body of the 200 answer."""
+    ) -> Body:
+        """Sends one request.
+
+        Args:
+            method: Of HTTP.
+            path: Of the URL.
+            data: Body.
+            timeout_s: For the whole exchange.
+            read: Decodes the body of the answer.
+            connect_s: For opening a connection.
+
+        Returns:
+            What `read` returned.
+
+        Raises:
+            SearcherError: The call failed.
+            SearcherProtocolError: The reply breaks the contract; no later
+                call uses its connection.
+        """
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=connect_s)
+        session = self.session
+        self.in_use[session] += 1
         try:
-            async with self.session.post(
+            async with session.request(
+                method,
                 self.url + path,
-                data=msgspec.json.encode(body),
-                headers={"Content-Type": "application/json"},
+                data=data,
+                headers=HEADERS,
                 timeout=timeout,
             ) as response:
                 raw = await response.read()
+            return self.check(response.status, raw, read)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -173,10 +192,31 @@
             raise self.failure(error, False) from None
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise self.failure(error, True) from None
-        if response.status != 200:
-            message = f"{self.searcher.id}: status {response.status}"
-            raise errors.SearcherProtocolError(message, True)
-        return raw
+        finally:
+            self.in_use[session] -= 1
+            if session is not self.session and not self.in_use[session]:
+                del self.in_use[session]
+                await session.close()
+
+    def check(
+        self,
+        status: int,
+        raw: bytes,
+        read: collections.abc.Callable[[bytes], Body],
+    ) -> Body:
+        """Reads an answer; renews the connections where it is bad."""
+        try:
+            if status != 200:
+                message = f"{self.searcher.id}: status {status}"
+                raise errors.SearcherProtocolError(message, True)
+            return read(raw)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            self.session = self.connect()
+            message = f"{self.searcher.id}: {error}"
+            raise errors.SearcherProtocolError(message, True) from None
+        except errors.SearcherProtocolError:
+            self.session = self.connect()
+            raise
 
     def failure(self, error: Exception, sent: bool) -> errors.SearcherError:
         """Returns the typed failure of a call."""
@@ -184,7 +224,17 @@
         return errors.SearcherError(f"{self.searcher.id}: {reason}", sent)
 
     async def close(self) -> None:
-        await self.session.close()
+        for session in {self.session, *self.in_use}:
+            await session.close()
+
+
+def _matches(items: list[port.Item], rows: list[port.Result]) -> bool:
+    asked = [(item["request_id"], item["start_id"]) for item in items]
+    return asked == [(row["request_id"], row["start_id"]) for row in rows]
+
+
+def _ignore(raw: bytes) -> None:
+    """Takes any body."""
 
 
 def open_searcher(
@@ -201,11 +251,14 @@
         local_address: IP number that connections leave from.
         force_close: Whether each call opens a new connection.
     """
-    connector = aiohttp.TCPConnector(
-        limit=connections,
-        local_addr=(local_address, 0),
-        keepalive_timeout=None if force_close else 60,
-        force_close=force_close,
-    )
-    session = aiohttp.ClientSession(connector=connector)
-    return HttpSearcher(searcher, session)
+
+    def connect() -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(
+            limit=connections,
+            local_addr=(local_address, 0),
+            keepalive_timeout=None if force_close else KEEPALIVE_S,
+            force_close=force_close,
+        )
+        return aiohttp.ClientSession(connector=connector)
+
+    return HttpSearcher(searcher, connect)
--- a/laurelrock/relay.py
+++ b/laurelrock/relay.py
@@ -6,42 +6,28 @@
 
 import asyncio
 import collections
+import functools
+import random
 
-import msgspec
-
+from laurelrock import calls
 from laurelrock import daemon as daemons
-from laurelrock import errors
+from laurelrock import dispatch
 from laurelrock import manifest
 from laurelrock import messages
+from laurelrock import pools
 from laurelrock import saverelay
 from laurelrock import settings
-from laurelrock.adapters import logs
+from laurelrock import warm
 from laurelrock.adapters import searcher as searchers
 from laurelrock.core import hits
+from laurelrock.core import upstreams
 
 __all__ = ["run"]
 
 #: Results that are ready within this time travel in one reply.
 FLUSH_S = 0.002
-#: Part of a searcher's connections that one relay may open.
-CONNECTION_SHARE = 0.4
-
-_log = logs.get_logger(__name__)
-
-
-class Upstream:
-    """One searcher as this relay sees it.
-
-    Attributes:
-        client: Calls it.
-        slots: Limits the calls in flight.
-        in_flight: Calls in flight or waiting.
-    """
-
-    def __init__(self, client: searchers.HttpSearcher) -> None:
-        self.client = client
-        self.slots = asyncio.Semaphore(client.searcher.slots)
-        self.in_flight = 0
+#: Kinds of calls that a searcher may run.
+CALL_KINDS = ("first", "retry", "hedge")
 
 
 class Gathering:
@@ -54,7 +40,8 @@
         outcomes: Not yet sent.
         lists: Hits not yet sent.
         flushing: Whether a reply is scheduled.
-        tasks: Work for the parts.
+        works: For the parts.
+        timer: Ends the works at the deadline.
     """
 
     def __init__(self, sender: bytes, search: messages.Search) -> None:
@@ -65,7 +52,8 @@
         self.lists: list[list[messages.Hit]] = []
         self.retry_after_ms = 0.0
         self.flushing = False
-        self.tasks: list[asyncio.Task[None]] = []
+        self.works: list[pools.Work] = []
+        self.timer: asyncio.TimerHandle | None = None
 
 
 class Relay:
@@ -73,20 +61,20 @@
 
     Attributes:
         daemon: Process that it runs in.
-        upstreams: By searcher id and address.
+        dispatcher: Places the work.
         gatherings: By the asking process and query.
         outcomes: Count of shard outcomes by status.
-        calls: Calls made to searchers.
         idle: Set while nothing is gathered.
         leaving: Whether new work is refused.
     """
 
-    def __init__(self, daemon: daemons.Daemon) -> None:
+    def __init__(
+        self, daemon: daemons.Daemon, dispatcher: dispatch.Dispatcher
+    ) -> None:
         self.daemon = daemon
-        self.upstreams: dict[tuple[str, str], Upstream] = {}
+        self.dispatcher = dispatcher
         self.gatherings: dict[tuple[str, str], Gathering] = {}
         self.outcomes: collections.Counter[str] = collections.Counter()
-        self.calls = 0
         self.idle = asyncio.Event()
         self.leaving = False
 
@@ -98,19 +86,36 @@
             return
         self.gatherings[key] = gathering
         self.idle.clear()
+        if self.daemon.manifest is not None:
+            self.dispatcher.adopt(self.daemon.manifest)
+        left_s = max(0.0, search.time_left_ms / 1000)
+        deadline_s = self.dispatcher.loop.time() + left_s
+        hedges = pools.Hedges(len(search.parts))
         for part in search.parts:
-            task = self.daemon.spawn(run_part(self, gathering, part))
-            gathering.tasks.append(task)
+            done = functools.partial(on_done, self, gathering, part)
+            work = pools.Work(search, part, deadline_s, hedges, done)
+            gathering.works.append(work)
+        gathering.timer = self.dispatcher.loop.call_later(
+            left_s, self.on_deadline, gathering
+        )
+        for work in gathering.works:
+            dispatch.submit(self.dispatcher, work)
+
+    def on_deadline(self, gathering: Gathering) -> None:
+        for work in gathering.works:
+            dispatch.expire(self.dispatcher, work)
 
     def on_cancel(self, sender: bytes, cancel: messages.Cancel) -> None:
         gathering = self.remove((cancel.start_id, cancel.query_id))
         if gathering is not None:
-            for task in gathering.tasks:
-                task.cancel()
+            for work in gathering.works:
+                dispatch.abandon(self.dispatcher, work, tell=True)
 
     def remove(self, key: tuple[str, str]) -> Gathering | None:
         """Forgets a gathering; returns it if it was known."""
         gathering = self.gatherings.pop(key, None)
+        if gathering is not None and gathering.timer is not None:
+            gathering.timer.cancel()
         if not self.gatherings:
             self.idle.set()
         return gathering
@@ -120,24 +125,39 @@
         pong = messages.Pong(self.daemon.start_id, accepting)
         self.daemon.bus.reply(sender, pong)
 
-    def upstream(self, searcher: manifest.Searcher) -> Upstream:
-        """Returns the state of a searcher, opening it on first use."""
-        key = (searcher.id, searcher.address)
-        if key not in self.upstreams:
-            limit = max(
-                searcher.slots, int(searcher.connections * CONNECTION_SHARE)
-            )
-            client = searchers.open_searcher(
-                searcher, limit, self.daemon.settings.vm.address
-            )
-            self.upstreams[key] = Upstream(client)
-        return self.upstreams[key]
+
+def create_relay(daemon: daemons.Daemon) -> Relay:
+    """Returns a relay that places work as the settings say."""
+    options = daemon.settings
+    policy = options.policy
+    choose: upstreams.Chooser = upstreams.choose_least_loaded
+    if policy.choice == "random":
+        choose = upstreams.choose_random(random.random)
+    choices = pools.Choices(
+        choose=choose,
+        order=policy.order,
+        hedge_fraction=policy.hedge_percent / 100,
+    )
+
+    def open_searcher(
+        searcher: manifest.Searcher, connections: int
+    ) -> searchers.HttpSearcher:
+        return searchers.open_searcher(
+            searcher, connections, options.vm.address
+        )
+
+    return Relay(
+        daemon,
+        dispatch.create_dispatcher(
+            daemon.start_id, choices, open_searcher, daemon.spawn
+        ),
+    )
 
 
 async def run(options: settings.Settings) -> None:
     """Runs a relay until SIGTERM, then drains it."""
     daemon = await daemons.open_daemon(options, "relay")
-    relay = Relay(daemon)
+    relay = create_relay(daemon)
     daemon.bus.on(messages.Search, relay.on_search)
     daemon.bus.on(messages.Cancel, relay.on_cancel)
     daemon.bus.on(messages.Ping, relay.on_ping)
@@ -146,6 +166,7 @@
     admin = daemons.create_admin(daemon)
     serving = daemon.spawn(daemons.serve(admin, "admin"))
     stopping = daemon.spawn(daemon.stopping.wait())
+    daemon.spawn(warm.keep_warm(daemon, relay.dispatcher))
     daemon.ready = True
     try:
         await asyncio.wait(
@@ -162,41 +183,34 @@
         admin.should_exit = True
         await serving
     finally:
-        for upstream in relay.upstreams.values():
-            await upstream.client.close()
+        await relay.dispatcher.close()
         await daemons.close_daemon(daemon)
 
 
-async def run_part(
-    relay: Relay, gathering: Gathering, part: messages.Part
+def on_done(
+    relay: Relay,
+    gathering: Gathering,
+    part: messages.Part,
+    status: messages.ShardStatus,
+    found: list[messages.Hit],
+    retry_after_ms: float,
 ) -> None:
-    """Asks the searchers of one service until one answers."""
-    loop = asyncio.get_running_loop()
+    """Takes the end of one part and schedules the reply."""
     search = gathering.search
-    deadline = loop.time() + search.time_left_ms / 1000
-    status: messages.ShardStatus = "unknown-service"
-    found: list[messages.Hit] = []
-    tried: set[str] = set()
-    for _ in range(2):
-        upstream = choose_upstream(relay, search, part, tried)
-        if upstream is None:
-            break
-        tried.add(upstream.client.searcher.id)
-        status, found = await call(relay, upstream, search, part, deadline)
-        if status == "ok":
-            break
     gathering.outcomes += [
         messages.ShardOutcome(shard, status) for shard in part.shards
     ]
     gathering.lists.append(found)
     gathering.left -= 1
+    if status in calls.NOT_RUN:
+        gathering.retry_after_ms = max(gathering.retry_after_ms, retry_after_ms)
     relay.outcomes[status] += len(part.shards)
     if gathering.left == 0:
         relay.remove((search.start_id, search.query_id))
         flush(relay, gathering)
     elif not gathering.flushing:
         gathering.flushing = True
-        loop.call_later(FLUSH_S, flush, relay, gathering)
+        relay.dispatcher.loop.call_later(FLUSH_S, flush, relay, gathering)
 
 
 def refuse(relay: Relay, gathering: Gathering) -> None:
@@ -209,86 +223,6 @@
     flush(relay, gathering)
 
 
-def choose_upstream(
-    relay: Relay,
-    search: messages.Search,
-    part: messages.Part,
-    tried: set[str],
-) -> Upstream | None:
-    """Returns the least loaded searcher that takes new work."""
-    config = relay.daemon.manifest
-    if config is None or search.application not in config.applications:
-        return None
-    services = config.applications[search.application].services
-    candidates = [
-        relay.upstream(searcher)
-        for searcher in services.get(part.service, [])
-        if searcher.state == "live" and searcher.id not in tried
-    ]
-    if not candidates:
-        return None
-    chosen = min(
-        candidates,
-        key=lambda upstream: (
-            upstream.in_flight / upstream.client.searcher.slots
-        ),
-    )
-    _log.info(
-        "place",
-        request_id=search.request_id,
-        service=part.service,
-        chosen=chosen.client.searcher.id,
-        candidates={
-            upstream.client.searcher.id: upstream.in_flight
-            for upstream in candidates
-        },
-    )
-    return chosen
-
-
-async def call(
-    relay: Relay,
-    upstream: Upstream,
-    search: messages.Search,
-    part: messages.Part,
-    deadline: float,
-) -> tuple[messages.ShardStatus, list[messages.Hit]]:
-    """Makes one call to a searcher."""
-    loop = asyncio.get_running_loop()
-    upstream.in_flight += 1
-    try:
-        async with upstream.slots:
-            left_s = deadline - loop.time()
-            if left_s <= 0:
-                return "deadline", []
-            item: searchers.Item = {
-                "request_id": search.request_id,
-                "start_id": search.start_id,
-                "snapshot": search.snapshot,
-                "time_left_ms": left_s * 1000,
-                "limit": search.limit,
-                "service": part.service,
-                "shards": part.shards,
-                "query": msgspec.Raw(search.query),
-            }
-            relay.calls += 1
-            [result] = await upstream.client.search([item], left_s)
-    except errors.SearcherError as error:
-        _log.warning("call-failed", code=error.code, reason=error.message)
-        if isinstance(error, errors.SearcherProtocolError):
-            return "protocol", []
-        return "unreachable", []
-    finally:
-        upstream.in_flight -= 1
-    if result["status"] == "ok" and result.get("snapshot") != search.snapshot:
-        return "protocol", []
-    return result["status"], [
-        messages.Hit(**row)
-        for row in result.get("hits", [])
-        if row["shard"] in part.shards
-    ]
-
-
 def flush(relay: Relay, gathering: Gathering) -> None:
     """Sends the outcomes that are ready in one reply."""
     gathering.flushing = False
@@ -317,6 +251,16 @@
     )
     meters.counter(
         "laurelrock_searcher_calls",
-        lambda: relay.calls,
+        lambda: sum(relay.dispatcher.counts[kind] for kind in CALL_KINDS),
         "Calls made to searchers",
     )
+    meters.counters(
+        "laurelrock_dispatch",
+        lambda: {**relay.dispatcher.counts, **relay.dispatcher.caller.counts},
+        "Calls by kind and unusual events",
+    )
+    meters.gauge(
+        "laurelrock_queue",
+        lambda: dispatch.waiting(relay.dispatcher),
+        "Sub-queries that wait for a slot",
+    )
--- a/laurelrock/settings.py
+++ b/laurelrock/settings.py
@@ -10,6 +10,7 @@
 
 from laurelrock import errors
 from laurelrock import util
+from laurelrock.core import queue
 
 __all__ = ["OPTIONS", "Settings", "load", "parse"]
 
@@ -84,6 +85,15 @@
     shutdown_notice_ms: float
 
 
+class PolicySettings(typing.NamedTuple):
+    """Section `policy`: how work is placed."""
+
+    choice: str
+    order: queue.Order
+    hedge_percent: float
+    admission: str
+
+
 class LogSettings(typing.NamedTuple):
     """Section `log`: JSON lines on standard error."""
 
@@ -98,6 +108,7 @@
     peers: PeersSettings
     entry: EntrySettings
     relay: RelaySettings
+    policy: PolicySettings
     log: LogSettings
 
 
@@ -167,6 +178,40 @@
         60_000,
         "Between leaving and refusing new work",
     ),
+    Option(
+        "policy",
+        "choice",
+        "choice",
+        "least-loaded",
+        "Searcher of a call",
+        allowed=("least-loaded", "random"),
+    ),
+    Option(
+        "policy",
+        "order",
+        "choice",
+        "edf",
+        "Queue within a class: earliest deadline or first come first",
+        allowed=("edf", "fifo"),
+    ),
+    Option(
+        "policy",
+        "hedge_percent",
+        "float",
+        "4",
+        "Second calls for slow ones, of the calls needed; 0 for none",
+        0,
+        100,
+        "percent",
+    ),
+    Option(
+        "policy",
+        "admission",
+        "choice",
+        "adaptive",
+        "Limit of the requests in flight of an application",
+        allowed=("adaptive", "off"),
+    ),
     Option(
         "log",
         "level",
@@ -183,6 +228,7 @@
     "peers": PeersSettings,
     "entry": EntrySettings,
     "relay": RelaySettings,
+    "policy": PolicySettings,
     "log": LogSettings,
 }
 
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,334 @@
+"""Dispatch: faults of searchers behind an in-memory port."""
+
+import asyncio
+import collections
+import unittest
+
+from laurelrock import dispatch
+from laurelrock import errors
+from laurelrock import messages
+from laurelrock import pools
+from laurelrock.adapters import logs
+from laurelrock.core import upstreams
+from tests import builders
+
+#: Service time of the in-memory searchers, in seconds.
+FAST_S = 0.001
+#: Far above the least delay of a hedge.
+SLOW_S = 0.5
+
+
+def setUpModule():  # noqa: N802
+    logs.configure("critical")
+
+
+class MemorySearcher:
+    """Implements `ports.searcher.Searcher`; faults are set by tests."""
+
+    def __init__(self, searcher):
+        self.searcher = searcher
+        self.load = {"busy": 0, "queued": 0, "slots": searcher.slots}
+        self.fault = "none"
+        self.delay_s = FAST_S
+        self.asked = []
+        self.cancelled = []
+        self.dropped = 0
+        self.running = 0
+        self.most_running = 0
+        self.stops = collections.defaultdict(asyncio.Event)
+
+    async def search(self, items, timeout_s):
+        [item] = items
+        self.asked.append(item)
+        if self.fault == "refused":
+            raise errors.SearcherError("connection refused", False)
+        if self.fault == "crossed":
+            raise errors.SearcherProtocolError("another id", True)
+        status = self.fault if self.fault in dispatch.calls.NOT_RUN else "ok"
+        if status == "ok":
+            status = await self.work(item)
+        snapshot = "v0" if self.fault == "other-version" else item["snapshot"]
+        hits = [
+            {"score": 1.0, "id": f"d-{shard}", "shard": shard}
+            for shard in [*item["shards"], "not-asked"]
+        ]
+        return [
+            {
+                "request_id": item["request_id"],
+                "start_id": item["start_id"],
+                "status": status,
+                "snapshot": snapshot,
+                "hits": hits if status == "ok" else [],
+                "retry_after_ms": 7.0 if status == "shed" else 0.0,
+            }
+        ]
+
+    async def work(self, item):
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        stop = self.stops[item["request_id"]]
+        try:
+            if self.fault == "hang":
+                await asyncio.Event().wait()
+            await asyncio.wait_for(stop.wait(), self.delay_s)
+        except TimeoutError:
+            return "ok"
+        except asyncio.CancelledError:
+            self.dropped += 1
+            raise
+        finally:
+            self.running -= 1
+        return "deadline"
+
+    async def cancel(self, items, timeout_s):
+        self.cancelled += items
+        for item in items:
+            self.stops[item["request_id"]].set()
+
+    async def state(self, timeout_s):
+        return "ready"
+
+    async def close(self):
+        pass
+
+
+class Bench:
+    """A dispatcher over in-memory searchers of one service."""
+
+    def __init__(self, replicas=2, **choices):
+        self.searchers = {}
+        self.config = builders.small_manifest(1, replicas)
+        self.dispatcher = dispatch.create_dispatcher(
+            "start", pools.Choices(**choices), self.open, self.spawn
+        )
+        self.tasks = set()
+        self.adopt(self.config)
+        for channel in self.dispatcher.channels.values():
+            channel.upstream.ramp_from_s -= upstreams.RAMP_S
+
+    def open(self, searcher, connections):
+        return self.searchers.setdefault(searcher.id, MemorySearcher(searcher))
+
+    def spawn(self, work):
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def adopt(self, config):
+        self.config = config
+        self.dispatcher.adopt(config)
+
+    def leave(self, index):
+        """Puts a manifest in force in which one searcher leaves."""
+        application = self.config.applications[builders.APPLICATION]
+        rows = list(application.services["service0"])
+        rows[index] = rows[index]._replace(state="leaving")
+        changed = application._replace(services={"service0": rows})
+        self.adopt(
+            self.config._replace(applications={builders.APPLICATION: changed})
+        )
+
+    def replica(self, index):
+        return self.searchers[f"service0-r{index}"]
+
+    def submit(self, left_s=5.0, service="service0"):
+        """Submits one work; returns it with the future of its end."""
+        loop = asyncio.get_running_loop()
+        part = messages.Part(service, ["s0"])
+        search = messages.Search(
+            "1",
+            "e",
+            "r",
+            builders.APPLICATION,
+            "v1",
+            left_s * 1000,
+            0,
+            10,
+            b"1",
+            [part],
+        )
+        ended = loop.create_future()
+        work = pools.Work(
+            search,
+            part,
+            loop.time() + left_s,
+            pools.Hedges(1),
+            lambda *result: ended.set_result(result),
+        )
+        dispatch.submit(self.dispatcher, work)
+        return work, ended
+
+    async def run(self, **fields):
+        return await self.submit(**fields)[1]
+
+    async def settle(self):
+        """Waits until no call is in flight."""
+        while self.tasks:
+            await asyncio.wait(self.tasks)
+
+    @property
+    def asked(self):
+        return sum(len(row.asked) for row in self.searchers.values())
+
+
+class FaultTest(unittest.IsolatedAsyncioTestCase):
+    async def test_one_bad_searcher_of_two(self):
+        faults = [
+            "refused",
+            "crossed",
+            "other-version",
+            "hang",
+            "shed",
+            "draining",
+            "version-gone",
+            "version-unknown",
+        ]
+        for fault in faults:
+            with self.subTest(fault):
+                bench = Bench()
+                bench.replica(0).fault = fault
+                for _ in range(20):
+                    status, hits, _ = await bench.run()
+                    self.assertEqual(status, "ok")
+                    self.assertEqual([hit.shard for hit in hits], ["s0"])
+                await bench.settle()
+                self.assertGreater(len(bench.replica(0).asked), 0)
+                self.assertLess(len(bench.replica(0).asked), 10)
+
+    async def test_all_bad(self):
+        cases = [
+            ("refused", "unreachable", 2),
+            ("crossed", "protocol", 2),
+            ("other-version", "protocol", 2),
+            ("shed", "shed", 2),
+            ("draining", "draining", 2),
+            ("version-gone", "version-gone", 2),
+        ]
+        for fault, expected, asked in cases:
+            with self.subTest(fault):
+                bench = Bench()
+                for row in bench.searchers.values():
+                    row.fault = fault
+                status, hits, retry_after_ms = await bench.run()
+                self.assertEqual((status, hits), (expected, []))
+                self.assertEqual(bench.asked, asked)
+                if fault == "shed":
+                    self.assertEqual(retry_after_ms, 7.0)
+
+    async def test_retries_add_little_to_a_collapsing_service(self):
+        bench = Bench()
+        for row in bench.searchers.values():
+            row.fault = "refused"
+        for _ in range(200):
+            await bench.run()
+        most = 200 * (1 + dispatch.hedge.RETRY_FRACTION)
+        self.assertLessEqual(bench.asked, most + dispatch.hedge.BUDGET_BURST)
+
+    async def test_unknown_service(self):
+        status, _, _ = await Bench().run(service="none")
+        self.assertEqual(status, "unknown-service")
+
+    async def test_a_leaving_searcher_gets_no_new_work(self):
+        bench = Bench()
+        bench.leave(0)
+        for _ in range(10):
+            await bench.run()
+        self.assertEqual(len(bench.replica(0).asked), 0)
+        bench.leave(1)
+        self.assertEqual((await bench.run())[0], "unreachable")
+
+
+class HedgeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_loser_is_told_and_its_late_reply_dropped(self):
+        bench = Bench()
+        bench.replica(0).delay_s = SLOW_S
+        bench.replica(1).delay_s = SLOW_S
+        work, ended = bench.submit()
+        [first] = work.calls
+        winner = next(
+            row
+            for row in bench.searchers.values()
+            if row is not first.channel.client
+        )
+        winner.delay_s = FAST_S
+        self.assertEqual((await ended)[0], "ok")
+        await bench.settle()
+        loser = first.channel.client
+        [named] = loser.cancelled
+        self.assertEqual(named["request_id"], first.request_id)
+        self.assertNotEqual(
+            winner.asked[0]["request_id"], loser.asked[0]["request_id"]
+        )
+        # The connection survives: the reply is read, not cut off.
+        self.assertEqual(loser.dropped, 0)
+        self.assertEqual(bench.dispatcher.counts["late"], 1)
+        self.assertEqual(first.channel.upstream.in_flight, 0)
+
+    async def test_a_silent_loser_gives_its_slot_back(self):
+        bench = Bench()
+        for row in bench.searchers.values():
+            row.fault = "hang"
+        work, ended = bench.submit()
+        await builders.until(lambda: len(work.calls) == 2)
+        attempts = list(work.calls)
+        dispatch.expire(bench.dispatcher, work)
+        self.assertEqual((await ended)[0], "deadline")
+        await bench.settle()
+        for attempt in attempts:
+            self.assertEqual(attempt.channel.client.dropped, 1)
+            self.assertEqual(attempt.channel.upstream.in_flight, 0)
+
+    async def test_no_hedges_where_they_are_off(self):
+        bench = Bench(hedge_fraction=0.0)
+        for row in bench.searchers.values():
+            row.delay_s = 0.1
+        await bench.run()
+        self.assertEqual(bench.asked, 1)
+
+
+class LoadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_slots_are_kept_and_overload_is_refused_at_once(self):
+        bench = Bench(hedge_fraction=0.0)
+        for row in bench.searchers.values():
+            row.delay_s = 0.02
+        ends = [bench.submit(left_s=0.5)[1] for _ in range(400)]
+        refused = sum(end.done() for end in ends)
+        self.assertGreater(refused, 0)
+        results = await asyncio.gather(*ends)
+        statuses = collections.Counter(row[0] for row in results)
+        self.assertEqual(statuses["shed"], refused)
+        self.assertGreater(statuses["ok"], 0)
+        self.assertTrue(all(r[2] > 0 for r in results if r[0] == "shed"))
+        for row in bench.searchers.values():
+            self.assertLessEqual(row.most_running, row.searcher.slots)
+        self.assertEqual(dispatch.waiting(bench.dispatcher), 0)
+
+    async def test_what_nobody_waits_for_is_stopped(self):
+        bench = Bench(replicas=1)
+        bench.replica(0).delay_s = SLOW_S
+        rows = [bench.submit() for _ in range(5)]
+        await asyncio.sleep(0)
+        for work, _ in rows:
+            dispatch.abandon(bench.dispatcher, work, tell=True)
+        self.assertEqual(dispatch.waiting(bench.dispatcher), 0)
+        await bench.settle()
+        self.assertEqual(len(bench.replica(0).cancelled), 2)
+        self.assertEqual(bench.asked, 2)
+        self.assertFalse(any(end.done() for _, end in rows))
+
+    async def test_waiting_work_ends_at_its_deadline(self):
+        bench = Bench(replicas=1)
+        bench.replica(0).delay_s = SLOW_S
+        rows = [bench.submit() for _ in range(3)]
+        work, ended = rows[-1]
+        dispatch.expire(bench.dispatcher, work)
+        self.assertEqual((await ended)[0], "deadline")
+        self.assertEqual(dispatch.waiting(bench.dispatcher), 0)
+
+    async def test_work_that_waits_moves_to_the_next_manifest(self):
+        bench = Bench(replicas=1)
+        ends = [bench.submit()[1] for _ in range(6)]
+        bench.adopt(builders.small_manifest(1, 2))
+        results = await asyncio.gather(*ends)
+        self.assertEqual({row[0] for row in results}, {"ok"})
