--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -97,14 +97,20 @@
         vms: Rows of the platform's list.
         domains: Names of the failure domains.
         log_level: Of the daemons.
+        extra: Sections added to the settings of the daemons.
     """
 
     def __init__(
-        self, deployment: Deployment, folder: pathlib.Path, log_level: str
+        self,
+        deployment: Deployment,
+        folder: pathlib.Path,
+        log_level: str,
+        extra: str,
     ) -> None:
         self.deployment = deployment
         self.folder = folder
         self.log_level = log_level
+        self.extra = extra
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.vms: list[dict[str, str]] = json.loads(
             deployment.vms.read_text(encoding="utf-8")
@@ -147,7 +153,8 @@
                 platform=self.platform_url,
                 notice_ms=500,
                 log_level=self.log_level,
-            ),
+            )
+            + self.extra,
             encoding="utf-8",
         )
         arguments = ["laurelrock", role, "--settings", str(path)]
@@ -229,7 +236,7 @@
 
 @contextlib.asynccontextmanager
 async def open_cluster(
-    deployment: Deployment, log_level: str = "warning"
+    deployment: Deployment, log_level: str = "warning", extra: str = ""
 ) -> collections.abc.AsyncIterator[Cluster]:
     """Starts a deployment with its manifest in force; ends it afterwards.
 
@@ -238,7 +245,7 @@
     """
     with tempfile.TemporaryDirectory(prefix="laurelrock-") as folder:
         lock = await asyncio.to_thread(take_lock)
-        cluster = Cluster(deployment, pathlib.Path(folder), log_level)
+        cluster = Cluster(deployment, pathlib.Path(folder), log_level, extra)
         try:
             await start_all(cluster)
             yield cluster
--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,345 @@
+"""Policy: latency, coverage and extra load of variants, measured in turn.
+
+Usage: `python -m bench.policy [--long] [--only EXPERIMENT]`. Prints one JSON
+object a variant. Ratios hold between variants of the same run.
+"""
+
+import argparse
+import asyncio
+import collections.abc
+import contextlib
+import os
+import pathlib
+import sys
+import time
+import typing
+
+import aiohttp
+import msgspec
+
+from bench import baseline
+from bench import cluster
+from fakes import load
+from laurelrock import manifest
+
+__all__ = ["main"]
+
+SEED = 20261203
+TOKEN = "franchise-tablets-token"
+TOP = "cotizador"
+SECOND = "portal-franquicia"
+#: Load before the first measurement of a cluster, in seconds.
+WARM_UP_S = 3.0
+#: Mean service time of the searchers where they are overloaded.
+SLOW_MS = 32.0
+#: Ticks a second of the processor times in /proc.
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+Setup = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
+
+class Usage(typing.NamedTuple):
+    """Counters at one time.
+
+    Attributes:
+        ran: Sub-queries that the searchers ran.
+        cpu_s: Processor time of entries and relays.
+    """
+
+    ran: int
+    cpu_s: float
+
+
+class Bench:
+    """One cluster under measurement.
+
+    Attributes:
+        running: Its processes.
+        session: For the control endpoints.
+        source: Manifest in force.
+        scale: Factor of the lengths of the runs.
+    """
+
+    def __init__(
+        self,
+        running: cluster.Cluster,
+        session: aiohttp.ClientSession,
+        scale: float,
+    ) -> None:
+        self.running = running
+        self.session = session
+        self.scale = scale
+        path = running.deployment.manifest
+        self.source = manifest.decode(path.read_bytes())
+
+    async def control(self, body: dict[str, typing.Any]) -> None:
+        """Changes the searchers of every failure domain that has them."""
+        named = body.get("searchers")
+        for domain in self.running.domains:
+            change = dict(body)
+            if named is not None:
+                held = self.searchers_of(domain)
+                change["searchers"] = [name for name in named if name in held]
+            url = f"{self.running.control_url(domain)}/control"
+            await cluster.post(self.session, url, change)
+
+    def searchers_of(self, domain: str) -> set[str]:
+        """Returns the ids of the searchers of a failure domain."""
+        return {
+            row.id
+            for application in self.source.applications.values()
+            for rows in application.services.values()
+            for row in rows
+            if row.failure_domain == domain
+        }
+
+    async def usage(self) -> Usage:
+        """Reads the searchers' ledgers and the daemons' processor times."""
+        ran = 0
+        for domain in self.running.domains:
+            url = f"{self.running.control_url(domain)}/control/ledger"
+            async with self.session.get(url) as response:
+                body = await response.json()
+            ran += sum(row.get("ran", 0) for row in body["searchers"].values())
+        cpu_s = sum(
+            cpu_of(process.pid)
+            for name, process in self.running.processes.items()
+            if name.startswith(("entry-", "relay-"))
+        )
+        return Usage(ran, cpu_s)
+
+    async def measure(
+        self,
+        experiment: str,
+        variant: str,
+        rates: dict[str, float],
+        seconds: float,
+        **more: typing.Any,
+    ) -> None:
+        """Sends load and prints the object of a variant."""
+        plan = load.Plan(
+            urls=self.running.entry_urls,
+            manifests=[self.source],
+            targets=[
+                load.Target(name, TOKEN, rate) for name, rate in rates.items()
+            ],
+            seconds=seconds,
+            seed=SEED,
+        )
+        before = await self.usage()
+        result = await load.run(plan)
+        after = await self.usage()
+        used = Usage(after.ran - before.ran, after.cpu_s - before.cpu_s)
+        row = {
+            "experiment": experiment,
+            "variant": variant,
+            "offered_qps": sum(rates.values()),
+            "seed": SEED,
+            **figures(result, used, seconds),
+            **more,
+        }
+        print(msgspec.json.encode(row).decode(), flush=True)
+
+
+def figures(
+    result: load.Result, used: Usage, seconds: float
+) -> dict[str, typing.Any]:
+    """Returns what is printed of one run."""
+    summary = load.summary(result)
+    counts = result.counts
+    shards = counts["shards"]
+    missing = counts["shards_missing"]
+    covered = shards - missing
+    refusals = result.refusal_us
+    by_application = {
+        name: round(row["p99_ms"], 1)
+        for name, row in summary["applications"].items()
+    }
+    return {
+        "p50_ms": round(summary["p50_ms"], 1),
+        "p99_ms": round(summary["p99_ms"], 1),
+        "p999_ms": round(summary["p999_ms"], 1),
+        "coverage": round(covered / shards, 5) if shards else 0.0,
+        "goodput_qps": round(counts["whole"] / seconds, 1),
+        "refused": counts["refused"],
+        "extra_load": round(used.ran / covered, 4) if covered else 0.0,
+        "cpu_us_per_subquery": (
+            round(used.cpu_s / shards * 1e6, 1) if shards else 0.0
+        ),
+        "queries": counts["queries"],
+        "partial": counts["partial"],
+        "wrong": counts["wrong"],
+        "errors": counts["errors"],
+        "refusal_p99_ms": round(load.percentile_ms(refusals, 99), 1),
+        "p99_ms_by_application": by_application,
+        "codes": summary["codes"],
+    }
+
+
+def cpu_of(pid: int) -> float:
+    """Returns the processor time of a process, in seconds; 0 once ended."""
+    try:
+        text = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="utf-8")
+    except OSError:
+        return 0.0
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+@contextlib.asynccontextmanager
+async def open_bench(
+    scale: float, **policy: str
+) -> collections.abc.AsyncIterator[Bench]:
+    """Starts a cluster with the given options of section `policy`."""
+    lines = [f"{name} = {value}" for name, value in policy.items()]
+    extra = "\n".join(["", "[policy]", *lines, ""])
+    async with (
+        aiohttp.ClientSession() as session,
+        cluster.open_cluster(cluster.TECHOS, "info", extra) as running,
+    ):
+        bench = Bench(running, session, scale)
+        plan = load.Plan(
+            urls=running.entry_urls,
+            manifests=[bench.source],
+            targets=[load.Target(TOP, TOKEN, 60.0)],
+            seconds=WARM_UP_S,
+            seed=SEED + 1,
+        )
+        await load.run(plan)
+        yield bench
+
+
+async def stragglers(scale: float) -> None:
+    """Slow calls, with and without hedges, and the thinnest policy."""
+    seconds = 12 * scale
+    variants = {
+        "hedge": {},
+        "no-hedge": {"hedge_percent": "0"},
+        "random-fifo": {
+            "choice": "random",
+            "order": "fifo",
+            "hedge_percent": "0",
+            "admission": "off",
+        },
+    }
+    for name, policy in variants.items():
+        async with open_bench(scale, **policy) as bench:
+            for fraction in (0.0, 0.01):
+                change = {"straggler_fraction": fraction}
+                await bench.control({"behaviour": change})
+                await bench.measure(
+                    "stragglers",
+                    f"{name}, {fraction:.0%} slow",
+                    {TOP: 100.0},
+                    seconds,
+                )
+
+
+async def kill(scale: float) -> None:
+    """One searcher of each service stops."""
+    async with open_bench(scale) as bench:
+        services = bench.source.applications[TOP].services
+        names = [rows[0].id for rows in services.values()]
+        rates = {TOP: 80.0}
+        await bench.measure("searchers-killed", "before", rates, 8 * scale)
+        await bench.control(
+            {"searchers": names, "behaviour": {"fault": "crash"}}
+        )
+        for variant, seconds in (
+            ("0 s to 2 s", 2.0),
+            ("2 s to 5 s", 3.0),
+            ("after 5 s", 8 * scale),
+        ):
+            await bench.measure("searchers-killed", variant, rates, seconds)
+        await bench.control(
+            {"searchers": names, "behaviour": {"fault": "none"}}
+        )
+        await asyncio.sleep(10)
+        await bench.measure("searchers-killed", "back", rates, 8 * scale)
+
+
+async def overload(scale: float) -> None:
+    """Up to twice the capacity of the searchers."""
+    # Two searchers with two slots each.
+    capacity = 4 / (SLOW_MS / 1000)
+    for name in ("adaptive", "off"):
+        async with open_bench(scale, admission=name) as bench:
+            await bench.control({"behaviour": {"mean_ms": SLOW_MS}})
+            for factor in (0.6, 0.9, 2.0):
+                await bench.measure(
+                    "overload",
+                    f"admission {name}, {factor:g} of capacity",
+                    {TOP: factor * capacity},
+                    10 * scale,
+                    deadline_ms=1000.0,
+                )
+            if name == "adaptive":
+                await mixed(bench, capacity, scale)
+
+
+async def mixed(bench: Bench, capacity: float, scale: float) -> None:
+    """The top class alone, then beside an overloaded lower class."""
+    rates = {TOP: 0.3 * capacity}
+    await bench.measure("classes", "top class alone", rates, 8 * scale)
+    rates[SECOND] = 2.0 * capacity
+    await bench.measure("classes", "beside overload", rates, 8 * scale)
+
+
+async def processor(scale: float) -> None:
+    """Processor time of a call by the HTTP client alone."""
+    async with open_bench(scale) as bench:
+        spec = next(iter(bench.source.applications[TOP].services.values()))[0]
+        version = bench.source.applications[TOP].snapshots[0].version
+        await bench.control({"behaviour": {"mean_ms": 1.0}})
+        cpu_us = await baseline.cpu_us_per_call(spec, version, 3 * scale)
+        row = {
+            "experiment": "processor",
+            "variant": "one aiohttp call",
+            "cpu_us_per_subquery": round(cpu_us, 1),
+        }
+        print(msgspec.json.encode(row).decode(), flush=True)
+        await bench.control({"behaviour": {"mean_ms": 8.0}})
+        before = await bench.usage()
+        await asyncio.sleep(3)
+        after = await bench.usage()
+        idle = (after.cpu_s - before.cpu_s) / 3
+        for rate in (50.0, 150.0):
+            await bench.measure(
+                "processor",
+                f"entry and relay at {rate:g}/s",
+                {TOP: rate},
+                8 * scale,
+                idle_cpu_s_per_s=round(idle, 3),
+            )
+
+
+EXPERIMENTS = {
+    "stragglers": stragglers,
+    "kill": kill,
+    "overload": overload,
+    "processor": processor,
+}
+
+
+async def run(names: list[str], scale: float) -> None:
+    """Runs experiments in turn."""
+    for name in names:
+        await EXPERIMENTS[name](scale)
+
+
+def main() -> int:
+    """Runs the command line."""
+    parser = argparse.ArgumentParser(description="Measures the policy.")
+    parser.add_argument("--long", action="store_true")
+    parser.add_argument("--only", choices=sorted(EXPERIMENTS))
+    args = parser.parse_args()
+    began = time.monotonic()
+    names = [args.only] if args.only else list(EXPERIMENTS)
+    asyncio.run(run(names, 4.0 if args.long else 1.0))
+    elapsed = time.monotonic() - began
+    print(f"{elapsed:.0f} s", file=sys.stderr)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fakes/load.py
+++ b/fakes/load.py
@@ -94,11 +94,13 @@
 
     Attributes:
         counts: Of queries by "queries", "whole", "partial", "refused",
-            "wrong", "errors"; of save attempts by "saves", "saves_yes",
+            "wrong", "errors"; of their shards by "shards" and
+            "shards_missing"; of save attempts by "saves", "saves_yes",
             "saves_no", "saves_unknown", "saves_errors".
         codes: Of refusals, by code.
         snapshots: Of good answers, by version.
         latency_us: By application, of good answers.
+        refusal_us: Of refused queries.
         outcomes: Of the saves.
         examples: Some wrong answers and errors.
     """
@@ -107,6 +109,7 @@
     codes: collections.Counter[str]
     snapshots: collections.Counter[str]
     latency_us: dict[str, histogram.HdrHistogram]
+    refusal_us: histogram.HdrHistogram
     outcomes: list[checks.SaveOutcome]
     examples: list[str]
 
@@ -139,6 +142,7 @@
             collections.Counter(),
             collections.Counter(),
             {item.application: new_histogram() for item in plan.targets},
+            new_histogram(),
             [],
             [],
         )
@@ -239,6 +243,7 @@
     latency_us = int((asyncio.get_running_loop().time() - due_s) * 1e6)
     if reply.status != 200:
         count_refusal(run_, "refused", reply)
+        run_.result.refusal_us.record_value(max(1, latency_us))
         return
     fault = checks.fault_of_answer(
         reply.body, run_.lists, application, arrival.body, plan.limit
@@ -247,6 +252,9 @@
         run_.note("wrong", f"{application}: {fault}")
         return
     counts["partial" if reply.body["partial"] else "whole"] += 1
+    coverage = reply.body["coverage"]
+    counts["shards"] += coverage["shards"]
+    counts["shards_missing"] += len(coverage["missing"])
     run_.result.snapshots[reply.body["snapshot"]] += 1
     run_.result.latency_us[application].record_value(max(1, latency_us))
 
--- a/laurelrock/savecall.py
+++ b/laurelrock/savecall.py
@@ -67,9 +67,8 @@
     ) -> saves.Outcome:
         """Runs a claimed save once; see `saves.Execute`."""
         region = self.daemon.settings.vm.region
-        relays = ownership.owners(
-            f"{request.application}/{service}", self.daemon.relays(region)
-        )
+        key = ownership.service_key(request.application, service, region)
+        relays = ownership.owners(key, self.daemon.relays(region))
         relays = [
             relay
             for relay in relays
--- a/laurelrock/search.py
+++ b/laurelrock/search.py
@@ -306,7 +306,8 @@
     relays: list[members.Member],
 ) -> str | None:
     """Returns the first owner that is not silent and was not asked yet."""
-    key = f"{attempt.request.application}/{service}"
+    region = searches.daemon.settings.vm.region
+    key = ownership.service_key(attempt.request.application, service, region)
     for relay in ownership.owners(key, relays):
         if relay.address in searches.suspects:
             continue
