Limit the requests in flight of each application by what it bears

Cause: at twice the capacity every request was taken and all were late. Additive increase on whole answers in time, decrease on shed parts or whole answers later than half the deadline. Ruled out: decrease on every late answer (a lost searcher would shrink the limit though nothing is overloaded).

--- a/laurelrock/adapters/metrics.py
+++ b/laurelrock/adapters/metrics.py
@@ -61,6 +61,19 @@
 
         self.meter.create_observable_gauge(name, [observe], "1", meaning)
 
+    def gauges(self, name: str, read: RowsReader, meaning: str) -> None:
+        """Registers a family of gauges, one a kind."""
+
+        def observe(
+            options: metrics.CallbackOptions,
+        ) -> list[metrics.Observation]:
+            return [
+                metrics.Observation(value, {"kind": kind})
+                for kind, value in read().items()
+            ]
+
+        self.meter.create_observable_gauge(name, [observe], "1", meaning)
+
     def histogram(self, name: str, meaning: str) -> metrics.Histogram:
         """Creates a histogram of latencies in milliseconds."""
         return self.meter.create_histogram(
--- /dev/null
+++ b/laurelrock/admit.py
@@ -0,0 +1,81 @@
+"""Admit: runs searches within the limits of their applications."""
+
+import asyncio
+
+from laurelrock import callers
+from laurelrock import daemon as daemons
+from laurelrock import errors
+from laurelrock import manifest
+from laurelrock import search
+from laurelrock.adapters import logs
+from laurelrock.core import admission
+
+__all__ = ["create_admission", "run"]
+
+_log = logs.get_logger(__name__)
+
+
+def create_admission(daemon: daemons.Daemon) -> admission.Admission:
+    """Returns the limits of an entry as its settings say."""
+    options = daemon.settings
+    limits = admission.Admission(
+        options.entry.max_in_flight, options.policy.admission == "adaptive"
+    )
+    daemon.metrics.gauges(
+        "laurelrock_admission_limit",
+        lambda: {name: row.limit for name, row in limits.limits.items()},
+        "Requests in flight allowed by application",
+    )
+    daemon.metrics.counters(
+        "laurelrock_admission_refused",
+        lambda: {name: row.refused for name, row in limits.limits.items()},
+        "Requests refused by application",
+    )
+    return limits
+
+
+async def run(
+    limits: admission.Admission,
+    searches: search.Searches,
+    policy: manifest.Policy,
+    request: callers.SearchRequest,
+) -> search.Answer:
+    """Runs a search if its application's limit allows it.
+
+    Raises:
+        OverloadedError: It does not; nothing was run.
+        RefusalError: See `search.run`.
+    """
+    name = request.application
+    retry_after_s = limits.admit(name, policy.priority, policy.share)
+    if retry_after_s:
+        row = limits.limits[name]
+        _log.info(
+            "admission-refused",
+            request_id=request.request_id,
+            application=name,
+            in_flight=row.in_flight,
+            limit=round(row.limit, 1),
+            retry_after_s=round(retry_after_s, 3),
+        )
+        raise errors.OverloadedError("too many requests", "no", retry_after_s)
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    congested = whole = False
+    try:
+        answer = await search.run(searches, request)
+        reasons = {row.status for row in answer.query.missing()}
+        congested, whole = "shed" in reasons, not reasons
+    except errors.OverloadedError:
+        congested = True
+        raise
+    finally:
+        now_s = loop.time()
+        outcome = admission.Outcome(
+            elapsed_s=now_s - began_s,
+            deadline_s=request.deadline_ms / 1000,
+            congested=congested,
+            whole=whole,
+        )
+        limits.leave(name, outcome, now_s)
+    return answer
--- a/laurelrock/entry.py
+++ b/laurelrock/entry.py
@@ -18,6 +18,7 @@
 from starlette import responses
 from starlette import routing
 
+from laurelrock import admit
 from laurelrock import callers
 from laurelrock import daemon as daemons
 from laurelrock import errors
@@ -45,6 +46,7 @@
         searches: Queries in flight.
         saves: Runs saves at most once.
         save_calls: Sends claimed saves to relays.
+        admission: Limits of the applications.
         in_flight: Requests being answered.
         answers: Count of answers by kind or code.
     """
@@ -56,6 +58,7 @@
         self.searches = searches
         self.saves = saves.create_saves(daemon)
         self.save_calls = savecall.create_save_calls(daemon, searches)
+        self.admission = admit.create_admission(daemon)
         self.in_flight = 0
         self.answers: collections.Counter[str] = collections.Counter()
         self.latency = daemon.metrics.histogram(
@@ -168,7 +171,7 @@
     raw = await callers.read_body(request, limit)
     policy = config.applications[application].policy
     asked = callers.read_search(raw, policy, request_id, caller, application)
-    answer = await search.run(entry.searches, asked)
+    answer = await admit.run(entry.admission, entry.searches, policy, asked)
     query = answer.query
     return {
         "request_id": request_id,
