--- a/laurelrock/head.py
+++ b/laurelrock/head.py
@@ -43,7 +43,7 @@
     digest: typing.Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{32}$")]
     publish_id: typing.Annotated[str, msgspec.Meta(min_length=1)]
     full: typing.Annotated[str, msgspec.Meta(pattern="^manifest/full/")]
-    delta: str
+    delta: typing.NotRequired[str]
 
 
 def full_key(generation: int, publish_id: str) -> str:
