Let the bus find silent peers without ZMTP heartbeats

Cause: each connection carried four ZMTP pings and pongs each half second. Ruled out: longer intervals, which keep the cost for each of the up to 760 connections of an entry. Silence is already found by the entries' pings and by membership's probes, which both open a new connection. Change: no ZMTP heartbeats; the kernel ends a connection whose data stays unacknowledged for 3 s and probes idle ones every 30 s; sockets to peers not used for 60 s are closed.

--- a/laurelrock/adapters/bus.py
+++ b/laurelrock/adapters/bus.py
@@ -1,8 +1,9 @@
 """Bus over pyzmq.
 
 A daemon binds one ROUTER socket and opens one DEALER socket to each peer it
-sends to; answers come back on the socket that asked. Connections that go
-silent are found by ZMTP heartbeats and replaced.
+sends to; answers come back on the socket that asked. Peers that go silent are
+found by the roles and by membership, which then call `forget`; the kernel
+ends connections whose data stays unacknowledged, and idle ones are closed.
 """
 
 import asyncio
@@ -23,10 +24,15 @@
 ADDRESS_MARK = b"@"
 #: Messages that may wait for one peer.
 QUEUE_LIMIT = 10_000
-#: Between ZMTP heartbeats, in milliseconds.
-HEARTBEAT_MS = 500
-#: Silence after which a connection is replaced, in milliseconds.
-HEARTBEAT_TIMEOUT_MS = 1500
+#: Time that sent data may stay unacknowledged, in milliseconds.
+UNACKNOWLEDGED_MS = 3000
+#: Silence before TCP keepalive probes a connection, between two probes, and
+#: number of probes.
+KEEPALIVE_IDLE_S = 30
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+#: Time without a message after which the socket to a peer is closed.
+IDLE_S = 60.0
 #: Messages read from one socket before others have their turn.
 READ_BURST = 200
 #: Largest message that is accepted, in bytes.
@@ -46,6 +52,7 @@
         router: Bound socket.
         local_address: IP number that connections leave from.
         peers: DEALER sockets by `IP:port`.
+        used_at: Loop time of the last message to or from each peer.
         handlers: By message type.
         counts: Messages and bytes by kind of event.
     """
@@ -62,6 +69,8 @@
         self.router = router
         self.local_address = local_address
         self.peers: dict[str, zmq.Socket] = {}
+        self.used_at: dict[str, float] = {}
+        self.sweep_at = loop.time() + IDLE_S
         self.handlers: dict[type, Handler] = {}
         self.counts: collections.Counter[str] = collections.Counter()
 
@@ -70,6 +79,9 @@
 
     def send(self, address: str, message: typing.Any) -> bool:
         socket = self.peers.get(address) or self.connect(address)
+        now = self.used_at[address] = self.loop.time()
+        if now >= self.sweep_at:
+            self.close_idle(now)
         return self.write(socket, messages.encode(message), address)
 
     def reply(self, sender: bus.Sender, message: typing.Any) -> bool:
@@ -81,10 +93,18 @@
 
     def forget(self, address: str) -> None:
         socket = self.peers.pop(address, None)
+        self.used_at.pop(address, None)
         if socket is not None:
             self.loop.remove_reader(int(socket.fd))
             socket.close(linger=0)
 
+    def close_idle(self, now: float) -> None:
+        """Closes the sockets to peers that were not used for `IDLE_S`."""
+        self.sweep_at = now + IDLE_S
+        for address, used_at in list(self.used_at.items()):
+            if now - used_at > IDLE_S:
+                self.forget(address)
+
     def connect(self, address: str) -> zmq.Socket:
         """Opens the socket to a peer."""
         socket = self.context.socket(zmq.DEALER)
@@ -129,6 +149,7 @@
             if address is None:
                 self.dispatch(frames[0], frames[1:])
             else:
+                self.used_at[address] = self.loop.time()
                 self.dispatch(ADDRESS_MARK + address.encode(), frames)
             if socket.closed:
                 return
@@ -183,8 +204,10 @@
     socket.setsockopt(zmq.SNDHWM, QUEUE_LIMIT)
     socket.setsockopt(zmq.RCVHWM, QUEUE_LIMIT)
     socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS)
+    socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MS)
+    socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_CNT, KEEPALIVE_PROBES)
     socket.setsockopt(zmq.RECONNECT_IVL, 50)
     socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
