--- a/bench/demo.py
+++ b/bench/demo.py
@@ -26,11 +26,13 @@
 SECONDS = 30.0
 #: When the second manifest is published, in seconds.
 PUBLISH_AT_S = 12.0
-#: Queries a second of each application.
-RATES = {"cotizador": 60.0, "portal-franquicia": 15.0, "expedientes": 10.0}
-SAVES = {"cotizador": 60}
+#: Callers, queries a second and saves.
+TARGETS = [
+    load.Target("cotizador", "franchise-tablets-token", 60.0, 60),
+    load.Target("portal-franquicia", "franchise-tablets-token", 15.0),
+    load.Target("expedientes", "back-office-token", 10.0),
+]
 SEED = 20261203
-TOKEN = "franchise-tablets-token"
 
 
 class Ledger(typing.NamedTuple):
@@ -130,10 +132,7 @@
         plan = load.Plan(
             urls=running.entry_urls,
             manifests=[first, second],
-            targets=[
-                load.Target(name, TOKEN, rate, SAVES.get(name, 0))
-                for name, rate in RATES.items()
-            ],
+            targets=TARGETS,
             seconds=SECONDS,
             seed=SEED,
         )
