--- a/laurelrock/core/upstreams.py
+++ b/laurelrock/core/upstreams.py
@@ -17,6 +17,13 @@
 SLOW_QUANTILE = 0.97
 #: Relative step of the quantile's estimate.
 QUANTILE_STEP = 0.1
+#: Factor of the step for the first latencies, and how many halve it.
+FIRST_STEP_FACTOR = 5.0
+FIRST_STEP_REPLIES = 16
+#: First estimate of the quantile, as a factor of the first latency.
+FIRST_SLOW_FACTOR = 4.0
+#: The same before any latency is known, in seconds.
+FIRST_SLOW_S = 0.2
 #: Latency expected of a searcher that was never called, in seconds.
 FIRST_LATENCY_S = 0.02
 #: Bounds of the estimates, in seconds.
@@ -68,7 +75,7 @@
         self.calls = 0
         self.replies = 0
         self.mean_s = FIRST_LATENCY_S
-        self.slow_s = FIRST_LATENCY_S
+        self.slow_s = FIRST_SLOW_S
         self.failures = 0
         self.ejections = 0
         self.ejected_until_s = 0.0
@@ -115,21 +122,31 @@
         if latency_s > self.slow_s:
             self.note_slow()
             return
-        step = QUANTILE_STEP * (1 - SLOW_QUANTILE)
+        step = self.quantile_step() * (1 - SLOW_QUANTILE)
         self.slow_s = max(MIN_LATENCY_S, self.slow_s * (1 - step))
 
     def note_latency(self, latency_s: float) -> None:
         """Adds a latency, or the time that a lost call took, to the mean."""
         latency_s = min(max(latency_s, MIN_LATENCY_S), MAX_LATENCY_S)
-        weight = MEAN_WEIGHT if self.replies else 1.0
+        weight = MEAN_WEIGHT
+        if not self.replies:
+            weight = 1.0
+            self.slow_s = FIRST_SLOW_FACTOR * latency_s
         self.replies += 1
         self.mean_s += weight * (latency_s - self.mean_s)
 
     def note_slow(self) -> None:
         """Notes that a call takes longer than `slow_s`."""
-        step = QUANTILE_STEP * SLOW_QUANTILE
+        step = self.quantile_step() * SLOW_QUANTILE
         self.slow_s = min(MAX_LATENCY_S, self.slow_s * (1 + step))
 
+    def quantile_step(self) -> float:
+        """Returns the relative step, larger for the first latencies."""
+        extra = (FIRST_STEP_FACTOR - 1) / (
+            1 + self.replies / FIRST_STEP_REPLIES
+        )
+        return QUANTILE_STEP * (1 + extra)
+
     def note_alive(self, now_s: float) -> None:
         """Notes any reply; ends an ejection."""
         if self.ejected:
