Check the checks: each kind of wrong answer and save is found

Note: an answer that leaves out a shard without hits among the best is equal to the right one and passes; that is so by contract.

--- a/fakes/link.py
+++ b/fakes/link.py
@@ -44,7 +44,7 @@
     def __init__(self, link: "Link", peer: "End | None" = None) -> None:
         self.link = link
         self.peer = peer
-        self.source = peer.source if peer else ""
+        self.source: str = peer.source if peer else ""
         self.transport: typing.Any = None
         self.waiting: collections.deque[bytes | None] = collections.deque()
         self.silent = False
--- /dev/null
+++ b/tests/test_fakes_checks.py
@@ -0,0 +1,155 @@
+"""Checks of answers: right ones pass, each kind of wrong one is found."""
+
+import copy
+import typing
+import unittest
+import uuid
+
+from fakes import checks
+from fakes import corpus
+from fakes import load
+from tests import builders
+
+QUERY = {"text": "panel"}
+LIMIT = 10
+LISTS = {("a", "v1"): ["s0", "s1", "s2"], ("a", "v2"): ["s0", "s1"]}
+
+
+def answer(version: str = "v1", missing: tuple[str, ...] = ()) -> dict:
+    """Returns a right answer."""
+    shards = LISTS["a", version]
+    covered = set(shards) - set(missing)
+    return {
+        "snapshot": version,
+        "partial": bool(missing),
+        "coverage": {
+            "fraction": len(covered) / len(shards),
+            "shards": len(shards),
+            "missing": [{"shard": s, "reason": "shed"} for s in missing],
+        },
+        "hits": corpus.expected(QUERY, version, shards, covered, LIMIT),
+    }
+
+
+def hits_of(version: str, query: typing.Any, covered: set[str]) -> list:
+    shards = LISTS["a", version]
+    return corpus.expected(query, version, shards, covered, LIMIT)
+
+
+ALL = {"s0", "s1", "s2"}
+
+#: Fields that replace those of a right answer over all shards.
+WRONG = {
+    "another version's hits": {"hits": hits_of("v2", QUERY, ALL)},
+    "two versions mixed": {
+        "hits": sorted(
+            hits_of("v1", QUERY, {"s0"}) + hits_of("v2", QUERY, {"s1"}),
+            key=corpus.rank,
+        )[:LIMIT]
+    },
+    "another query's hits": {"hits": hits_of("v1", {"text": "roof"}, ALL)},
+    "a shard left out": {"hits": hits_of("v1", QUERY, {"s0", "s2"})},
+    "a hit left out": {"hits": hits_of("v1", QUERY, ALL)[1:]},
+    "a hit twice": {"hits": hits_of("v1", QUERY, ALL)[:1] * 2},
+    "wrong order": {"hits": hits_of("v1", QUERY, ALL)[::-1]},
+    "no hits": {"hits": []},
+    "unknown version": {"snapshot": "v9"},
+    "partial, but whole": {"partial": True},
+    "false fraction": {
+        "coverage": {"fraction": 0.5, "shards": 3, "missing": []}
+    },
+    "false count": {"coverage": {"fraction": 1.0, "shards": 2, "missing": []}},
+    "missing a shard that does not exist": {
+        "partial": True,
+        "coverage": {
+            "fraction": 1.0,
+            "shards": 3,
+            "missing": [{"shard": "s9", "reason": "shed"}],
+        },
+    },
+    "malformed": {"coverage": None},
+}
+
+
+class AnswerTest(unittest.TestCase):
+    def fault(self, found: dict) -> str | None:
+        return checks.fault_of_answer(found, LISTS, "a", QUERY, LIMIT)
+
+    def test_right_answers(self):
+        for version, missing in (("v1", ()), ("v2", ()), ("v1", ("s1",))):
+            with self.subTest(version=version, missing=missing):
+                self.assertIsNone(self.fault(answer(version, missing)))
+
+    def test_wrong_answers(self):
+        for name, fields in WRONG.items():
+            with self.subTest(name):
+                self.assertIsNotNone(self.fault(answer() | fields))
+
+    def test_a_changed_document_is_wrong(self):
+        found = copy.deepcopy(answer())
+        found["hits"][3]["document"]["query"] = "0"
+        self.assertIsNotNone(self.fault(found))
+
+    def test_scores_depend_on_all_that_they_should(self):
+        shards = LISTS["a", "v1"]
+        scores = [
+            hit["score"]
+            for query in ("x", "y")
+            for version in ("v1", "v2")
+            for hit in corpus.expected(
+                query, version, shards, ALL, corpus.DOCUMENTS
+            )
+        ]
+        self.assertEqual(len(scores), 4 * corpus.DOCUMENTS)
+        self.assertEqual(len(set(scores)), len(scores))
+        self.assertTrue(all(0 <= score < 1 for score in scores))
+
+
+class SaveTest(unittest.TestCase):
+    def test_faults(self):
+        right = checks.SaveAnswer("yes", checks.result_of_save("b"))
+        other = checks.SaveAnswer("yes", checks.result_of_save("c"))
+        no = checks.SaveAnswer("no")
+        unknown = checks.SaveAnswer("unknown")
+        none = checks.SaveAnswer("")
+        cases = {
+            "ran once": ([right, right], 1, ""),
+            "refused": ([no], 0, ""),
+            "refused, then ran": ([no, right], 1, ""),
+            "unknown, ran": ([unknown], 1, ""),
+            "unknown, not run": ([unknown, none], 0, ""),
+            "ran twice": ([right], 2, "run_twice"),
+            "denied": ([no, no], 1, "denied"),
+            "invented": ([right], 0, "invented"),
+            "crossed": ([right, other], 1, "crossed"),
+        }
+        for name, (answers, runs, expected) in cases.items():
+            with self.subTest(name):
+                outcome = checks.SaveOutcome("k", "b", answers)
+                faults = checks.faults_of_saves([outcome], ["k"] * runs)
+                found = [k for k, keys in faults._asdict().items() if keys]
+                self.assertEqual(found, [expected] if expected else [])
+
+
+class ScheduleTest(unittest.TestCase):
+    PLAN = load.Plan(
+        urls=[],
+        manifests=[builders.small_manifest()],
+        targets=[load.Target("a", "token", 100.0, saves=20)],
+        seconds=10.0,
+        seed=7,
+    )
+
+    def test_same_seed_same_arrivals(self):
+        def schedule():
+            found = load.schedule(self.PLAN)
+            return [arrival._replace(key="") for arrival in found]
+
+        self.assertEqual(schedule(), schedule())
+
+    def test_keys_are_uuids_of_version_7(self):
+        keys = [item.key for item in load.schedule(self.PLAN) if item.key]
+        self.assertEqual(len(set(keys)), 20)
+        for key in keys:
+            self.assertEqual(uuid.UUID(key).version, 7)
+            self.assertEqual(uuid.UUID(key).variant, uuid.RFC_4122)
