Add the delay between failure domains to the stand-in searchers

Change: a searcher process that is given the VM list delays calls from VMs of other failure domains by the round trip. Needs clients that bind their VM's address. Franchise tablets may ask expedientes (past installs). A call that hangs on the platform is handled once the fault ends; tested.

--- a/examples/generate.py
+++ b/examples/generate.py
@@ -91,7 +91,11 @@
         "facturacion": Kind(1, 3, 2, 110, 1.0, wait(3, 0.1, 5000.0)),
     },
     callers={
-        "franchise-tablets": ["cotizador", "portal-franquicia"],
+        "franchise-tablets": [
+            "cotizador",
+            "portal-franquicia",
+            "expedientes",
+        ],
         "back-office": [
             "cotizador",
             "portal-franquicia",
--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -38,7 +38,8 @@
 
     Attributes:
         outage: Every call is answered by 503.
-        hang: Every call waits until this ends, then is answered by 503.
+        hang: Every call waits until this ends and is handled then, also
+            where its client has gone.
         slow_ms: Added to each call.
         lose_replies: Writes still to take effect without a reply.
         refuse_from: Source addresses whose connections are closed.
--- a/fakes/searcher.py
+++ b/fakes/searcher.py
@@ -1,7 +1,7 @@
 """Stand-in for searchers; one process holds many, each on its own port.
 
 Usage: `python -m fakes.searcher --manifest FILE [--domain NAME] [--seed N]
-[--control HOST:PORT]`.
+[--control HOST:PORT] [--vms FILE] [--between-ms MS]`.
 
 `POST /control` takes `{"searchers": [ids], "behaviour": {...}, "add": [...],
 "drop": [...], "silence": true}`; see `Control`. `GET /control/ledger` returns
@@ -28,6 +28,28 @@
 save_decoder = msgspec.json.Decoder(contract.SaveCall)
 
 
+class Delays(typing.NamedTuple):
+    """Delay between failure domains.
+
+    Attributes:
+        between_ms: One way, between two failure domains.
+        domains: Failure domain of each client, by its IP number; clients that
+            are not named have no delay.
+    """
+
+    between_ms: float = 0.0
+    domains: dict[str, str] = {}
+
+    def round_trip_ms(self, source: str, domain: str) -> float:
+        """Returns the delay of a call from an IP number to a domain."""
+        near = self.domains.get(source, domain) == domain
+        return 0.0 if near else 2 * self.between_ms
+
+
+#: Everything is near.
+NO_DELAYS = Delays()
+
+
 class Fleet:
     """The searchers of one process.
 
@@ -109,7 +131,7 @@
         connection.reply(400, {"error": str(error)})
 
 
-def handlers_of(searcher: slots.Searcher) -> wire.Handlers:
+def handlers_of(searcher: slots.Searcher, delays: Delays) -> wire.Handlers:
     """Returns what the searcher's port does."""
 
     def opened(connection: wire.Connection) -> None:
@@ -122,16 +144,16 @@
         searcher.connections.add(connection)
 
     def requested(connection: wire.Connection, request: wire.Request) -> None:
-        if connection.used:
+        domain = searcher.spec.failure_domain
+        wait_ms = delays.round_trip_ms(connection.source, domain)
+        if not connection.used:
+            wait_ms += searcher.spec.connect_ms
+        if wait_ms <= 0:
             dispatch(searcher, connection, request)
             return
-        asyncio.get_running_loop().call_later(
-            searcher.spec.connect_ms / 1000,
-            dispatch,
-            searcher,
-            connection,
-            request,
-        )
+        arguments = searcher, connection, request
+        loop = asyncio.get_running_loop()
+        loop.call_later(wait_ms / 1000, dispatch, *arguments)
 
     return wire.Handlers(opened, requested, searcher.connections.discard)
 
@@ -206,6 +228,7 @@
     domain: str | None = None,
     seed: int = 1,
     control_address: str | None = None,
+    delays: Delays = NO_DELAYS,
 ) -> Fleet:
     """Starts the searchers of a failure domain, or of all."""
     fleet = Fleet()
@@ -222,7 +245,7 @@
                         fleet.saved,
                     )
     for searcher in fleet.searchers.values():
-        handlers = handlers_of(searcher)
+        handlers = handlers_of(searcher, delays)
         server = await wire.serve(searcher.spec.address, handlers)
         fleet.listeners.append(server)
     if control_address is not None:
@@ -234,7 +257,12 @@
 async def serve(args: argparse.Namespace) -> None:
     """Serves until cancelled."""
     source = manifest.decode(args.manifest.read_bytes())
-    fleet = await start(source, args.domain, args.seed, args.control)
+    delays = NO_DELAYS
+    if args.vms:
+        rows = msgspec.json.decode(args.vms.read_bytes())["vms"]
+        domains = {row["address"]: row["failure_domain"] for row in rows}
+        delays = Delays(args.between_ms, domains)
+    fleet = await start(source, args.domain, args.seed, args.control, delays)
     try:
         await asyncio.Event().wait()
     finally:
@@ -248,6 +276,13 @@
     parser.add_argument("--domain")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--control", metavar="HOST:PORT")
+    parser.add_argument("--vms", type=pathlib.Path, help="JSON list of VMs")
+    parser.add_argument(
+        "--between-ms",
+        type=float,
+        default=0.0,
+        help="one way, from VMs of other failure domains",
+    )
     args = parser.parse_args()
     try:
         asyncio.run(serve(args))
--- a/fakes/wire.py
+++ b/fakes/wire.py
@@ -59,6 +59,11 @@
         self.transport = transport
         self.handlers.opened(self)
 
+    @property
+    def source(self) -> str:
+        """IP number of the client."""
+        return str(self.transport.get_extra_info("peername")[0])
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.handlers.closed(self)
 
--- a/tests/test_fakes_platform.py
+++ b/tests/test_fakes_platform.py
@@ -157,6 +157,16 @@
         self.platform.control({"outage": True})
         self.assertEqual(await task, (503, None))
 
+    async def test_hanging_write_is_handled_later(self):
+        self.platform.control({"hang": True})
+        call = Call("PUT", KEY, CREATE, 200)
+        task = asyncio.create_task(self.status_of(call))
+        other = Call("GET", "/control/stats", {}, 200)
+        self.assertEqual((await self.status_of(other))[0], 200)
+        self.assertEqual((task.done(), self.platform.objects), (False, {}))
+        self.platform.control({"hang": False})
+        self.assertEqual(await task, (200, '"1"'))
+
     async def test_rate_comes_back_with_time(self):
         self.platform.control({"writes_per_s": 2})
         call = Call("PUT", KEY, {}, 428)
--- a/tests/test_fakes_searcher.py
+++ b/tests/test_fakes_searcher.py
@@ -180,6 +180,21 @@
         self.assertEqual((await self.search())["status"], "ok")
 
 
+class DelaysTest(unittest.TestCase):
+    def test_round_trips(self):
+        delays = searcher.Delays(0.5, {"127.0.1.1": "a", "127.0.1.4": "b"})
+        cases = (
+            ("127.0.1.1", "a", 0.0),
+            ("127.0.1.1", "b", 1.0),
+            ("127.0.1.4", "a", 1.0),
+            ("127.0.0.1", "a", 0.0),
+        )
+        for source, domain, expected in cases:
+            with self.subTest(source=source, domain=domain):
+                found = delays.round_trip_ms(source, domain)
+                self.assertEqual(found, expected)
+
+
 class HealthTest(SearcherCase):
     async def health(self) -> dict:
         async with self.session.get("/v1/health") as answer:
