--- a/fakes/load.py
+++ b/fakes/load.py
@@ -71,6 +71,7 @@
         deadline_ms: Of each query; None leaves it to the policy.
         min_coverage: Of each query; None leaves it to the policy.
         save_deadline_ms: Of each save.
+        delay_ms: One way, from the callers to the entries.
         resent: Fraction of saves sent again, through another entry, half of
             them at the same time and half after the first answer.
     """
@@ -86,6 +87,7 @@
     deadline_ms: float | None = None
     min_coverage: float | None = None
     save_deadline_ms: float = 3000.0
+    delay_ms: float = 0.0
     resent: float = 0.3
 
 
@@ -103,6 +105,7 @@
         refusal_us: Of refused queries.
         outcomes: Of the saves.
         examples: Some wrong answers and errors.
+        late_us: How much later than scheduled requests were sent.
     """
 
     counts: collections.Counter[str]
@@ -112,6 +115,7 @@
     refusal_us: histogram.HdrHistogram
     outcomes: list[checks.SaveOutcome]
     examples: list[str]
+    late_us: histogram.HdrHistogram
 
 
 class Arrival(typing.NamedTuple):
@@ -145,6 +149,7 @@
             new_histogram(),
             [],
             [],
+            new_histogram(),
         )
 
     def note(self, kind: str, text: str) -> None:
@@ -216,6 +221,8 @@
     if key:
         headers["Idempotency-Key"] = key
     data = msgspec.json.encode(body)
+    if run_.plan.delay_ms > 0:
+        await asyncio.sleep(2 * run_.plan.delay_ms / 1000)
     async with run_.session.post(url, data=data, headers=headers) as answer:
         return Reply(answer.status, msgspec.json.decode(await answer.read()))
 
@@ -317,6 +324,8 @@
         for arrival in arrivals:
             due_s = began_s + arrival.at_s
             await asyncio.sleep(max(0.0, due_s - loop.time()))
+            late_us = int((loop.time() - due_s) * 1e6)
+            state.result.late_us.record_value(max(1, late_us))
             if arrival.key:
                 group.create_task(save(state, arrival))
             else:
@@ -338,6 +347,7 @@
         **result.counts,
         "codes": dict(result.codes),
         "snapshots": dict(result.snapshots),
+        "late_p99_ms": percentile_ms(result.late_us, 99),
         "p50_ms": percentile_ms(total, 50),
         "p99_ms": percentile_ms(total, 99),
         "p999_ms": percentile_ms(total, 99.9),
