Let a searcher's fault last for some calls, and lose replies

Cause: a lost reply after a save ran could only be had by a crash of the whole searcher, and "one wrong id, then right" not at all.

Change: fault "lose-reply" and the field fault_calls. Tests of the service times (stragglers, cold, bound) and of saves that ran without a reply. The load generator's test also checks the shard counts that were added meanwhile.

--- a/fakes/contract.py
+++ b/fakes/contract.py
@@ -74,8 +74,10 @@
         queue_bound: Calls that wait; more are shed.
         retry_after_ms: Named where it sheds or drains.
         fault: "hang" never answers, "crash" closes all connections and
-            refuses new ones, "garbage" answers rubbish, "wrong-id" echoes
-            another request's id.
+            refuses new ones, "lose-reply" closes the connection in place of
+            each reply, "garbage" answers rubbish, "wrong-id" echoes another
+            request's id.
+        fault_calls: Calls until the fault ends; None means that it stays.
         report_lag_ms: Age of the load that it reports.
         report_load: Load reported in place of the true one.
         report_state: State reported in place of the true one.
@@ -89,9 +91,10 @@
     cold_factor: float = 5.0
     queue_bound: int = 64
     retry_after_ms: float = 50.0
-    fault: typing.Literal["none", "hang", "crash", "garbage", "wrong-id"] = (
-        "none"
-    )
+    fault: typing.Literal[
+        "none", "hang", "crash", "lose-reply", "garbage", "wrong-id"
+    ] = "none"
+    fault_calls: int | None = None
     report_lag_ms: float = 0.0
     report_load: Load | None = None
     report_state: str | None = None
--- a/fakes/slots.py
+++ b/fakes/slots.py
@@ -237,9 +237,23 @@
 ) -> None:
     """Sends a reply, subject to the searcher's fault."""
     fault = searcher.behaviour.fault
-    if fault == "hang":
+    count_fault(searcher)
+    if fault == "lose-reply":
+        connection.transport.abort()
+    elif fault != "hang":
+        connection.reply(200, b"{garbage" if fault == "garbage" else value)
+
+
+def count_fault(searcher: Searcher) -> None:
+    """Ends a fault once its calls are used up."""
+    left = searcher.behaviour.fault_calls
+    if left is None:
         return
-    connection.reply(200, b"{garbage" if fault == "garbage" else value)
+    if left <= 1:
+        fields: dict[str, typing.Any] = {"fault": "none", "fault_calls": None}
+    else:
+        fields = {"fault_calls": left - 1}
+    searcher.behaviour = searcher.behaviour._replace(**fields)
 
 
 def finish(searcher: Searcher, job: Job, now_s: float) -> None:
--- a/tests/test_fakes_load.py
+++ b/tests/test_fakes_load.py
@@ -1,5 +1,6 @@
 """What the load generator counts, against entries of known behaviour."""
 
+import collections.abc
 import typing
 import unittest
 
@@ -60,14 +61,22 @@
     return web.Response(text="<html>")
 
 
-#: How every search is answered, and how all of them are counted.
+class Case(typing.NamedTuple):
+    """How every search is answered, and what each adds to the counts."""
+
+    answer: collections.abc.Callable[[dict], web.Response]
+    counted: dict[str, int]
+
+
 SEARCHES = {
-    "whole": (right, "whole"),
-    "partial": (half, "partial"),
-    "another query's answer": (crossed, "wrong"),
-    "refusal": (refused, "refused"),
-    "refusal that does not say whether it ran": (refused_without_ran, "wrong"),
-    "not JSON": (garbage, "errors"),
+    "whole": Case(right, {"whole": 1, "shards": 2, "shards_missing": 0}),
+    "partial": Case(half, {"partial": 1, "shards": 2, "shards_missing": 1}),
+    "another query's answer": Case(crossed, {"wrong": 1}),
+    "refusal": Case(refused, {"refused": 1}),
+    "refusal that does not say whether it ran": Case(
+        refused_without_ran, {"wrong": 1}
+    ),
+    "not JSON": Case(garbage, {"errors": 1}),
 }
 
 
@@ -95,13 +104,14 @@
         return load.Plan([url], [decoded], [target], 0.02, seed=3, resent=1.0)
 
     async def test_searches(self):
-        for name, (answer, kind) in SEARCHES.items():
+        for name, case in SEARCHES.items():
             with self.subTest(name):
-                url = await self.serve("search", answer)
+                url = await self.serve("search", case.answer)
                 result = await load.run(self.plan(url, 1000.0, 0))
                 count = result.counts["queries"]
                 self.assertGreater(count, 0)
-                expected = {"queries": count, kind: count}
+                each = {"queries": 1} | case.counted
+                expected = {kind: n * count for kind, n in each.items()}
                 self.assertEqual(dict(result.counts), expected)
 
     async def test_saves_are_sent_again_and_kept_for_checking(self):
--- a/tests/test_fakes_searcher.py
+++ b/tests/test_fakes_searcher.py
@@ -9,6 +9,7 @@
 from fakes import contract
 from fakes import corpus
 from fakes import searcher
+from fakes import slots
 from laurelrock import document
 from tests import builders
 
@@ -53,6 +54,7 @@
     "no time left": Case({}, "deadline", 0, {"time_left_ms": 0.0}),
     "crash": Case({"behaviour": {"fault": "crash"}}, ""),
     "garbage": Case({"behaviour": {"fault": "garbage"}}, ""),
+    "lost reply": Case({"behaviour": {"fault": "lose-reply"}}, ""),
     "hang": Case({"behaviour": {"fault": "hang"}}, ""),
 }
 
@@ -127,6 +129,12 @@
         result = await self.search()
         self.assertNotEqual(result["request_id"], "q1")
 
+    async def test_fault_of_some_calls(self):
+        fault = {"fault": "wrong-id", "fault_calls": 2}
+        self.control({"behaviour": fault})
+        ids = [(await self.search())["request_id"] for _ in range(4)]
+        self.assertEqual(ids, ["q1x", "q1x", "q1", "q1"])
+
     async def test_one_call_of_many_items_takes_one_slot(self):
         self.control({"behaviour": {"mean_ms": LONG_MS}})
         items = [builders.search_item(request_id=f"q{i}") for i in range(5)]
@@ -180,6 +188,30 @@
         self.assertEqual((await self.search())["status"], "ok")
 
 
+class ServiceTimeTest(unittest.TestCase):
+    def draws(self, count: int = 2000, **behaviour) -> list[float]:
+        """Draws service times with the same seed each time."""
+        held = slots.Searcher(builders.searcher(), "a", "s", [], 1, [])
+        held.behaviour = contract.Behaviour(**behaviour)
+        return [held.draw_ms(1) for _ in range(count)]
+
+    def test_stragglers_take_longer(self):
+        plain = self.draws(straggler_fraction=0.0)
+        mixed = self.draws(straggler_fraction=0.01, straggler_factor=10.0)
+        factors = [round(b / a) for a, b in zip(plain, mixed, strict=True)]
+        self.assertEqual(set(factors), {1, 10})
+        self.assertTrue(5 <= factors.count(10) <= 50)
+
+    def test_cold_searchers_take_longer(self):
+        warm, cold = self.draws(), self.draws(state="cold", cold_factor=3.0)
+        for a, b in zip(warm, cold, strict=True):
+            self.assertAlmostEqual(b, 3 * a)
+
+    def test_times_are_bounded(self):
+        longest = max(self.draws(mean_ms=2.0, straggler_fraction=0.0))
+        self.assertLessEqual(longest, 2.0 * slots.MAX_SERVICE_MEANS)
+
+
 class DelaysTest(unittest.TestCase):
     def test_round_trips(self):
         delays = searcher.Delays(0.5, {"127.0.1.1": "a", "127.0.1.4": "b"})
@@ -242,6 +274,15 @@
         keys = [item["key"] for item in searcher.ledger(self.fleet)["saves"]]
         self.assertEqual(keys, ["k1", "k1"])
 
+    async def test_a_save_may_run_although_its_reply_is_lost(self):
+        for fault in ("lose-reply", "garbage"):
+            behaviour = {"fault": fault, "fault_calls": 1}
+            self.control({"behaviour": behaviour})
+            with self.assertRaises((aiohttp.ClientError, ValueError)):
+                await self.post("/v1/save", self.BODY)
+        keys = [item["key"] for item in searcher.ledger(self.fleet)["saves"]]
+        self.assertEqual(keys, ["k1", "k1"])
+
     async def test_refused_saves_are_not_in_the_ledger(self):
         cases = (
             ({"queue_bound": 0}, "shed"),
