Record requests, readiness and late work in the stand-ins

Cause: the checks of promises need each caller's and each searcher's history. Change: the load keeps a record of every request where asked and leaves out entries that are not ready, as a balancer does; searchers keep the ids of the searches they ran and count work that comes after they began to leave.

--- a/fakes/contract.py
+++ b/fakes/contract.py
@@ -81,6 +81,8 @@
         report_lag_ms: Age of the load that it reports.
         report_load: Load reported in place of the true one.
         report_state: State reported in place of the true one.
+        leaving: Whether new work is counted as late from now on, as it is
+            for a searcher that drains.
     """
 
     state: typing.Literal["ready", "cold", "draining"] = "ready"
@@ -98,6 +100,7 @@
     report_lag_ms: float = 0.0
     report_load: Load | None = None
     report_state: str | None = None
+    leaving: bool = False
 
 
 class AddedSnapshot(typing.NamedTuple):
--- a/fakes/load.py
+++ b/fakes/load.py
@@ -34,6 +34,11 @@
 MAX_LATENCY_US = 120_000_000
 LATENCY_DIGITS = 3
 
+#: Between two looks at the readiness of an entry, in seconds.
+READY_POLL_S = 0.1
+#: Wait for the answer to one of them, in seconds.
+READY_TIMEOUT_S = 0.3
+
 #: Kinds of wrong answers that are kept as examples.
 MAX_EXAMPLES = 10
 
@@ -74,6 +79,9 @@
         delay_ms: One way, from the callers to the entries.
         resent: Fraction of saves sent again, through another entry, half of
             them at the same time and half after the first answer.
+        ready_urls: Readiness URL of each entry's base URL; an entry that is
+            not ready is left out of the rotation, as a balancer does.
+        recorded: Whether the result keeps every request's record.
     """
 
     urls: list[str]
@@ -89,6 +97,36 @@
     save_deadline_ms: float = 3000.0
     delay_ms: float = 0.0
     resent: float = 0.3
+    ready_urls: dict[str, str] = {}
+    recorded: bool = False
+
+
+class Record(typing.NamedTuple):
+    """One request and its answer.
+
+    Attributes:
+        kind: "search" or "saves".
+        application: That was asked.
+        body: The query or the save.
+        key: Idempotency key of a save.
+        url: Base URL of the entry.
+        began_s: Loop time of the sending.
+        ended_s: Loop time of the answer or the failure.
+        status: Of the answer, 0 where none came.
+        answer: Decoded body.
+        error: Why no answer came.
+    """
+
+    kind: str
+    application: str
+    body: typing.Any
+    key: str
+    url: str
+    began_s: float
+    ended_s: float
+    status: int
+    answer: dict[str, typing.Any]
+    error: str = ""
 
 
 class Result(typing.NamedTuple):
@@ -106,6 +144,7 @@
         outcomes: Of the saves.
         examples: Some wrong answers and errors.
         late_us: How much later than scheduled requests were sent.
+        records: Every request, where the plan asks for them.
     """
 
     counts: collections.Counter[str]
@@ -116,6 +155,7 @@
     outcomes: list[checks.SaveOutcome]
     examples: list[str]
     late_us: histogram.HdrHistogram
+    records: list[Record]
 
 
 class Arrival(typing.NamedTuple):
@@ -134,6 +174,7 @@
     Attributes:
         lists: Shard lists by application and version.
         urls: Rotation of the entries.
+        unready: Base URLs of the entries that are not ready.
     """
 
     def __init__(self, plan: Plan, session: aiohttp.ClientSession) -> None:
@@ -141,6 +182,7 @@
         self.session = session
         self.lists = checks.shard_lists(plan.manifests)
         self.urls = itertools.cycle(plan.urls)
+        self.unready: set[str] = set()
         self.result = Result(
             collections.Counter(),
             collections.Counter(),
@@ -150,8 +192,17 @@
             [],
             [],
             new_histogram(),
+            [],
         )
 
+    def next_url(self) -> str:
+        """Returns the next entry that is ready, or the next one at all."""
+        for _ in self.plan.urls:
+            url = next(self.urls)
+            if url not in self.unready:
+                return url
+        return next(self.urls)
+
     def note(self, kind: str, text: str) -> None:
         """Counts a bad answer and keeps an example."""
         self.result.counts[kind] += 1
@@ -216,20 +267,65 @@
         TimeoutError: No answer came.
         msgspec.DecodeError: The answer is not JSON.
     """
-    url = f"{next(run_.urls)}/v1/applications/{target.application}/{path}"
+    base = run_.next_url()
+    url = f"{base}/v1/applications/{target.application}/{path}"
     headers = {"Authorization": f"Bearer {target.token}"}
     if key:
         headers["Idempotency-Key"] = key
     data = msgspec.json.encode(body)
     if run_.plan.delay_ms > 0:
         await asyncio.sleep(2 * run_.plan.delay_ms / 1000)
-    async with run_.session.post(url, data=data, headers=headers) as answer:
-        return Reply(answer.status, msgspec.json.decode(await answer.read()))
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    reply, failure = Reply(0, {}), ""
+    try:
+        async with run_.session.post(url, data=data, headers=headers) as answer:
+            decoded = msgspec.json.decode(await answer.read())
+            reply = Reply(answer.status, decoded)
+        return reply
+    except FAILURES as error:
+        failure = repr(error)
+        raise
+    finally:
+        if run_.plan.recorded:
+            asked = body["body"] if path == "saves" else body["query"]
+            record = Record(
+                path,
+                target.application,
+                asked,
+                key,
+                base,
+                began_s,
+                loop.time(),
+                *reply,
+                failure,
+            )
+            run_.result.records.append(record)
 
 
 FAILURES = (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError)
 
 
+async def follow_readiness(run_: Run) -> None:
+    """Keeps the set of entries that are not ready."""
+
+    async def probe(url: str, ready_url: str) -> None:
+        timeout = aiohttp.ClientTimeout(total=READY_TIMEOUT_S)
+        ready = False
+        try:
+            async with run_.session.get(ready_url, timeout=timeout) as answer:
+                ready = answer.status == 200
+        except FAILURES:
+            pass
+        run_.unready -= {url} if ready else set()
+        run_.unready |= set() if ready else {url}
+
+    while True:
+        rows = run_.plan.ready_urls.items()
+        await asyncio.gather(*(probe(*row) for row in rows))
+        await asyncio.sleep(READY_POLL_S)
+
+
 async def ask(run_: Run, arrival: Arrival, due_s: float) -> None:
     """Sends a query and checks its answer."""
     plan, counts = run_.plan, run_.result.counts
@@ -320,6 +416,7 @@
         asyncio.TaskGroup() as group,
     ):
         state = Run(plan, session)
+        balancing = group.create_task(follow_readiness(state))
         began_s = loop.time()
         for arrival in arrivals:
             due_s = began_s + arrival.at_s
@@ -330,6 +427,7 @@
                 group.create_task(save(state, arrival))
             else:
                 group.create_task(ask(state, arrival, due_s))
+        balancing.cancel()
     return state.result
 
 
--- a/fakes/searcher.py
+++ b/fakes/searcher.py
@@ -182,6 +182,11 @@
         fields = searcher.behaviour._asdict() | change.behaviour
         fields = document.unstructure(fields)
         searcher.behaviour = document.structure(contract.Behaviour, fields)
+        behaviour = searcher.behaviour
+        if not (behaviour.leaving or behaviour.state == "draining"):
+            searcher.leaving_since_s = None
+        elif searcher.leaving_since_s is None:
+            searcher.leaving_since_s = slots.now()
         for added in change.add:
             add_snapshot(searcher, added)
         for dropped in change.drop:
@@ -200,6 +205,9 @@
             name: dict(item.counts) for name, item in fleet.searchers.items()
         },
         "saves": [item._asdict() for item in fleet.saved],
+        "ran_ids": sorted(
+            set().union(*(item.ran_ids for item in fleet.searchers.values()))
+        ),
     }
 
 
--- a/fakes/slots.py
+++ b/fakes/slots.py
@@ -23,6 +23,9 @@
 #: Load reports kept for those that lag.
 LOAD_HISTORY = 4096
 
+#: New work is late this long after a searcher began to leave, in seconds.
+LEAVING_GRACE_S = 3.0
+
 
 class Job:
     """A call that waits for a slot or runs on one.
@@ -77,6 +80,8 @@
         running: Jobs on a slot.
         counts: Of items, by what became of them.
         saved: Saves that ran, shared by the searchers of a process.
+        ran_ids: Request ids of the searches that ran.
+        leaving_since_s: When it began to drain or to leave, or None.
     """
 
     def __init__(
@@ -100,6 +105,8 @@
         self.running: set[Job] = set()
         self.counts: collections.Counter[str] = collections.Counter()
         self.saved = saved
+        self.ran_ids: set[str] = set()
+        self.leaving_since_s: float | None = None
         self.history: collections.deque[tuple[float, contract.Load]] = (
             collections.deque(maxlen=LOAD_HISTORY)
         )
@@ -290,6 +297,7 @@
             return
         searcher.counts["calls"] += 1
         searcher.counts["ran"] += len(live)
+        searcher.ran_ids |= {job.items[index]["request_id"] for index in live}
         job.until_s = max(job.deadline_s(index) for index in live)
     searcher.running.add(job)
     done_s = min(now_s + time_ms / 1000, job.until_s)
@@ -305,11 +313,20 @@
         searcher.history.append((now(), searcher.load()))
 
 
+def count_late(searcher: Searcher, items: int) -> None:
+    """Counts work that comes although the searcher leaves."""
+    since_s = searcher.leaving_since_s
+    if since_s is not None:
+        late = now() - since_s > LEAVING_GRACE_S
+        searcher.counts["late" if late else "leaving"] += items
+
+
 def admit(searcher: Searcher, job: Job) -> None:
     """Queues a job, or answers it at once where nothing of it is taken."""
     for index, item in enumerate(job.items):
         job.verdicts[index] = refusal_of(searcher, item)
     searcher.counts["asked"] += len(job.items)
+    count_late(searcher, len(job.items))
     searcher.counts["refused"] += len(job.items) - len(job.open_items())
     if not job.open_items():
         answer(searcher, job.connection, search_reply(searcher, job))
@@ -320,6 +337,7 @@
 
 def admit_save(searcher: Searcher, job: Job, save: contract.SaveCall) -> None:
     """Queues a save, or answers that it was not run."""
+    count_late(searcher, 1)
     status = load_refusal_of(searcher)
     if status is not None:
         answer(searcher, job.connection, save_reply(searcher, save, status))
