--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,204 @@
+"""Faults: scenarios on processes, checked over their histories.
+
+Usage: `python -m bench.faults [--only NAME ...] [--pairs N] [--seed N]`.
+Prints one JSON object a scenario and one in all; exits 1 on a violation that
+KNOWN-RED.txt does not list.
+"""
+
+import argparse
+import asyncio
+import random
+import sys
+import typing
+
+import aiohttp
+import msgspec
+
+from bench import checker
+from bench import cluster
+from bench import scenarios
+from fakes import checks
+from fakes import load
+from laurelrock import manifest
+
+__all__ = ["main", "run_scenario"]
+
+#: Load before the first event, in seconds.
+BEFORE_S = 1.5
+#: Load after the last event has begun, in seconds.
+AFTER_S = 6.0
+#: Between the events of a pair, in seconds.
+BETWEEN_S = 1.0
+#: Violations that are printed of each promise.
+MAX_PRINTED = 3
+LIMIT = 10
+DEPLOYMENT = cluster.TECHOS._replace(vms_per_domain=2)
+TARGETS = [
+    load.Target("cotizador", "franchise-tablets-token", 25.0, 40),
+    load.Target("expedientes", "back-office-token", 10.0),
+]
+
+
+class Scenario(typing.NamedTuple):
+    """Events that follow each other in one run."""
+
+    events: list[str]
+    seed: int
+
+    @property
+    def name(self) -> str:
+        return "+".join(self.events)
+
+
+def create_scenarios(seed: int, pairs: int) -> list[Scenario]:
+    """Returns each event alone, seeded pairs, and pairs of the same."""
+    names = [name for name in scenarios.EVENTS if name != "none"]
+    chosen = random.Random(seed)
+    listed = [Scenario([name], seed) for name in scenarios.EVENTS]
+    for index in range(pairs):
+        pair = chosen.sample(names, 2)
+        listed.append(Scenario(pair, seed + index + 1))
+    for name in ("kill-relay", "freeze-vm", "platform-outage"):
+        listed.append(Scenario([name, name], seed))
+    return listed
+
+
+async def run_scenario(scenario: Scenario) -> checker.History:
+    """Runs a scenario on a fresh deployment; returns its history."""
+    first = manifest.decode(DEPLOYMENT.manifest.read_bytes())
+    known = [first, scenarios.generate.repartitioned(first)]
+    async with (
+        aiohttp.ClientSession() as session,
+        cluster.open_cluster(DEPLOYMENT) as running,
+    ):
+        run = scenarios.Run(running, session, first, scenario.seed)
+        plan = load.Plan(
+            urls=running.entry_urls,
+            manifests=known,
+            targets=TARGETS,
+            seconds=BEFORE_S + BETWEEN_S * len(scenario.events) + AFTER_S,
+            seed=scenario.seed,
+            limit=LIMIT,
+            ready_urls={
+                url: url.replace(":8080", ":9401") + "/readyz"
+                for url in running.entry_urls
+            },
+            recorded=True,
+        )
+        events = asyncio.create_task(make_events(run, scenario))
+        result = await load.run(plan)
+        await events
+        return await gather_history(run, result, known)
+
+
+async def make_events(run: scenarios.Run, scenario: Scenario) -> None:
+    """Starts the events one after another and waits for all of them."""
+    await asyncio.sleep(BEFORE_S)
+    tasks: list[asyncio.Task[None]] = []
+    for name in scenario.events:
+        tasks.append(asyncio.create_task(scenarios.EVENTS[name](run)))
+        await asyncio.sleep(BETWEEN_S)
+    await asyncio.gather(*tasks)
+
+
+async def gather_history(
+    run: scenarios.Run, result: load.Result, known: list[manifest.Manifest]
+) -> checker.History:
+    """Puts the callers' and the searchers' histories together."""
+    saved: list[str] = []
+    ran_ids: set[str] = set()
+    late = leaving = 0
+    for domain in run.running.domains:
+        url = f"{run.running.control_url(domain)}/control/ledger"
+        try:
+            async with run.session.get(url) as response:
+                ledger = await response.json(content_type=None)
+        except aiohttp.ClientError:
+            continue
+        saved += [row["key"] for row in ledger["saves"]]
+        ran_ids |= set(ledger["ran_ids"])
+        for counts in ledger["searchers"].values():
+            late += counts.get("late", 0)
+            leaving += counts.get("leaving", 0)
+    return checker.History(
+        records=result.records,
+        shards=checks.shard_lists(known),
+        limit=LIMIT,
+        outcomes=result.outcomes,
+        saved=saved,
+        ran_ids=ran_ids,
+        late=late,
+        leaving=leaving,
+        shutdowns=run.shutdowns,
+        publications=run.publications,
+    )
+
+
+def summarize(
+    scenario: Scenario, history: checker.History
+) -> dict[str, typing.Any]:
+    """Returns the object of one scenario."""
+    searches = [r for r in history.records if r.kind == "search"]
+    answered = [r for r in searches if r.status == 200]
+    partial = [r for r in answered if r.answer["partial"]]
+    verdicts = checker.check(history)
+    return {
+        "scenario": scenario.name,
+        "seed": scenario.seed,
+        "operations": len(history.records),
+        "whole": len(answered) - len(partial),
+        "partial": len(partial),
+        "refused": sum(r.status not in (0, 200) for r in searches),
+        "unanswered": sum(r.status == 0 for r in history.records),
+        "promises": {
+            name: {
+                "exercised": verdict.exercised,
+                "violations": len(verdict.violations),
+            }
+            for name, verdict in verdicts.items()
+        },
+        "examples": {
+            name: verdict.violations[:MAX_PRINTED]
+            for name, verdict in verdicts.items()
+            if verdict.violations
+        },
+    }
+
+
+def print_json(value: typing.Any) -> None:
+    """Prints one JSON line."""
+    print(msgspec.json.encode(value).decode(), flush=True)
+
+
+async def run_all(listed: list[Scenario]) -> int:
+    """Runs scenarios one after another; returns the exit code."""
+    totals = {name: {"exercised": 0, "violations": 0} for name in PROMISES}
+    for scenario in listed:
+        summary = summarize(scenario, await run_scenario(scenario))
+        print_json(summary)
+        for name, row in summary["promises"].items():
+            for kind, number in row.items():
+                totals[name][kind] += number
+    print_json({"scenarios": len(listed), "promises": totals})
+    return int(any(row["violations"] for row in totals.values()))
+
+
+PROMISES = list(checker.PROMISES)
+
+
+def main(argv: list[str]) -> int:
+    """Runs the command line."""
+    parser = argparse.ArgumentParser(description="Faults on processes.")
+    parser.add_argument("--only", action="append", choices=scenarios.EVENTS)
+    parser.add_argument("--pairs", type=int, default=6)
+    parser.add_argument("--seed", type=int, default=20261203)
+    arguments = parser.parse_args(argv[1:])
+    if arguments.only:
+        listed = [Scenario([name], arguments.seed) for name in arguments.only]
+    else:
+        listed = create_scenarios(arguments.seed, arguments.pairs)
+    return asyncio.run(run_all(listed))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv))
