Make rosters and the choice of watchers only when the table changed

Cause: at 760 members a light process with 95 endpoints used a core; each tick built both rosters and each look at what is due weighed a whole failure domain.

--- a/laurelrock/core/holddown.py
+++ b/laurelrock/core/holddown.py
@@ -41,9 +41,10 @@
         self.until_s[address] = now_s + hold_s
         return hold_s
 
-    def is_held(self, address: str, now_s: float) -> bool:
-        """Tells whether a member still waits."""
-        return self.until_s.get(address, now_s) > now_s
+    def held(self, now_s: float) -> frozenset[str]:
+        """Returns the members that still wait."""
+        waiting = [a for a, end_s in self.until_s.items() if end_s > now_s]
+        return frozenset(waiting)
 
     def forget_old(self, now_s: float) -> None:
         """Drops members without a recent return."""
--- a/laurelrock/core/membership.py
+++ b/laurelrock/core/membership.py
@@ -4,6 +4,7 @@
 VMs go in with the present time; messages to send and events come out.
 """
 
+import collections.abc
 import random as randomness
 
 from laurelrock import messages
@@ -14,7 +15,16 @@
 from laurelrock.core import rings
 from laurelrock.core import view as views
 
-__all__ = ["announce", "flush", "leave", "make", "on_listed", "roster", "tick"]
+__all__ = [
+    "announce",
+    "flush",
+    "leave",
+    "make",
+    "on_listed",
+    "roster",
+    "roster_key",
+    "tick",
+]
 
 #: Time that changes are gathered before they are passed on, in seconds.
 GATHER_S = 0.05
@@ -144,10 +154,18 @@
     return [records.as_member(record) for record in usable]
 
 
+def roster_key(view: views.View, now_s: float) -> collections.abc.Hashable:
+    """Returns a value that changes whenever a roster may."""
+    leaving = frozenset(view.listed_leaving)
+    held = view.holds.held(now_s)
+    return view.table.version, view.detector.isolated, leaving, held
+
+
 def _without_held(
     view: views.View, usable: list[records.Record], now_s: float
 ) -> list[records.Record]:
-    free = [r for r in usable if not view.holds.is_held(r.address, now_s)]
+    held = view.holds.held(now_s)
+    free = [record for record in usable if record.address not in held]
     regions = {record.region for record in free}
     return free + [r for r in usable if r.region not in regions]
 
--- a/laurelrock/core/table.py
+++ b/laurelrock/core/table.py
@@ -29,6 +29,7 @@
         records: The highest record seen of each address.
         dead_since_s: When each dead daemon died, on this process's clock.
         digests: XOR of the fingerprints of each bucket's records.
+        digest: XOR of all fingerprints.
         version: Grows with each change.
     """
 
@@ -36,16 +37,9 @@
         self.records: dict[str, records.Record] = {}
         self.dead_since_s: dict[str, float] = {}
         self.digests = [0] * BUCKETS
+        self.digest = 0
         self.version = 0
 
-    @property
-    def digest(self) -> int:
-        """64-bit digest of the whole table."""
-        total = 0
-        for digest in self.digests:
-            total ^= digest
-        return total
-
     def put(self, record: records.Record, now_s: float) -> bool:
         """Keeps a record if it is higher than the one held.
 
@@ -58,9 +52,8 @@
         if record.dead_for_s > DEAD_KEPT_S:
             return False
         self._drop(record.address)
-        bucket = bucket_of(record.address)
         self.records[record.address] = record._replace(dead_for_s=0.0)
-        self.digests[bucket] ^= records.fingerprint(record)
+        self._toggle(record)
         if record.state == "dead":
             self.dead_since_s[record.address] = now_s - record.dead_for_s
         self.version += 1
@@ -99,4 +92,9 @@
         record = self.records.pop(address, None)
         self.dead_since_s.pop(address, None)
         if record is not None:
-            self.digests[bucket_of(address)] ^= records.fingerprint(record)
+            self._toggle(record)
+
+    def _toggle(self, record: records.Record) -> None:
+        fingerprint = records.fingerprint(record)
+        self.digests[bucket_of(record.address)] ^= fingerprint
+        self.digest ^= fingerprint
--- a/laurelrock/membership.py
+++ b/laurelrock/membership.py
@@ -68,6 +68,10 @@
         listed: Set once the list of VMs was read or could not be.
         listeners: Called with each heartbeat received.
         rosters: Usable members by role; a list is replaced when it changes.
+        roster_key: What they were made from.
+        watcher: Whether this daemon reads for its failure domain.
+        watcher_version: Version of the table that `watcher` is from.
+        flush_planned: Whether changed records wait to be passed on.
     """
 
     def __init__(
@@ -84,6 +88,9 @@
         self.listed = asyncio.Event()
         self.listeners: list[HeartbeatListener] = []
         self.rosters: dict[members.Role, list[members.Member]] = {}
+        self.roster_key: collections.abc.Hashable = None
+        self.watcher = True
+        self.watcher_version = -1
         self.flush_planned = False
         self.refresh()
 
@@ -108,7 +115,12 @@
 
     def is_watcher(self) -> bool:
         """Tells whether this daemon reads for its failure domain."""
-        return spreading.is_watcher(self.view.me, self.others())
+        version = self.view.table.version
+        if self.watcher_version != version:
+            self.watcher_version = version
+            others = self.others()
+            self.watcher = spreading.is_watcher(self.view.me, others)
+        return self.watcher
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -200,6 +212,10 @@
 
     def refresh(self) -> None:
         """Brings the rosters up to date."""
+        key = fleet.roster_key(self.view, _now_s())
+        if key == self.roster_key:
+            return
+        self.roster_key = key
         roles: tuple[members.Role, ...] = ("entry", "relay")
         for role in roles:
             found = fleet.roster(self.view, role, _now_s())
