Keep the rings sorted and rebuild rosters at most each 50 ms

Cause: while a fleet joins, each flush weighed all members on eight rings and each message rebuilt both rosters, which is of the order of the fleet.

--- a/bench/light.py
+++ b/bench/light.py
@@ -25,6 +25,7 @@
 from laurelrock.adapters import logs
 from laurelrock.adapters import platform as http_platform
 from laurelrock.core import members
+from laurelrock.core import records
 from laurelrock.ports import platform
 
 __all__ = ["PORT", "address_of", "member_of"]
@@ -57,6 +58,20 @@
     )
 
 
+def record_of(index: int) -> records.Record:
+    """Returns a member's record."""
+    me = member_of(index)
+    return records.Record(
+        address=me.address,
+        vm=me.vm,
+        role=me.role,
+        failure_domain=me.failure_domain,
+        region=me.region,
+        start_id=me.start_id,
+        epoch=0,
+    )
+
+
 class LightPlatform:
     """The platform, which can be out of reach."""
 
@@ -197,7 +212,7 @@
         """Returns what the endpoints saw."""
         return {
             "known": [
-                len(endpoint.members.others())
+                len(endpoint.members.view.rings.members) + 1
                 for endpoint in self.endpoints.values()
             ],
             "in_force": {
--- a/laurelrock/core/exchange.py
+++ b/laurelrock/core/exchange.py
@@ -17,6 +17,7 @@
     "on_probe_reply",
     "on_records",
     "on_table_digest",
+    "on_vm_leaving",
 ]
 
 #: Heartbeats in a row with another digest before tables are compared.
@@ -149,6 +150,16 @@
             view.detector.heard(record.address, now_s)
 
 
+def on_vm_leaving(
+    view: views.View, message: messages.VmLeaving, now_s: float
+) -> None:
+    """Announces that this daemon's VM is listed as leaving."""
+    if message.vm == view.me.vm and view.me.state == "live":
+        view.left_by_list = True
+        leaving = view.me._replace(state="leaving")
+        views.declare(view, leaving, now_s, "vm-list")
+
+
 #: What takes in each type of message.
 HANDLERS: dict[
     type, collections.abc.Callable[[views.View, typing.Any, float], None]
@@ -159,4 +170,5 @@
     messages.BucketRecords: on_bucket_records,
     messages.Probe: on_probe,
     messages.ProbeReply: on_probe_reply,
+    messages.VmLeaving: on_vm_leaving,
 }
--- a/laurelrock/core/rings.py
+++ b/laurelrock/core/rings.py
@@ -6,14 +6,11 @@
 hold the members of one failure domain, two hold all members.
 """
 
-import collections.abc
-import functools
+import bisect
 
 import xxhash
 
-from laurelrock.core import records
-
-__all__ = ["predecessors", "successors"]
+__all__ = ["Rings"]
 
 #: Seeds of the rings within a failure domain.
 DOMAIN_RINGS = (1, 2)
@@ -21,49 +18,65 @@
 #: Seeds of the rings over all members.
 GLOBAL_RINGS = (3, 4)
 
-#: Positions on a ring.
-RING_SIZE = 2**64
-
-
-@functools.lru_cache(maxsize=16_384)
-def _position(address: str, ring: int) -> int:
-    return xxhash.xxh3_64_intdigest(address.encode(), ring)
-
-
-def successors(me: records.Record, others: list[records.Record]) -> list[str]:
-    """Returns the members that receive this daemon's heartbeats."""
-    return _adjacent(me, others, 1)
-
-
-def predecessors(me: records.Record, others: list[records.Record]) -> list[str]:
-    """Returns the members whose heartbeats this daemon expects."""
-    return _adjacent(me, others, -1)
-
-
-def _adjacent(
-    me: records.Record, others: list[records.Record], direction: int
-) -> list[str]:
-    near = [
-        record.address
-        for record in others
-        if record.failure_domain == me.failure_domain
-    ]
-    everyone = [record.address for record in others]
-    chosen: dict[str, None] = {}
-    for rings, addresses in ((DOMAIN_RINGS, near), (GLOBAL_RINGS, everyone)):
-        for ring in rings:
-            distance = _distance(me.address, ring, direction)
-            if addresses:
-                chosen[min(addresses, key=distance)] = None
-    return list(chosen)
-
-
-def _distance(
-    address: str, ring: int, direction: int
-) -> collections.abc.Callable[[str], int]:
-    origin = _position(address, ring)
-
-    def distance(other: str) -> int:
-        return direction * (_position(other, ring) - origin) % RING_SIZE
 
-    return distance
+class Rings:
+    """The other members that are not dead.
+
+    Attributes:
+        address: Of this daemon.
+        places: Position and address of the members of each ring, sorted.
+        members: Whether each member is in this daemon's failure domain.
+        version: Grows with each change.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.places: dict[int, list[tuple[int, str]]] = {
+            ring: [] for ring in DOMAIN_RINGS + GLOBAL_RINGS
+        }
+        self.members: dict[str, bool] = {}
+        self.version = 0
+
+    def put(self, address: str, near: bool) -> None:
+        """Adds a member, or moves it where its failure domain changed."""
+        if self.members.get(address) == near:
+            return
+        self.drop(address)
+        self.members[address] = near
+        self.version += 1
+        for ring in _rings_of(near):
+            bisect.insort(self.places[ring], _place(address, ring))
+
+    def drop(self, address: str) -> None:
+        """Removes a member."""
+        near = self.members.pop(address, None)
+        if near is None:
+            return
+        self.version += 1
+        for ring in _rings_of(near):
+            places = self.places[ring]
+            del places[bisect.bisect_left(places, _place(address, ring))]
+
+    def successors(self) -> list[str]:
+        """Returns the members that receive this daemon's heartbeats."""
+        return self._adjacent(0)
+
+    def predecessors(self) -> list[str]:
+        """Returns the members whose heartbeats this daemon expects."""
+        return self._adjacent(-1)
+
+    def _adjacent(self, offset: int) -> list[str]:
+        chosen: dict[str, None] = {}
+        for ring, places in self.places.items():
+            if places:
+                own = bisect.bisect_left(places, _place(self.address, ring))
+                chosen[places[(own + offset) % len(places)][1]] = None
+        return list(chosen)
+
+
+def _rings_of(near: bool) -> tuple[int, ...]:
+    return DOMAIN_RINGS + GLOBAL_RINGS if near else GLOBAL_RINGS
+
+
+def _place(address: str, ring: int) -> tuple[int, str]:
+    return xxhash.xxh3_64_intdigest(address.encode(), ring), address
--- a/laurelrock/core/view.py
+++ b/laurelrock/core/view.py
@@ -10,6 +10,7 @@
 from laurelrock.core import detector
 from laurelrock.core import holddown
 from laurelrock.core import records
+from laurelrock.core import rings
 from laurelrock.core import table
 
 __all__ = ["Event", "Outgoing", "View", "declare", "defend", "merge", "send"]
@@ -50,12 +51,14 @@
         me: This daemon's own record.
         random: Source of random choices.
         table: Records of all daemons, this one included.
+        rings: The other members that are not dead.
         detector: Signs of life of the expected members.
         holds: Members that came back lately.
         generation: Of the manifest in force, for the heartbeats.
         digest: Of the manifest in force.
         seeds: Addresses from the settings where daemons may be.
         listed: Addresses from the platform's list where daemons may be.
+        left_by_list: Whether this daemon left as the list said so.
         listed_leaving: VMs that the platform's list calls leaving.
         neighbours: Members that receive this daemon's heartbeats.
         visitor: The one neighbour that is chosen at random.
@@ -66,7 +69,7 @@
         superseded: Whether another process has this address.
         mismatches: Heartbeats in a row with another digest, by sender.
         compared_s: When tables were last compared, by peer.
-        arranged_version: Version of the table that `neighbours` is from.
+        arranged_version: Version of the rings that `neighbours` is from.
         outbox: Messages to send.
         events: Decisions since the last log.
     """
@@ -82,12 +85,14 @@
         self.random = random
         self.table = table.Table()
         self.table.put(me, now_s)
+        self.rings = rings.Rings(me.address)
         self.detector = detector.Detector(now_s)
         self.holds = holddown.HoldDown()
         self.generation = 0
         self.digest = ""
         self.seeds = set(seeds) - {me.address}
         self.listed: set[str] = set()
+        self.left_by_list = False
         self.listed_leaving: set[str] = set()
         self.neighbours: list[str] = []
         self.visitor = ""
@@ -138,6 +143,11 @@
     held = view.table.records.get(record.address)
     if not view.table.put(record, now_s):
         return
+    if record.state == "dead":
+        view.rings.drop(record.address)
+    else:
+        near = record.failure_domain == view.me.failure_domain
+        view.rings.put(record.address, near)
     if passed_on:
         view.unsent[record.address] = source
     came_back = held is not None and (
--- a/laurelrock/membership.py
+++ b/laurelrock/membership.py
@@ -31,11 +31,12 @@
 #: Longest delay of the first read of the list of VMs, in seconds.
 START_SPREAD_S = 1.5
 
-#: Mean time between two reads of the list of VMs, in seconds: by the few
-#: daemons that read for their failure domain, and by the others.
-WATCHER_LIST_S = 2.0
+#: Mean time between two reads of the list of VMs, in seconds.
 LIST_S = 5.0
 
+#: Rows of the list that a daemon reads a second on average, at most.
+LIST_ROWS_PER_S = 4.0
+
 _log = logs.get_logger(__name__)
 
 HeartbeatListener = collections.abc.Callable[[messages.Heartbeat], None]
@@ -147,21 +148,19 @@
                 pace.failed(_now_s())
             else:
                 self.take_list(rows)
-                mean_s = self.options.list_s
-                if self.is_watcher():
-                    mean_s = min(mean_s, WATCHER_LIST_S)
+                mean_s = list_interval_s(self.options.list_s, len(rows))
                 pace.succeeded(mean_s, _now_s())
             self.listed.set()
 
     def take_list(self, rows: list[platforms.Vm]) -> None:
         """Takes in the platform's list of VMs."""
-        leaving = {row.vm for row in rows if row.state == "leaving"}
+        states: dict[str, str] = {row.vm: row.state for row in rows}
         addresses = {
             f"{row.address}:{port}"
             for row in rows
             for port in self.options.ports
         }
-        fleet.on_listed(self.view, leaving, addresses, _now_s())
+        fleet.on_listed(self.view, states, addresses, _now_s())
         self.deliver()
         self.refresh()
 
@@ -169,14 +168,11 @@
         self, kind: type, sender: buses.Sender, message: messages.Message
     ) -> None:
         """Takes in a message."""
-        version = self.view.table.version
         exchange.HANDLERS[kind](self.view, message, _now_s())
         if kind is messages.Heartbeat:
             for listener in self.listeners:
                 listener(message)
         self.deliver()
-        if self.view.table.version != version:
-            self.refresh()
         if self.view.unsent and not self.flush_planned:
             self.flush_planned = True
             loop = asyncio.get_running_loop()
@@ -187,6 +183,7 @@
         self.flush_planned = False
         fleet.flush(self.view, _now_s())
         self.deliver()
+        self.refresh()
 
     def deliver(self) -> None:
         """Sends what is in the outbox and logs what was decided."""
@@ -225,6 +222,11 @@
                 _log.info("roster", role=role, size=len(vms), vms=vms[:20])
 
 
+def list_interval_s(least_s: float, rows: int) -> float:
+    """Returns the mean time between two reads of a list of that length."""
+    return max(least_s, rows / LIST_ROWS_PER_S)
+
+
 def open_membership(
     me: members.Member,
     bus: buses.Bus,
--- a/laurelrock/messages.py
+++ b/laurelrock/messages.py
@@ -240,6 +240,12 @@
     record: records.Record
 
 
+class VmLeaving(typing.NamedTuple):
+    """Tells a daemon that the platform lists its VM as leaving."""
+
+    vm: str
+
+
 class ManifestWanted(typing.NamedTuple):
     """Asks a peer for what follows a generation."""
 
@@ -297,6 +303,7 @@
     b"G": ManifestWanted,
     b"H": ManifestSteps,
     b"I": ManifestCopy,
+    b"J": VmLeaving,
 }
 
 _kind_of = {kind: byte for byte, kind in KINDS.items()}
