--- a/tests/test_savecall.py
+++ b/tests/test_savecall.py
@@ -5,6 +5,8 @@
 import typing
 import unittest
 
+import structlog
+
 from laurelrock import errors
 from laurelrock import messages
 from laurelrock import savecall
@@ -14,6 +16,9 @@
 from laurelrock.core import window
 from tests import virtual
 
+setUpModule = virtual.silence_logs
+tearDownModule = structlog.reset_defaults
+
 SAVE = messages.Save("1", "p", "r", "a", "svc", "k", 1000.0, b"1")
 REQUEST = saves.Request("r", "a", "c", "k", b"1", 1.0)
 
--- a/tests/test_saves.py
+++ b/tests/test_saves.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import logging
 import random
 import typing
 import unittest
@@ -22,14 +21,8 @@
 WAIT_S = 5.0
 
 
-def setUpModule() -> None:  # noqa: N802
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
-    )
-
-
-def tearDownModule() -> None:  # noqa: N802
-    structlog.reset_defaults()
+setUpModule = virtual.silence_logs
+tearDownModule = structlog.reset_defaults
 
 
 class Bench:
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import collections.abc
+import logging
 import selectors
 import typing
 
+import structlog
+
 Idle = collections.abc.Callable[[float | None], float]
 
 
@@ -71,3 +74,10 @@
         return loop.run_until_complete(coroutine)
     finally:
         loop.finish()
+
+
+def silence_logs() -> None:
+    """Keeps the logs out of the tests' output."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
