Pass claims to the owner of their ledger, and around a cut

Cause: each entry wrote claims itself. Entries that write the same ledger make each other's cached copies stale, and one that is cut off from the platform could take no save.

Change: each ledger has an owner among the region's entries by rendezvous hashing. A claim goes to the owner, then to the platform directly, then through the stand-by; the attempt's own id in the ledger makes the doubled asks one claim. Ownership is no part of the safety: any daemon may write, the version check decides. The histories run with passed claims too, whose questions and answers are lost or overtaken by pauses and deaths.

--- a/laurelrock/entry.py
+++ b/laurelrock/entry.py
@@ -19,6 +19,7 @@
 from starlette import routing
 
 from laurelrock import callers
+from laurelrock import claimbus
 from laurelrock import daemon as daemons
 from laurelrock import errors
 from laurelrock import savecall
@@ -54,7 +55,7 @@
     ) -> None:
         self.daemon = daemon
         self.searches = searches
-        self.saves = saves.create_saves(daemon)
+        self.saves = claimbus.create_saves(daemon)
         self.save_calls = savecall.create_save_calls(daemon, searches)
         self.in_flight = 0
         self.answers: collections.Counter[str] = collections.Counter()
--- a/laurelrock/ledgers.py
+++ b/laurelrock/ledgers.py
@@ -146,18 +146,21 @@
         left_s = self.down_until_s - asyncio.get_running_loop().time()
         return max(left_s, self.tuning.backoff_s)
 
-    async def reserve(
-        self, change: ledgers.Reserve, time_left_s: float
+    async def submit(
+        self, change: ledgers.Change, time_left_s: float
     ) -> ledgers.Verdict:
-        """Claims a key.
+        """Applies a change.
 
         Raises:
-            PlatformError: The key was certainly not claimed.
-            WriteUnsettledError: The key may have been claimed.
+            PlatformError: The change was certainly not written.
+            WriteUnsettledError: The change may have been written.
         """
         loop = asyncio.get_running_loop()
-        if loop.time() < self.down_until_s or self.waiting >= MAX_WAITING:
+        claims = isinstance(change, ledgers.Reserve)
+        if claims and loop.time() < self.down_until_s:
             raise errors.PlatformError("the platform cannot be used now")
+        if self.waiting >= MAX_WAITING:
+            raise errors.PlatformError("too many changes wait")
         waiting = self.enqueue(change, loop.time() + time_left_s)
         timer = loop.call_later(time_left_s, waiting.give_up)
         try:
@@ -165,12 +168,15 @@
         finally:
             timer.cancel()
 
+    async def reserve(
+        self, change: ledgers.Reserve, time_left_s: float
+    ) -> ledgers.Verdict:
+        """Claims a key; see `submit`."""
+        return await self.submit(change, time_left_s)
+
     async def settle(self, change: ledgers.Settle) -> ledgers.Verdict:
-        """Records the outcome of an attempt; see `reserve`."""
-        if self.waiting >= MAX_WAITING:
-            raise errors.PlatformError("too many outcomes wait")
-        until_s = asyncio.get_running_loop().time() + SETTLE_PATIENCE_S
-        return await self.enqueue(change, until_s).verdict
+        """Records the outcome of an attempt; see `submit`."""
+        return await self.submit(change, SETTLE_PATIENCE_S)
 
     def hurry(self) -> None:
         """Lets outcomes wait no longer for a claim to share their write."""
--- a/laurelrock/messages.py
+++ b/laurelrock/messages.py
@@ -275,6 +275,59 @@
     generation: int
     digest: str
     raw: bytes
+class Claim(typing.NamedTuple):
+    """Asks an entry to claim a save's key for an attempt; entry to entry.
+
+    Attributes:
+        query_id: Unique for the asking process.
+        start_id: Random id of the asking process's start.
+        time_left_ms: After which the answer is of no use.
+        key: Idempotency key.
+        attempt: Id of the attempt.
+        digest: Of the request.
+    """
+
+    query_id: str
+    start_id: str
+    time_left_ms: float
+    key: bytes
+    attempt: bytes
+    digest: bytes
+
+
+class ClaimOutcome(typing.NamedTuple):
+    """Asks an entry to record an attempt's outcome; see `Claim`."""
+
+    query_id: str
+    start_id: str
+    time_left_ms: float
+    key: bytes
+    attempt: bytes
+    state: str
+    result: bytes | None
+
+
+class ClaimReply(typing.NamedTuple):
+    """Answers `Claim` and `ClaimOutcome`.
+
+    Attributes:
+        query_id: As asked.
+        start_id: As asked.
+        kind: Of the ledger's verdict; "failed" where nothing was written,
+            "unsettled" where that is not known.
+        attempt: Of the claim that decided, empty if there is none.
+        digest: Of that claim.
+        state: Of that claim.
+        result: Of that claim.
+    """
+
+    query_id: str
+    start_id: str
+    kind: str
+    attempt: bytes = b""
+    digest: bytes = b""
+    state: str = ""
+    result: bytes | None = None
 
 
 Message = typing.Any
@@ -297,6 +350,9 @@
     b"G": ManifestWanted,
     b"H": ManifestSteps,
     b"I": ManifestCopy,
+    b"K": Claim,
+    b"L": ClaimOutcome,
+    b"M": ClaimReply,
 }
 
 _kind_of = {kind: byte for byte, kind in KINDS.items()}
--- a/laurelrock/saves.py
+++ b/laurelrock/saves.py
@@ -9,14 +9,9 @@
 import asyncio
 import collections.abc
 import contextlib
-import random
-import secrets
-import time
 import typing
 
-from laurelrock import daemon as daemons
 from laurelrock import errors
-from laurelrock import ledgers as writers
 from laurelrock.adapters import logs
 from laurelrock.core import ledger
 
@@ -27,8 +22,6 @@
 MAX_POLL_S = 0.8
 #: Time left below which a claimed save is not sent.
 MIN_TIME_LEFT_S = 0.001
-#: Size of the random id of an attempt.
-ATTEMPT_BYTES = 12
 #: Seconds that a daemon that ends gives to recording outcomes.
 CLOSE_S = 15.0
 
@@ -99,11 +92,29 @@
         return self.until_s - asyncio.get_running_loop().time()
 
 
+class Store(typing.Protocol):
+    """Takes claims and outcomes; `ledgers.Ledgers` or `claims.Claims`."""
+
+    async def reserve(
+        self, change: ledger.Reserve, time_left_s: float
+    ) -> ledger.Verdict:
+        """Claims a key; see `ledgers.Ledgers.submit`."""
+
+    async def settle(self, change: ledger.Settle) -> ledger.Verdict:
+        """Records an outcome; see `ledgers.Ledgers.submit`."""
+
+    def retry_after_s(self) -> float:
+        """Returns when the platform will be tried again."""
+
+    def hurry(self) -> None:
+        """Lets outcomes wait no longer for a claim to share their write."""
+
+
 class Saves:
     """Runs saves at most once.
 
     Attributes:
-        ledgers: The ledgers as this daemon uses them.
+        store: Takes claims and outcomes.
         wall_ms: Returns the time since 1970.
         new_id: Returns the random id of an attempt.
         tasks: Attempts and records under way.
@@ -112,11 +123,11 @@
 
     def __init__(
         self,
-        store: writers.Ledgers,
+        store: Store,
         wall_ms: collections.abc.Callable[[], float],
         new_id: collections.abc.Callable[[], bytes],
     ) -> None:
-        self.ledgers = store
+        self.store = store
         self.wall_ms = wall_ms
         self.new_id = new_id
         self.tasks: set[asyncio.Task[typing.Any]] = set()
@@ -153,7 +164,7 @@
 
     async def close(self, time_left_s: float = CLOSE_S) -> None:
         """Waits for the attempts under way and records their outcomes."""
-        self.ledgers.hurry()
+        self.store.hurry()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(time_left_s):
                 while self.tasks:
@@ -202,7 +213,7 @@
     async def reserve(self, attempt: Attempt) -> ledger.Verdict:
         """Asks for the claim once; gives it up if its fate is not known."""
         try:
-            return await self.ledgers.reserve(
+            return await self.store.reserve(
                 attempt.claim, attempt.time_left_s()
             )
         except errors.WriteUnsettledError as error:
@@ -216,7 +227,7 @@
     ) -> errors.NotReadyError:
         """Returns the refusal of a save that was not claimed or sent."""
         self.note(attempt, error.code)
-        after_s = self.ledgers.retry_after_s()
+        after_s = self.store.retry_after_s()
         message = "the save was not sent: " + error.message
         return errors.NotReadyError(message, "no", after_s)
 
@@ -249,7 +260,7 @@
     async def settle(self, change: ledger.Settle) -> None:
         """Records an outcome; if that fails, the key stays claimed."""
         try:
-            verdict = await self.ledgers.settle(change)
+            verdict = await self.store.settle(change)
         except errors.LaurelrockError as error:
             log.warning(
                 "outcome not recorded",
@@ -280,31 +291,6 @@
         self.counts[kind] = self.counts.get(kind, 0) + 1
 
 
-def create_saves(daemon: daemons.Daemon) -> Saves:
-    """Returns the saves of an entry, over its platform."""
-    store = writers.Ledgers(daemon.platform, random.random, writers.Tuning())
-    saves = Saves(
-        store,
-        lambda: time.time() * 1000,
-        lambda: secrets.token_bytes(ATTEMPT_BYTES),
-    )
-    meters = daemon.metrics
-    meters.counters(
-        "laurelrock_saves", lambda: dict(saves.counts), "Saves by decision"
-    )
-    meters.counters(
-        "laurelrock_ledger_calls",
-        lambda: dict(store.counts),
-        "Groups, changes, conflicts and failures of ledgers",
-    )
-    meters.gauge(
-        "laurelrock_ledger_waiting",
-        lambda: store.waiting,
-        "Claims and outcomes that wait for the platform",
-    )
-    return saves
-
-
 def unknown(message: str) -> errors.OutcomeUnknownError:
     """Returns the refusal of a save that may have run."""
     return errors.OutcomeUnknownError(message, "unknown")
