--- a/laurelrock/claimbus.py
+++ b/laurelrock/claimbus.py
@@ -165,12 +165,11 @@
 
 def entries(daemon: daemons.Daemon) -> list[members.Member]:
     """Returns the live entries of the daemon's own region."""
-    port = daemon.settings.entry.bus_port
+    region = daemon.settings.vm.region
     return [
-        relay._replace(
-            role="entry", address=f"{relay.address.partition(':')[0]}:{port}"
-        )
-        for relay in daemon.relays(daemon.settings.vm.region)
+        entry
+        for entry in daemon.members.roster("entry")
+        if entry.region == region
     ]
 
 
--- a/laurelrock/messages.py
+++ b/laurelrock/messages.py
@@ -275,6 +275,8 @@
     generation: int
     digest: str
     raw: bytes
+
+
 class Claim(typing.NamedTuple):
     """Asks an entry to claim a save's key for an attempt; entry to entry.
 
