Answer every bad input with its type; test it against the processes

Cause: a table of bad input against one VM's processes found that - a path or method that leads nowhere got plain text, not a problem document with a code; - an exception that nothing foresees got plain text as well; - a reply that a stranger sent to the entry's bound socket raised UnicodeDecodeError in the handler, since its identity was read as the address of a relay.

Change: `not-found`, `method-not-allowed` and `internal` (run: unknown) as problem documents; a sign of life counts only on a connection that the entry opened.

--- a/laurelrock/entry.py
+++ b/laurelrock/entry.py
@@ -119,10 +119,26 @@
                 guarded(entry, lambda *args: answer_save(entry, *args)),
                 methods=["POST"],
             ),
-        ]
+        ],
+        exception_handlers={
+            404: refuse_with(errors.NotFoundError),
+            405: refuse_with(errors.MethodNotAllowedError),
+        },
     )
 
 
+def refuse_with(kind: type[errors.RefusalError]) -> typing.Any:
+    """Returns a handler of requests that no endpoint takes."""
+
+    async def handle(
+        request: requests.Request, reason: Exception
+    ) -> responses.Response:
+        message = f"{request.method} {request.url.path}"
+        return problem_response(kind(message), uuid.uuid4().hex)
+
+    return handle
+
+
 def guarded(entry: Entry, endpoint: Endpoint) -> typing.Any:
     """Wraps an endpoint: request id, limits, refusals and the log line."""
 
@@ -139,6 +155,11 @@
         except errors.RefusalError as error:
             response = problem_response(error, request_id)
             kind = error.code
+        except Exception:
+            _log.exception("answer-failed", request_id=request_id)
+            failure = errors.InternalError("internal failure", "unknown")
+            response = problem_response(failure, request_id)
+            kind = failure.code
         finally:
             entry.in_flight -= 1
         elapsed_ms = (time.monotonic() - began) * 1000
--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -215,6 +215,27 @@
     status = 403
 
 
+class NotFoundError(RefusalError):
+    """The path leads nowhere."""
+
+    code = "not-found"
+    status = 404
+
+
+class MethodNotAllowedError(RefusalError):
+    """The path does not take the method."""
+
+    code = "method-not-allowed"
+    status = 405
+
+
+class InternalError(RefusalError):
+    """The daemon failed in a way that it does not foresee."""
+
+    code = "internal"
+    status = 500
+
+
 class UnknownApplicationError(RefusalError):
     """No application of that name is in the manifest."""
 
--- a/laurelrock/search.py
+++ b/laurelrock/search.py
@@ -13,6 +13,7 @@
 from laurelrock import errors
 from laurelrock import manifest
 from laurelrock import messages
+from laurelrock.adapters import bus
 from laurelrock.adapters import logs
 from laurelrock.core import members
 from laurelrock.core import ownership
@@ -129,7 +130,9 @@
         self.heard(sender)
 
     def heard(self, sender: bytes) -> None:
-        """Notes a sign of life of a relay."""
+        """Notes a sign of life of a relay that was asked."""
+        if not sender.startswith(bus.ADDRESS_MARK):
+            return
         address = sender[1:].decode()
         self.heard_at[address] = self.daemon.bus.loop.time()
         if address in self.suspects:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -36,6 +36,11 @@
     return f"{own_host()}:{next(ports)}"
 
 
+def vm_address(number: int) -> str:
+    """Returns the IP number of a VM of this test process."""
+    return own_host().rpartition(".")[0] + f".{number + 1}"
+
+
 def searcher(name: str = "r0", **fields) -> manifest.Searcher:
     """Returns a searcher at a free address."""
     defaults = {
@@ -82,14 +87,32 @@
     return manifest.Application(**(defaults | fields))
 
 
+def renamed(
+    application: manifest.Application, prefix: str
+) -> manifest.Application:
+    """Returns an application whose searchers have other ids."""
+    services = {
+        name: [row._replace(id=prefix + row.id) for row in group]
+        for name, group in application.services.items()
+    }
+    return application._replace(services=services)
+
+
+def caller(
+    token: str, applications: list[str], saves: bool = True
+) -> manifest.Caller:
+    """Returns a caller with a token."""
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return manifest.Caller(digest, applications, saves)
+
+
 def small_manifest(services: int = 2, replicas: int = 2) -> manifest.Manifest:
     """Returns a manifest with one application and one caller."""
-    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
     return manifest.Manifest(
         name="small",
         regions={"r": ["a", "b", "c"]},
         applications={APPLICATION: application(services, replicas)},
-        callers={CALLER: manifest.Caller(digest, [APPLICATION])},
+        callers={CALLER: caller(TOKEN, [APPLICATION])},
     )
 
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -49,7 +49,17 @@
     url: str, body: bytes, headers: dict[str, str] | None = None
 ) -> tuple[int, bytes]:
     """Posts and returns the status and the body."""
-    request = urllib.request.Request(url, body, headers or {})
+    return ask("POST", url, body, headers)
+
+
+def ask(
+    method: str,
+    url: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, bytes]:
+    """Makes a request and returns the status and the body."""
+    request = urllib.request.Request(url, body, headers or {}, method=method)
     try:
         with urllib.request.urlopen(request, timeout=10) as response:
             return response.status, response.read()
@@ -78,6 +88,8 @@
         folder: Settings, manifest and logs.
         running: Processes by name.
         vms: Addresses of the VMs by name.
+        control: Address of the searchers' control port.
+        platform: Base URL.
     """
 
     def __init__(self, program: tuple[str, ...] = PYTHON) -> None:
@@ -86,6 +98,7 @@
         self.folder = pathlib.Path(self.temporary.name)
         self.running: dict[str, subprocess.Popen] = {}
         self.vms: dict[str, str] = {}
+        self.control = builders.free_address()
         self.platform = f"http://{builders.free_address()}"
 
     def start(self, name: str, *command: str) -> None:
@@ -113,13 +126,39 @@
         """Starts the searchers of a manifest; returns the manifest's file."""
         path = self.write_manifest("manifest.json", source)
         module = (sys.executable, "-m", "fakes.searcher")
-        self.start("searchers", *module, "--manifest", str(path))
+        arguments = ("--manifest", str(path), "--control", self.control)
+        self.start("searchers", *module, *arguments)
         for application in source.applications.values():
             for group in application.services.values():
                 for searcher in group:
                     wait_up(f"http://{searcher.address}/v1/health")
         return path
 
+    def control_searchers(self, names: list[str], **behaviour) -> None:
+        """Changes how some searchers behave."""
+        change = {"searchers": names, "behaviour": behaviour}
+        status, body = post(
+            f"http://{self.control}/control", json.dumps(change).encode()
+        )
+        if status != 200:
+            raise OSError(body.decode())
+
+    def publish(self, path: pathlib.Path) -> None:
+        """Publishes a manifest; returns once it is in force everywhere."""
+        subprocess.run(
+            [
+                *self.program,
+                "publish",
+                str(path),
+                "--wait",
+                "--platform",
+                self.platform,
+            ],
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+            check=True,
+        )
+
     def write_manifest(
         self, name: str, source: manifest.Manifest
     ) -> pathlib.Path:
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -12,7 +12,8 @@
 from tests import builders
 from tests import processes
 
-VMS = {"e1": "127.0.71.1", "e2": "127.0.71.2"}
+VMS = {"e1": builders.vm_address(1), "e2": builders.vm_address(2)}
+GONE = f"{VMS['e2']}:9402"
 
 
 def run(*arguments: str) -> tuple[int, str, str]:
@@ -152,7 +153,7 @@
             code, out, err = self.publish("five", "--wait", "--timeout", "1")
             self.assertEqual(code, 1)
             self.assertIn("published: generation 4", out)
-            self.assertIn("not in force: e2 relay in a: 127.0.71.2:9402", err)
+            self.assertIn(f"not in force: e2 relay in a: {GONE}", err)
             self.assertIn(
                 "not-in-force: generation 4 is not in force at 1", err
             )
@@ -162,5 +163,5 @@
             code, out, _ = run("status", "--platform", url)
             self.assertEqual(code, 0)
             self.assertIn("head: generation 4", out)
-            self.assertEqual(out.count("silent: 127.0.71.2:9402"), 1)
+            self.assertEqual(out.count(f"silent: {GONE}"), 1)
             self.assertEqual(len(out.splitlines()), 2 + 4)
