Refuse messages between daemons whose values make no sense

Cause: a message of the right shape could harm other requests. The relay put a query that was no JSON into one call with good ones; the searcher refused the whole call, so good queries lost the shard ("protocol"). A document nested beyond the recursion limit raised RecursionError in the middle of a read of the socket.

Ruled out, by sending each kind alone: NaN as the time left did no harm to the relay of today, though it may not reach a timer; it is refused as well.

Change: `messages.decode` raises `FrameError` for a query or body that is no JSON, for NaN and infinities, for a priority or limit out of range and for deep nesting.

--- a/laurelrock/messages.py
+++ b/laurelrock/messages.py
@@ -5,6 +5,7 @@
 clocks differ between VMs.
 """
 
+import sys
 import typing
 
 import msgspec
@@ -31,6 +32,16 @@
 ]
 
 
+#: A duration or a score; excludes NaN and the infinities.
+Finite = typing.Annotated[
+    float, msgspec.Meta(ge=-sys.float_info.max, le=sys.float_info.max)
+]
+#: Class of a queue, 0 is the highest.
+Priority = typing.Annotated[int, msgspec.Meta(ge=0, le=7)]
+#: Most hits of a merged answer.
+Limit = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+
+
 class Part(typing.NamedTuple):
     """The shards of a query that one service holds."""
 
@@ -59,9 +70,9 @@
     request_id: str
     application: str
     snapshot: str
-    time_left_ms: float
-    priority: int
-    limit: int
+    time_left_ms: Finite
+    priority: Priority
+    limit: Limit
     query: bytes
     parts: list[Part]
 
@@ -69,7 +80,7 @@
 class Hit(typing.NamedTuple):
     """One document found."""
 
-    score: float
+    score: Finite
     id: str
     shard: str
     document: typing.Any = None
@@ -102,7 +113,7 @@
     snapshot: str
     outcomes: list[ShardOutcome]
     hits: list[Hit]
-    retry_after_ms: float = 0.0
+    retry_after_ms: Finite = 0.0
 
 
 class Cancel(typing.NamedTuple):
@@ -124,7 +135,7 @@
     application: str
     service: str
     key: str
-    time_left_ms: float
+    time_left_ms: Finite
     body: bytes
 
 
@@ -145,7 +156,7 @@
     start_id: str
     ran: errors.Ran
     result: bytes = b""
-    retry_after_ms: float = 0.0
+    retry_after_ms: Finite = 0.0
     reason: str = ""
 
 
@@ -320,6 +331,11 @@
     if len(frames) != 2 or frames[0] not in _decoders:
         raise errors.FrameError(f"unknown kind in {len(frames)} frames")
     try:
-        return _decoders[frames[0]].decode(frames[1])
-    except msgspec.MsgspecError as error:
+        message = _decoders[frames[0]].decode(frames[1])
+        if isinstance(message, Search):
+            msgspec.json.decode(message.query)
+        elif isinstance(message, Save):
+            msgspec.json.decode(message.body)
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.FrameError(f"kind {frames[0]!r}: {error}") from None
+    return message
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -31,6 +31,9 @@
 DEEP = b"[" * 20_000
 LONG = b'{"query": "' + b"x" * 70_000 + b'"}'
 
+#: How often each senseless message is sent.
+WRONG_REPEATS = 30
+
 #: Application, headers, body, status and code of the refusal.
 BAD_SEARCHES = [
     (QUOTES, {}, GOOD, 401, "unauthorized"),
@@ -106,38 +109,60 @@
         b"\x9f" + b"\xc0" * 15,
         random.randbytes(60),
     ]
+    deep = b"\x96\xa1x\xa1x\xa1x\x90\x91\x94\xcb" + b"\x00" * 8
+    bodies.append(deep + b"\xa1x\xa1x" + b"\x91" * 100_000)
     frames = [[kind, body] for kind in kinds for body in bodies]
     return [*frames, [], [b""], [b"q"], [b"q", b"", b""], [b"x" * 100_000]]
 
 
+SEARCH = messages.Search(
+    "1",
+    "x",
+    "r",
+    QUOTES,
+    "v1",
+    1000.0,
+    0,
+    10,
+    b'"x"',
+    [messages.Part("service0", ["s0"])],
+)
+
+
 def wrong_messages() -> list:
-    """Returns messages that can be decoded but make no sense."""
+    """Returns messages of the right shape that no daemon sends."""
     outcomes = [messages.ShardOutcome("s0", "ok")]
     hits = [messages.Hit(9.9, "forged", "s0")]
-    part = messages.Part("service0", ["s0"])
-    search = messages.Search(
-        "1", "x", "r", QUOTES, "v1", 1000.0, 0, 10, b'"x"', [part]
-    )
     return [
         messages.SearchReply("1", "x", "v1", outcomes, hits),
         messages.SaveReply("1", "x", "yes", b'"forged"'),
         messages.Cancel("none", "x"),
         messages.Pong("x", False),
-        search,
-        search._replace(application="none"),
-        search._replace(time_left_ms=-1.0),
-        search._replace(time_left_ms=float("nan")),
-        search._replace(priority=-3, limit=-1),
-        search._replace(query=b"{"),
-        search._replace(parts=[]),
-        search._replace(parts=[part._replace(service="none")]),
-        search._replace(parts=[part._replace(shards=["none"])]),
-        search._replace(snapshot="none"),
+        SEARCH._replace(time_left_ms=-1.0),
+        SEARCH._replace(time_left_ms=float("nan")),
+        SEARCH._replace(time_left_ms=float("inf")),
+        SEARCH._replace(priority=-3),
+        SEARCH._replace(limit=-1),
+        SEARCH._replace(query=b"{"),
+        SEARCH._replace(query=b'"\xff"'),
+        SEARCH._replace(parts=[]),
         messages.Save("1", "x", "r", QUOTES, "none", "k", 1.0, b"{"),
         messages.Ping(""),
     ]
 
 
+def odd_searches() -> list:
+    """Returns searches that a daemon with another manifest may send."""
+    [part] = SEARCH.parts
+    return [
+        SEARCH,
+        SEARCH._replace(application="none"),
+        SEARCH._replace(snapshot="none"),
+        SEARCH._replace(parts=[part._replace(service="none")]),
+        SEARCH._replace(parts=[part._replace(shards=["none"])]),
+    ]
+
+
 class UnforeseenTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_failure_without_a_type_is_answered_as_unknown(self):
         limits = types.SimpleNamespace(max_in_flight=1)
@@ -268,7 +293,8 @@
                     frames = garbage_frames()
                     for message in frames:
                         peer.send_multipart(message or [b""])
-                    for message in wrong_messages():
+                    sent = wrong_messages() * WRONG_REPEATS + odd_searches()
+                    for message in sent:
                         peer.send_multipart(messages.encode(message))
                     self.check_good()
                     # Messages of one connection are read in order.
