--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -26,6 +26,7 @@
 from laurelrock.core import hits
 from laurelrock.core import records
 from laurelrock.core import view as views
+from laurelrock.ports import searcher as searcher_port
 
 __all__ = ["main"]
 
@@ -138,7 +139,7 @@
     row = manifest.Searcher("s1", SEARCHER, "a", 2, 25)
     client = searchers.open_searcher(row, 4, "127.0.0.1")
     items = [
-        searchers.Item(
+        searcher_port.Item(
             request_id=f"{index:032}",
             start_id="s" * 16,
             snapshot="v1",
