Give each lane of the fault scenarios addresses of its own

Change: create_lane writes a deployment at 127.30.x and up; two lanes run side by side; the lock is per deployment.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -18,7 +18,17 @@
 
 import aiohttp
 
-__all__ = ["Cluster", "Deployment", "TECHOS", "VANDERPLAS", "open_cluster"]
+from examples import generate
+from laurelrock import manifest
+
+__all__ = [
+    "Cluster",
+    "Deployment",
+    "TECHOS",
+    "VANDERPLAS",
+    "create_lane",
+    "open_cluster",
+]
 
 #: Longest wait for a process to be ready or to end, in seconds.
 START_TIMEOUT_S = 30.0
@@ -26,8 +36,6 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "examples"
-#: Held while a deployment runs.
-LOCK = pathlib.Path(tempfile.gettempdir()) / "laurelrock-cluster.lock"
 
 SETTINGS = """\
 [vm]
@@ -89,6 +97,32 @@
 )
 
 
+def create_lane(folder: pathlib.Path, index: int) -> Deployment:
+    """Writes a copy of Techos del Sol at addresses of its own.
+
+    Args:
+        folder: For the manifest and the list of VMs.
+        index: 0 to 9; lanes with different indexes can run side by side.
+    """
+    source = generate.TECHOS._replace(
+        searcher_network=f"127.{30 + index}.2",
+        vm_network=f"127.{30 + index}.1",
+    )
+    path = folder / f"lane-{index}.json"
+    path.write_bytes(manifest.encode(generate.build(source)))
+    vms = folder / f"lane-{index}-vms.json"
+    rows = {"vms": generate.vms(source)}
+    vms.write_text(json.dumps(rows), encoding="utf-8")
+    return Deployment(
+        path,
+        vms,
+        source.region,
+        f"127.{30 + index}.0.1:7100",
+        7300 + 10 * index,
+        2,
+    )
+
+
 class Cluster:
     """Processes that were started.
 
@@ -251,7 +285,7 @@
     until the first one has ended.
     """
     with tempfile.TemporaryDirectory(prefix="laurelrock-") as folder:
-        lock = await asyncio.to_thread(take_lock)
+        lock = await asyncio.to_thread(take_lock, deployment)
         cluster = Cluster(deployment, pathlib.Path(folder), log_level, extra)
         try:
             await start_all(cluster)
@@ -261,9 +295,11 @@
             lock.close()
 
 
-def take_lock() -> typing.IO[bytes]:
-    """Waits for the machine's other deployment to end."""
-    lock = open(LOCK, "wb")  # noqa: SIM115
+def take_lock(deployment: Deployment) -> typing.IO[bytes]:
+    """Waits until nothing else runs at a deployment's addresses."""
+    name = f"laurelrock-{deployment.platform.replace(':', '-')}.lock"
+    path = pathlib.Path(tempfile.gettempdir()) / name
+    lock = open(path, "wb")  # noqa: SIM115
     fcntl.flock(lock, fcntl.LOCK_EX)
     return lock
 
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -7,8 +7,10 @@
 
 import argparse
 import asyncio
+import pathlib
 import random
 import sys
+import tempfile
 import typing
 
 import aiohttp
@@ -32,7 +34,6 @@
 #: Violations that are printed of each promise.
 MAX_PRINTED = 3
 LIMIT = 10
-DEPLOYMENT = cluster.TECHOS._replace(vms_per_domain=2)
 TARGETS = [
     load.Target("cotizador", "franchise-tablets-token", 25.0, 40),
     load.Target("expedientes", "back-office-token", 10.0),
@@ -63,13 +64,15 @@
     return listed
 
 
-async def run_scenario(scenario: Scenario) -> checker.History:
+async def run_scenario(
+    scenario: Scenario, deployment: cluster.Deployment
+) -> checker.History:
     """Runs a scenario on a fresh deployment; returns its history."""
-    first = manifest.decode(DEPLOYMENT.manifest.read_bytes())
+    first = manifest.decode(deployment.manifest.read_bytes())
     known = [first, scenarios.generate.repartitioned(first)]
     async with (
         aiohttp.ClientSession() as session,
-        cluster.open_cluster(DEPLOYMENT) as running,
+        cluster.open_cluster(deployment) as running,
     ):
         run = scenarios.Run(running, session, first, scenario.seed)
         plan = load.Plan(
@@ -170,20 +173,41 @@
     print(msgspec.json.encode(value).decode(), flush=True)
 
 
-async def run_all(listed: list[Scenario]) -> int:
-    """Runs scenarios one after another; returns the exit code."""
-    totals = {name: {"exercised": 0, "violations": 0} for name in PROMISES}
-    for scenario in listed:
-        summary = summarize(scenario, await run_scenario(scenario))
+async def run_lane(
+    waiting: list[Scenario],
+    deployment: cluster.Deployment,
+    totals: dict[str, dict[str, int]],
+) -> None:
+    """Runs the scenarios that wait, one after another."""
+    while waiting:
+        scenario = waiting.pop(0)
+        history = await run_scenario(scenario, deployment)
+        summary = summarize(scenario, history)
         print_json(summary)
         for name, row in summary["promises"].items():
             for kind, number in row.items():
                 totals[name][kind] += number
-    print_json({"scenarios": len(listed), "promises": totals})
-    return int(any(row["violations"] for row in totals.values()))
 
 
-PROMISES = list(checker.PROMISES)
+async def run_all(listed: list[Scenario], lanes: int) -> int:
+    """Runs scenarios in lanes side by side; returns the exit code."""
+    totals = {
+        name: {"exercised": 0, "violations": 0} for name in checker.PROMISES
+    }
+    waiting = list(listed)
+    with tempfile.TemporaryDirectory(prefix="laurelrock-") as folder:
+        await asyncio.gather(
+            *(
+                run_lane(
+                    waiting,
+                    cluster.create_lane(pathlib.Path(folder), index),
+                    totals,
+                )
+                for index in range(lanes)
+            )
+        )
+    print_json({"scenarios": len(listed), "promises": totals})
+    return int(any(row["violations"] for row in totals.values()))
 
 
 def main(argv: list[str]) -> int:
@@ -191,13 +215,14 @@
     parser = argparse.ArgumentParser(description="Faults on processes.")
     parser.add_argument("--only", action="append", choices=scenarios.EVENTS)
     parser.add_argument("--pairs", type=int, default=6)
+    parser.add_argument("--lanes", type=int, default=2)
     parser.add_argument("--seed", type=int, default=20261203)
     arguments = parser.parse_args(argv[1:])
     if arguments.only:
         listed = [Scenario([name], arguments.seed) for name in arguments.only]
     else:
         listed = create_scenarios(arguments.seed, arguments.pairs)
-    return asyncio.run(run_all(listed))
+    return asyncio.run(run_all(listed, arguments.lanes))
 
 
 if __name__ == "__main__":
