--- a/bench/faults.py
+++ b/bench/faults.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import collections
 import pathlib
 import random
 import sys
@@ -145,6 +146,9 @@
     answered = [r for r in searches if r.status == 200]
     partial = [r for r in answered if r.answer["partial"]]
     verdicts = checker.check(history)
+    failures = collections.Counter(
+        r.error or r.answer["code"] for r in history.records if r.status != 200
+    )
     return {
         "scenario": scenario.name,
         "seed": scenario.seed,
@@ -153,6 +157,7 @@
         "partial": len(partial),
         "refused": sum(r.status not in (0, 200) for r in searches),
         "unanswered": sum(r.status == 0 for r in history.records),
+        "failures": dict(failures.most_common(MAX_PRINTED)),
         "promises": {
             name: {
                 "exercised": verdict.exercised,
