--- a/fakes/load.py
+++ b/fakes/load.py
@@ -34,6 +34,11 @@
 MAX_LATENCY_US = 120_000_000
 LATENCY_DIGITS = 3
 
+#: Between two looks at the readiness of an entry, in seconds.
+READY_POLL_S = 0.1
+#: Wait for the answer to one of them, in seconds.
+READY_TIMEOUT_S = 0.3
+
 #: Kinds of wrong answers that are kept as examples.
 MAX_EXAMPLES = 10
 
@@ -71,8 +76,12 @@
         deadline_ms: Of each query; None leaves it to the policy.
         min_coverage: Of each query; None leaves it to the policy.
         save_deadline_ms: Of each save.
+        delay_ms: One way, from the callers to the entries.
         resent: Fraction of saves sent again, through another entry, half of
             them at the same time and half after the first answer.
+        ready_urls: Readiness URL of each entry's base URL; an entry that is
+            not ready is left out of the rotation, as a balancer does.
+        recorded: Whether the result keeps every request's record.
     """
 
     urls: list[str]
@@ -86,7 +95,38 @@
     deadline_ms: float | None = None
     min_coverage: float | None = None
     save_deadline_ms: float = 3000.0
+    delay_ms: float = 0.0
     resent: float = 0.3
+    ready_urls: dict[str, str] = {}
+    recorded: bool = False
+
+
+class Record(typing.NamedTuple):
+    """One request and its answer.
+
+    Attributes:
+        kind: "search" or "saves".
+        application: That was asked.
+        body: The query or the save.
+        key: Idempotency key of a save.
+        url: Base URL of the entry.
+        began_s: Loop time of the sending.
+        ended_s: Loop time of the answer or the failure.
+        status: Of the answer, 0 where none came.
+        answer: Decoded body.
+        error: Why no answer came.
+    """
+
+    kind: str
+    application: str
+    body: typing.Any
+    key: str
+    url: str
+    began_s: float
+    ended_s: float
+    status: int
+    answer: dict[str, typing.Any]
+    error: str = ""
 
 
 class Result(typing.NamedTuple):
@@ -103,6 +143,8 @@
         refusal_us: Of refused queries.
         outcomes: Of the saves.
         examples: Some wrong answers and errors.
+        late_us: How much later than scheduled requests were sent.
+        records: Every request, where the plan asks for them.
     """
 
     counts: collections.Counter[str]
@@ -112,6 +154,8 @@
     refusal_us: histogram.HdrHistogram
     outcomes: list[checks.SaveOutcome]
     examples: list[str]
+    late_us: histogram.HdrHistogram
+    records: list[Record]
 
 
 class Arrival(typing.NamedTuple):
@@ -130,6 +174,7 @@
     Attributes:
         lists: Shard lists by application and version.
         urls: Rotation of the entries.
+        unready: Base URLs of the entries that are not ready.
     """
 
     def __init__(self, plan: Plan, session: aiohttp.ClientSession) -> None:
@@ -137,6 +182,7 @@
         self.session = session
         self.lists = checks.shard_lists(plan.manifests)
         self.urls = itertools.cycle(plan.urls)
+        self.unready: set[str] = set()
         self.result = Result(
             collections.Counter(),
             collections.Counter(),
@@ -145,8 +191,18 @@
             new_histogram(),
             [],
             [],
+            new_histogram(),
+            [],
         )
 
+    def next_url(self) -> str:
+        """Returns the next entry that is ready, or the next one at all."""
+        for _ in self.plan.urls:
+            url = next(self.urls)
+            if url not in self.unready:
+                return url
+        return next(self.urls)
+
     def note(self, kind: str, text: str) -> None:
         """Counts a bad answer and keeps an example."""
         self.result.counts[kind] += 1
@@ -211,18 +267,65 @@
         TimeoutError: No answer came.
         msgspec.DecodeError: The answer is not JSON.
     """
-    url = f"{next(run_.urls)}/v1/applications/{target.application}/{path}"
+    base = run_.next_url()
+    url = f"{base}/v1/applications/{target.application}/{path}"
     headers = {"Authorization": f"Bearer {target.token}"}
     if key:
         headers["Idempotency-Key"] = key
     data = msgspec.json.encode(body)
-    async with run_.session.post(url, data=data, headers=headers) as answer:
-        return Reply(answer.status, msgspec.json.decode(await answer.read()))
+    if run_.plan.delay_ms > 0:
+        await asyncio.sleep(2 * run_.plan.delay_ms / 1000)
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    reply, failure = Reply(0, {}), ""
+    try:
+        async with run_.session.post(url, data=data, headers=headers) as answer:
+            decoded = msgspec.json.decode(await answer.read())
+            reply = Reply(answer.status, decoded)
+        return reply
+    except FAILURES as error:
+        failure = repr(error)
+        raise
+    finally:
+        if run_.plan.recorded:
+            asked = body["body"] if path == "saves" else body["query"]
+            record = Record(
+                path,
+                target.application,
+                asked,
+                key,
+                base,
+                began_s,
+                loop.time(),
+                *reply,
+                failure,
+            )
+            run_.result.records.append(record)
 
 
 FAILURES = (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError)
 
 
+async def follow_readiness(run_: Run) -> None:
+    """Keeps the set of entries that are not ready."""
+
+    async def probe(url: str, ready_url: str) -> None:
+        timeout = aiohttp.ClientTimeout(total=READY_TIMEOUT_S)
+        ready = False
+        try:
+            async with run_.session.get(ready_url, timeout=timeout) as answer:
+                ready = answer.status == 200
+        except FAILURES:
+            pass
+        run_.unready -= {url} if ready else set()
+        run_.unready |= set() if ready else {url}
+
+    while True:
+        rows = run_.plan.ready_urls.items()
+        await asyncio.gather(*(probe(*row) for row in rows))
+        await asyncio.sleep(READY_POLL_S)
+
+
 async def ask(run_: Run, arrival: Arrival, due_s: float) -> None:
     """Sends a query and checks its answer."""
     plan, counts = run_.plan, run_.result.counts
@@ -313,14 +416,18 @@
         asyncio.TaskGroup() as group,
     ):
         state = Run(plan, session)
+        balancing = group.create_task(follow_readiness(state))
         began_s = loop.time()
         for arrival in arrivals:
             due_s = began_s + arrival.at_s
             await asyncio.sleep(max(0.0, due_s - loop.time()))
+            late_us = int((loop.time() - due_s) * 1e6)
+            state.result.late_us.record_value(max(1, late_us))
             if arrival.key:
                 group.create_task(save(state, arrival))
             else:
                 group.create_task(ask(state, arrival, due_s))
+        balancing.cancel()
     return state.result
 
 
@@ -338,6 +445,7 @@
         **result.counts,
         "codes": dict(result.codes),
         "snapshots": dict(result.snapshots),
+        "late_p99_ms": percentile_ms(result.late_us, 99),
         "p50_ms": percentile_ms(total, 50),
         "p99_ms": percentile_ms(total, 99),
         "p999_ms": percentile_ms(total, 99.9),
--- a/laurelrock/entry.py
+++ b/laurelrock/entry.py
@@ -20,6 +20,7 @@
 
 from laurelrock import admit
 from laurelrock import callers
+from laurelrock import claimbus
 from laurelrock import daemon as daemons
 from laurelrock import errors
 from laurelrock import savecall
@@ -56,7 +57,7 @@
     ) -> None:
         self.daemon = daemon
         self.searches = searches
-        self.saves = saves.create_saves(daemon)
+        self.saves = claimbus.create_saves(daemon)
         self.save_calls = savecall.create_save_calls(daemon, searches)
         self.admission = admit.create_admission(daemon)
         self.in_flight = 0
@@ -122,10 +123,26 @@
                 guarded(entry, lambda *args: answer_save(entry, *args)),
                 methods=["POST"],
             ),
-        ]
+        ],
+        exception_handlers={
+            404: refuse_with(errors.NotFoundError),
+            405: refuse_with(errors.MethodNotAllowedError),
+        },
     )
 
 
+def refuse_with(kind: type[errors.RefusalError]) -> typing.Any:
+    """Returns a handler of requests that no endpoint takes."""
+
+    async def handle(
+        request: requests.Request, reason: Exception
+    ) -> responses.Response:
+        message = f"{request.method} {request.url.path}"
+        return problem_response(kind(message), uuid.uuid4().hex)
+
+    return handle
+
+
 def guarded(entry: Entry, endpoint: Endpoint) -> typing.Any:
     """Wraps an endpoint: request id, limits, refusals and the log line."""
 
@@ -142,6 +159,11 @@
         except errors.RefusalError as error:
             response = problem_response(error, request_id)
             kind = error.code
+        except Exception:
+            _log.exception("answer-failed", request_id=request_id)
+            failure = errors.InternalError("internal failure", "unknown")
+            response = problem_response(failure, request_id)
+            kind = failure.code
         finally:
             entry.in_flight -= 1
         elapsed_ms = (time.monotonic() - began) * 1000
--- a/laurelrock/membership.py
+++ b/laurelrock/membership.py
@@ -31,11 +31,12 @@
 #: Longest delay of the first read of the list of VMs, in seconds.
 START_SPREAD_S = 1.5
 
-#: Mean time between two reads of the list of VMs, in seconds: by the few
-#: daemons that read for their failure domain, and by the others.
-WATCHER_LIST_S = 2.0
+#: Mean time between two reads of the list of VMs, in seconds.
 LIST_S = 5.0
 
+#: Rows of the list that a daemon reads a second on average, at most.
+LIST_ROWS_PER_S = 4.0
+
 _log = logs.get_logger(__name__)
 
 HeartbeatListener = collections.abc.Callable[[messages.Heartbeat], None]
@@ -68,6 +69,10 @@
         listed: Set once the list of VMs was read or could not be.
         listeners: Called with each heartbeat received.
         rosters: Usable members by role; a list is replaced when it changes.
+        roster_key: What they were made from.
+        watcher: Whether this daemon reads for its failure domain.
+        watcher_version: Version of the table that `watcher` is from.
+        flush_planned: Whether changed records wait to be passed on.
     """
 
     def __init__(
@@ -84,6 +89,9 @@
         self.listed = asyncio.Event()
         self.listeners: list[HeartbeatListener] = []
         self.rosters: dict[members.Role, list[members.Member]] = {}
+        self.roster_key: collections.abc.Hashable = None
+        self.watcher = True
+        self.watcher_version = -1
         self.flush_planned = False
         self.refresh()
 
@@ -108,7 +116,12 @@
 
     def is_watcher(self) -> bool:
         """Tells whether this daemon reads for its failure domain."""
-        return spreading.is_watcher(self.view.me, self.others())
+        version = self.view.table.version
+        if self.watcher_version != version:
+            self.watcher_version = version
+            others = self.others()
+            self.watcher = spreading.is_watcher(self.view.me, others)
+        return self.watcher
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -135,21 +148,19 @@
                 pace.failed(_now_s())
             else:
                 self.take_list(rows)
-                mean_s = self.options.list_s
-                if self.is_watcher():
-                    mean_s = min(mean_s, WATCHER_LIST_S)
+                mean_s = list_interval_s(self.options.list_s, len(rows))
                 pace.succeeded(mean_s, _now_s())
             self.listed.set()
 
     def take_list(self, rows: list[platforms.Vm]) -> None:
         """Takes in the platform's list of VMs."""
-        leaving = {row.vm for row in rows if row.state == "leaving"}
+        states: dict[str, str] = {row.vm: row.state for row in rows}
         addresses = {
             f"{row.address}:{port}"
             for row in rows
             for port in self.options.ports
         }
-        fleet.on_listed(self.view, leaving, addresses, _now_s())
+        fleet.on_listed(self.view, states, addresses, _now_s())
         self.deliver()
         self.refresh()
 
@@ -157,14 +168,11 @@
         self, kind: type, sender: buses.Sender, message: messages.Message
     ) -> None:
         """Takes in a message."""
-        version = self.view.table.version
         exchange.HANDLERS[kind](self.view, message, _now_s())
         if kind is messages.Heartbeat:
             for listener in self.listeners:
                 listener(message)
         self.deliver()
-        if self.view.table.version != version:
-            self.refresh()
         if self.view.unsent and not self.flush_planned:
             self.flush_planned = True
             loop = asyncio.get_running_loop()
@@ -175,6 +183,7 @@
         self.flush_planned = False
         fleet.flush(self.view, _now_s())
         self.deliver()
+        self.refresh()
 
     def deliver(self) -> None:
         """Sends what is in the outbox and logs what was decided."""
@@ -200,6 +209,10 @@
 
     def refresh(self) -> None:
         """Brings the rosters up to date."""
+        key = fleet.roster_key(self.view, _now_s())
+        if key == self.roster_key:
+            return
+        self.roster_key = key
         roles: tuple[members.Role, ...] = ("entry", "relay")
         for role in roles:
             found = fleet.roster(self.view, role, _now_s())
@@ -209,6 +222,11 @@
                 _log.info("roster", role=role, size=len(vms), vms=vms[:20])
 
 
+def list_interval_s(least_s: float, rows: int) -> float:
+    """Returns the mean time between two reads of a list of that length."""
+    return max(least_s, rows / LIST_ROWS_PER_S)
+
+
 def open_membership(
     me: members.Member,
     bus: buses.Bus,
