--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -265,6 +265,27 @@
         self.assertEqual(bench.dispatcher.counts["late"], 1)
         self.assertEqual(first.channel.upstream.in_flight, 0)
 
+    async def test_a_hedge_waits_for_a_free_slot(self):
+        bench = Bench()
+        for row in bench.searchers.values():
+            row.delay_s = SLOW_S
+        for channel in bench.dispatcher.channels.values():
+            channel.upstream.slow_s = FAST_S
+        rows = [bench.submit() for _ in range(4)]
+        counts = bench.dispatcher.counts
+        await builders.until(lambda: counts["hedge-no-slot"] >= 4)
+        self.assertEqual(bench.asked, 4)
+        [kept] = rows[0][0].calls
+        for work, _ in rows:
+            [attempt] = work.calls
+            if attempt.channel is not kept.channel:
+                searcher = attempt.channel.client
+                searcher.delay_s = FAST_S
+                searcher.stops[attempt.request_id].set()
+        self.assertEqual((await rows[0][1])[0], "ok")
+        self.assertGreaterEqual(counts["hedge"], 1)
+        await bench.settle()
+
     async def test_a_silent_loser_gives_its_slot_back(self):
         bench = Bench()
         for row in bench.searchers.values():
