--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import collections
+import functools
 import unittest
 
 from laurelrock import dispatch
 from laurelrock import errors
 from laurelrock import messages
 from laurelrock import pools
-from laurelrock.adapters import logs
 from laurelrock.core import upstreams
 from tests import builders
+from tests import virtual
 
 #: Service time of the in-memory searchers, in seconds.
 FAST_S = 0.001
@@ -19,7 +20,15 @@
 
 
 def setUpModule():  # noqa: N802
-    logs.configure("critical")
+    virtual.silence_logs()
+
+
+def in_virtual_time(test):
+    @functools.wraps(test)
+    def run(self):
+        virtual.run(test(self))
+
+    return run
 
 
 class MemorySearcher:
@@ -172,7 +181,8 @@
         return sum(len(row.asked) for row in self.searchers.values())
 
 
-class FaultTest(unittest.IsolatedAsyncioTestCase):
+class FaultTest(unittest.TestCase):
+    @in_virtual_time
     async def test_one_bad_searcher_of_two(self):
         faults = [
             "refused",
@@ -196,6 +206,7 @@
                 self.assertGreater(len(bench.replica(0).asked), 0)
                 self.assertLess(len(bench.replica(0).asked), 10)
 
+    @in_virtual_time
     async def test_all_bad(self):
         cases = [
             ("refused", "unreachable", 2),
@@ -216,6 +227,7 @@
                 if fault == "shed":
                     self.assertEqual(retry_after_ms, 7.0)
 
+    @in_virtual_time
     async def test_retries_add_little_to_a_collapsing_service(self):
         bench = Bench()
         for row in bench.searchers.values():
@@ -225,10 +237,12 @@
         most = 200 * (1 + dispatch.hedge.RETRY_FRACTION)
         self.assertLessEqual(bench.asked, most + dispatch.hedge.BUDGET_BURST)
 
+    @in_virtual_time
     async def test_unknown_service(self):
         status, _, _ = await Bench().run(service="none")
         self.assertEqual(status, "unknown-service")
 
+    @in_virtual_time
     async def test_a_leaving_searcher_gets_no_new_work(self):
         bench = Bench()
         bench.leave(0)
@@ -239,7 +253,8 @@
         self.assertEqual((await bench.run())[0], "unreachable")
 
 
-class HedgeTest(unittest.IsolatedAsyncioTestCase):
+class HedgeTest(unittest.TestCase):
+    @in_virtual_time
     async def test_loser_is_told_and_its_late_reply_dropped(self):
         bench = Bench()
         bench.replica(0).delay_s = SLOW_S
@@ -265,6 +280,7 @@
         self.assertEqual(bench.dispatcher.counts["late"], 1)
         self.assertEqual(first.channel.upstream.in_flight, 0)
 
+    @in_virtual_time
     async def test_a_hedge_waits_for_a_free_slot(self):
         bench = Bench()
         for row in bench.searchers.values():
@@ -286,6 +302,7 @@
         self.assertGreaterEqual(counts["hedge"], 1)
         await bench.settle()
 
+    @in_virtual_time
     async def test_a_silent_loser_gives_its_slot_back(self):
         bench = Bench()
         for row in bench.searchers.values():
@@ -300,6 +317,7 @@
             self.assertEqual(attempt.channel.client.dropped, 1)
             self.assertEqual(attempt.channel.upstream.in_flight, 0)
 
+    @in_virtual_time
     async def test_no_hedges_where_they_are_off(self):
         bench = Bench(hedge_fraction=0.0)
         for row in bench.searchers.values():
@@ -308,7 +326,8 @@
         self.assertEqual(bench.asked, 1)
 
 
-class LoadTest(unittest.IsolatedAsyncioTestCase):
+class LoadTest(unittest.TestCase):
+    @in_virtual_time
     async def test_slots_are_kept_and_overload_is_refused_at_once(self):
         bench = Bench(hedge_fraction=0.0)
         for row in bench.searchers.values():
@@ -325,6 +344,7 @@
             self.assertLessEqual(row.most_running, row.searcher.slots)
         self.assertEqual(dispatch.waiting(bench.dispatcher), 0)
 
+    @in_virtual_time
     async def test_what_nobody_waits_for_is_stopped(self):
         bench = Bench(replicas=1)
         bench.replica(0).delay_s = SLOW_S
@@ -338,6 +358,7 @@
         self.assertEqual(bench.asked, 2)
         self.assertFalse(any(end.done() for _, end in rows))
 
+    @in_virtual_time
     async def test_waiting_work_ends_at_its_deadline(self):
         bench = Bench(replicas=1)
         bench.replica(0).delay_s = SLOW_S
@@ -347,6 +368,7 @@
         self.assertEqual((await ended)[0], "deadline")
         self.assertEqual(dispatch.waiting(bench.dispatcher), 0)
 
+    @in_virtual_time
     async def test_work_that_waits_moves_to_the_next_manifest(self):
         bench = Bench(replicas=1)
         ends = [bench.submit()[1] for _ in range(6)]
