--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,97 @@
+"""Recomputes docs/CAPACITY.md from its tables of sizes and slopes."""
+
+import ast
+import math
+import operator
+import pathlib
+import re
+import unittest
+
+PAGE = pathlib.Path(__file__).resolve().parent.parent / "docs/CAPACITY.md"
+
+#: Rounding of the printed values.
+TOLERANCE = 0.01
+
+OPERATORS = {
+    ast.Add: operator.add,
+    ast.Sub: operator.sub,
+    ast.Mult: operator.mul,
+    ast.Div: operator.truediv,
+}
+
+
+def tables(text: str) -> dict[str, list[list[str]]]:
+    """Returns the rows of the table below each heading."""
+    found: dict[str, list[list[str]]] = {}
+    heading = ""
+    for line in text.splitlines():
+        if line.startswith("#"):
+            heading = line.strip("# ")
+        elif line.startswith("|") and not re.match(r"^\|[ -|]+\|$", line):
+            cells = [cell.strip().strip("`") for cell in line.split("|")[1:-1]]
+            found.setdefault(heading, []).append(cells)
+    return {name: rows[1:] for name, rows in found.items()}
+
+
+def number(text: str) -> float:
+    return float(text.replace(",", ""))
+
+
+def value_of(formula: str, names: dict[str, float]) -> float:
+    """Evaluates sums and products of known names."""
+
+    def walk(node: ast.expr) -> float:
+        if isinstance(node, ast.BinOp):
+            apply = OPERATORS[type(node.op)]
+            return apply(walk(node.left), walk(node.right))
+        if isinstance(node, ast.Name):
+            return names[node.id]
+        assert isinstance(node, ast.Constant), formula
+        return float(node.value)
+
+    return walk(ast.parse(formula, mode="eval").body)
+
+
+def verdict_of(value: float, limit: float) -> str:
+    if value <= limit:
+        return "fits"
+    return f"doesn't fit, x{value / limit:.1f}"
+
+
+class CapacityTest(unittest.TestCase):
+    def setUp(self):
+        self.tables = tables(PAGE.read_text(encoding="utf-8"))
+        self.names = {}
+        for heading in ("Sizes", "Slopes"):
+            for row in self.tables[heading]:
+                self.names[row[0]] = number(row[1])
+
+    def test_values_follow_from_sizes_and_slopes(self):
+        for name, formula, printed, *_ in self.tables["Steps"]:
+            with self.subTest(name):
+                value = value_of(formula, self.names)
+                close = math.isclose(
+                    value, number(printed), rel_tol=TOLERANCE
+                )
+                self.assertTrue(close, f"{formula} = {value}, not {printed}")
+            self.names[name] = value_of(formula, self.names)
+
+    def test_verdicts_follow_from_the_values(self):
+        self.test_values_follow_from_sizes_and_slopes()
+        rows = self.tables["What fits"]
+        self.assertGreater(len(rows), 10)
+        for subject, name, limit, verdict, *_ in rows:
+            with self.subTest(subject):
+                if verdict == "not measured yet":
+                    continue
+                found = verdict_of(self.names[name], number(limit))
+                self.assertEqual(verdict, found)
+
+    def test_every_slope_names_its_command(self):
+        for name, _, _, command in self.tables["Slopes"]:
+            with self.subTest(name):
+                self.assertTrue(command.startswith("python -m bench."))
+
+
+if __name__ == "__main__":
+    unittest.main()
