--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -6,7 +6,8 @@
 
 Variants: "key-objects" writes one object a key; "ungrouped" writes each
 change to a ledger alone; "grouped" lets the changes of one entry share a
-write; "owned" lets the entries pass them to each ledger's owner.
+write; "owned" lets the entries pass them to each ledger's owner; "spaced"
+also keeps `SPACED_S` between two writes of a ledger.
 """
 
 import argparse
@@ -39,7 +40,9 @@
 
 ENTRIES = 9
 RATES_PER_S = (1.0, 50.0, 500.0)
-VARIANTS = ("key-objects", "ungrouped", "grouped", "owned")
+VARIANTS = ("key-objects", "ungrouped", "grouped", "owned", "spaced")
+#: Between two writes of a ledger in the last variant, in seconds.
+SPACED_S = 0.05
 #: Added by the stand-in to each call, in milliseconds.
 PLATFORM_MS = 4.0
 #: One way between entries, in seconds.
@@ -119,6 +122,8 @@
     tuning = ledgers.Tuning()
     if variant == "ungrouped":
         tuning = ledgers.Tuning(group=False, spacing_s=0.0, linger_s=0.0)
+    elif variant == "spaced":
+        tuning = ledgers.Tuning(spacing_s=SPACED_S)
     clients = [typing.cast(platform_port.Platform, meter) for meter in meters]
     local = [ledgers.Ledgers(client, rng.random, tuning) for client in clients]
     entries = [
@@ -137,7 +142,7 @@
     stores: list[saves.Store] = list(local)
     if variant == "key-objects":
         stores = [KeyObjects(client) for client in clients]
-    elif variant == "owned":
+    elif variant in ("owned", "spaced"):
         stores = [
             claims.Claims(store, entry, lambda: entries, ask)
             for store, entry in zip(local, entries, strict=True)
--- a/laurelrock/core/ledger.py
+++ b/laurelrock/core/ledger.py
@@ -41,6 +41,9 @@
 #: How far the time in a key may lie ahead of the daemon's wall clock.
 MAX_AHEAD_MS = 300_000
 
+#: Digest of an attempt that was given up before its claim was seen.
+ANY_DIGEST = b""
+
 KEY_VERSION = 7
 #: Bits of a key below its time.
 KEY_RANDOM_BITS = 80
@@ -84,7 +87,11 @@
 
 
 class Settle(typing.NamedTuple):
-    """Records what became of an attempt; only its own claim is changed."""
+    """Records what became of an attempt; only its own claim is changed.
+
+    Where the key has no claim, "not-run" is kept all the same, so that a
+    claim of the attempt that is still on its way finds itself given up.
+    """
 
     key: bytes
     attempt: bytes
@@ -285,7 +292,7 @@
 
 def _judge(held: Claim, change: Reserve) -> Verdict | None:
     """Answers for a key that has a claim; None if it may be claimed again."""
-    if held.digest != change.digest:
+    if held.digest not in (ANY_DIGEST, change.digest):
         return Verdict("conflict", held)
     if held.state == "done":
         return Verdict("done", held)
@@ -301,6 +308,10 @@
     base: Ledger, draft: Ledger, change: Settle
 ) -> tuple[Ledger, Verdict]:
     held = draft.claims.get(change.key)
+    if held is None and change.state == "not-run" and change.key > draft.floor:
+        claim = Claim(change.attempt, ANY_DIGEST, "not-run")
+        draft = _with_claim(base, draft, change.key, claim)
+        return draft, Verdict("settled", claim)
     if held is None or held.attempt != change.attempt:
         return draft, Verdict("gone", held)
     if held.state not in ("claimed", "unknown"):
--- a/tests/test_saves.py
+++ b/tests/test_saves.py
@@ -122,6 +122,15 @@
         ("yes", "answered"),
         1,
     ),
+    (
+        "claim lands after the attempt gave it up",
+        ["ok", "late", *["down"] * 9],
+        "yes",
+        0.01,
+        ("no", "not-ready"),
+        ("yes", "answered"),
+        1,
+    ),
     (
         "searcher refuses",
         [],
@@ -218,6 +227,7 @@
         bench.store.script.extend(script)
         self.assertEqual(first, await bench.ask(bench.e1, fate, delay_s))
         await asyncio.sleep(WAIT_S)
+        bench.store.land()
         self.assertEqual(retry, await bench.ask(bench.e2))
         self.assertEqual(calls, len(bench.ran))
 
