--- a/laurelrock/daemon.py
+++ b/laurelrock/daemon.py
@@ -23,6 +23,7 @@
 from laurelrock import membership
 from laurelrock import settings
 from laurelrock import spread
+from laurelrock.adapters import admin
 from laurelrock.adapters import bus
 from laurelrock.adapters import logs
 from laurelrock.adapters import metrics
@@ -214,18 +215,7 @@
     return create_server(app, options.vm.address, role.admin_port)
 
 
-class Status(typing.TypedDict):
-    """Answer to `GET /status` on the admin port."""
-
-    vm: str
-    role: str
-    failure_domain: str
-    start_id: str
-    generation: int
-    ready: bool
-
-
-def status_of(daemon: Daemon) -> Status:
+def status_of(daemon: Daemon) -> admin.Status:
     """Returns what a daemon says of itself."""
     return {
         "vm": daemon.settings.vm.name,
--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -151,6 +151,20 @@
     code = "object-too-large"
 
 
+class EntryError(LaurelrockError):
+    """An entry gave a caller no answer, or none that can be read.
+
+    Attributes:
+        ran: "no" where no connection was made, else "unknown".
+    """
+
+    code = "entry-unreachable"
+
+    def __init__(self, message: str, ran: Ran) -> None:
+        super().__init__(message)
+        self.ran: Ran = ran
+
+
 class SearcherError(LaurelrockError):
     """A call to a searcher failed.
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -71,6 +71,11 @@
         self.assertEqual(options.peers.seeds, [])
         self.assertEqual(options.entry.http_port, 8080)
 
+    def test_template(self):
+        folder = pathlib.Path(__file__).resolve().parent.parent / "examples"
+        options = settings.load(folder / "laurelrock.ini")
+        self.assertEqual(len(options.peers.seeds), 4)
+
     def test_bad_files_name_file_section_option_and_value(self):
         for text, expected in BAD:
             with self.subTest(expected):
