--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -70,9 +70,7 @@
         for name, formula, printed, *_ in self.tables["Steps"]:
             with self.subTest(name):
                 value = value_of(formula, self.names)
-                close = math.isclose(
-                    value, number(printed), rel_tol=TOLERANCE
-                )
+                close = math.isclose(value, number(printed), rel_tol=TOLERANCE)
                 self.assertTrue(close, f"{formula} = {value}, not {printed}")
             self.names[name] = value_of(formula, self.names)
 
