--- a/bench/faults.py
+++ b/bench/faults.py
@@ -158,6 +158,13 @@
         "refused": sum(r.status not in (0, 200) for r in searches),
         "unanswered": sum(r.status == 0 for r in history.records),
         "failures": dict(failures.most_common(MAX_PRINTED)),
+        "missing": dict(
+            collections.Counter(
+                row["reason"]
+                for record in partial
+                for row in record.answer["coverage"]["missing"]
+            )
+        ),
         "promises": {
             name: {
                 "exercised": verdict.exercised,
