--- a/bench/policy.py
+++ b/bench/policy.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import sys
+import tempfile
 import time
 import typing
 
@@ -26,6 +27,8 @@
 
 SEED = 20261203
 TOKEN = "franchise-tablets-token"
+#: Addresses of the bench's deployment; see `cluster.create_lane`.
+LANE = 9
 TOP = "cotizador"
 SECOND = "portal-franquicia"
 #: Load before the first measurement of a cluster, in seconds.
@@ -225,10 +228,15 @@
     """Starts a cluster with the given options of section `policy`."""
     lines = [f"{name} = {value}" for name, value in policy.items()]
     extra = "\n".join(["", "[policy]", *lines, ""])
-    async with (
-        aiohttp.ClientSession() as session,
-        cluster.open_cluster(cluster.TECHOS, "info", extra) as running,
-    ):
+    async with contextlib.AsyncExitStack() as stack:
+        folder = tempfile.TemporaryDirectory(prefix="laurelrock-")
+        lane = cluster.create_lane(
+            pathlib.Path(stack.enter_context(folder)), LANE
+        )
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        running = await stack.enter_async_context(
+            cluster.open_cluster(lane, "info", extra)
+        )
         bench = Bench(running, session, scale)
         await bench.control({"behaviour": {"mean_ms": MEAN_MS}})
         plan = load.Plan(
