--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -27,7 +27,7 @@
     for line in text.splitlines():
         if line.startswith("#"):
             heading = line.strip("# ")
-        elif line.startswith("|") and not re.match(r"^\|[ -|]+\|$", line):
+        elif line.startswith("|") and not re.fullmatch(r"[ |-]+", line):
             cells = [cell.strip().strip("`") for cell in line.split("|")[1:-1]]
             found.setdefault(heading, []).append(cells)
     return {name: rows[1:] for name, rows in found.items()}
@@ -85,6 +85,18 @@
                 found = verdict_of(self.names[name], number(limit))
                 self.assertEqual(verdict, found)
 
+    def test_figures_in_the_text_are_those_of_the_tables(self):
+        printed = {}
+        for heading, column in (("Slopes", 1), ("Steps", 2)):
+            rows = self.tables[heading]
+            printed.update({row[0]: row[column] for row in rows})
+        text = PAGE.read_text(encoding="utf-8")
+        found = re.findall(r"([\d.,]+)\s\(`(\w+)`\)", text)
+        self.assertGreater(len(found), 15)
+        for figure, name in found:
+            with self.subTest(name):
+                self.assertEqual(figure, printed[name])
+
     def test_every_slope_names_its_command(self):
         for name, _, _, command in self.tables["Slopes"]:
             with self.subTest(name):
