--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -347,6 +347,8 @@
         if process.reading:
             return
         now_s = self.now_s + process.skew_s
+        if not process.spread.pace.is_due(now_s):
+            return
         watcher = process.is_watcher()
         fetch = spreading.next_fetch(process.spread, watcher, now_s)
         if fetch is None:
