--- a/laurelrock/daemon.py
+++ b/laurelrock/daemon.py
@@ -256,3 +256,23 @@
         lambda: dict(daemon.bus.counts),
         "Messages, bytes and failures of the bus",
     )
+    meters.counters(
+        "laurelrock_membership",
+        lambda: dict(daemon.members.counts),
+        "Decisions about members by kind",
+    )
+    meters.gauge(
+        "laurelrock_members",
+        lambda: len(daemon.members.others()),
+        "Daemons that are not dead, this one included",
+    )
+    meters.gauge(
+        "laurelrock_isolated",
+        lambda: daemon.members.view.detector.isolated,
+        "1 while no other daemon is heard",
+    )
+    meters.counters(
+        "laurelrock_manifest_refused",
+        lambda: dict(daemon.spread.refused),
+        "Manifests that were not put in force by code",
+    )
--- a/laurelrock/membership.py
+++ b/laurelrock/membership.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import functools
 import random as randomness
@@ -68,6 +69,7 @@
         options: From the settings.
         listed: Set once the list of VMs was read or could not be.
         listeners: Called with each heartbeat received.
+        counts: Decisions by kind, for the metrics.
         rosters: Usable members by role; a list is replaced when it changes.
         roster_key: What they were made from.
         watcher: Whether this daemon reads for its failure domain.
@@ -88,6 +90,7 @@
         self.options = options
         self.listed = asyncio.Event()
         self.listeners: list[HeartbeatListener] = []
+        self.counts: collections.Counter[str] = collections.Counter()
         self.rosters: dict[members.Role, list[members.Member]] = {}
         self.roster_key: collections.abc.Hashable = None
         self.watcher = True
@@ -197,6 +200,7 @@
             self.bus.send(outgoing.address, outgoing.message)
         events, self.view.events = self.view.events, []
         for event in events:
+            self.counts[event.kind] += 1
             _log.info(
                 f"member-{event.kind}",
                 vm=event.record.vm,
--- a/laurelrock/spread.py
+++ b/laurelrock/spread.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import random as randomness
 import time
@@ -40,6 +41,7 @@
         bus: To the other daemons.
         platform: Holds the head and the bodies.
         listeners: Called with each generation that comes into force.
+        refused: Failures by code, for the metrics.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.bus = bus
         self.platform = platform
         self.listeners: list[ChangeListener] = []
+        self.refused: collections.Counter[str] = collections.Counter()
 
     @property
     def generation(self) -> int:
@@ -169,6 +172,7 @@
         """Logs what was refused; the last good manifest stays in force."""
         alarms, self.state.alarms = self.state.alarms, []
         for error in alarms:
+            self.refused[error.code] += 1
             _log.error(
                 "manifest-refused",
                 code=error.code,
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -136,6 +136,20 @@
         self.start(3, "again")
         await self.until(self.agreed, "e3 came back")
 
+    async def test_refused_manifest_raises_an_alarm(self):
+        digest = manifest.digest_of(b"another")
+        full = head.full_key(2, "p")
+        body = head.encode(head.Head(2, digest, "p", full))
+        self.store.objects[full] = platform.Stored(1, b"{}")
+        self.store.objects[head.HEAD_KEY] = platform.Stored(2, body)
+        nodes = self.nodes.values()
+        await self.until(
+            lambda: any(node.spread.refused for node in nodes), "an alarm"
+        )
+        self.assertTrue(self.all_hold(1))
+        codes = {code for node in nodes for code in node.spread.refused}
+        self.assertEqual(codes, {"digest-mismatch"})
+
     async def test_generations_with_and_without_the_platform(self):
         self.store.commit(2, fleet.small_manifest("second"))
         await self.until(lambda: self.all_hold(2), "generation 2")
