--- a/laurelrock/membership.py
+++ b/laurelrock/membership.py
@@ -134,9 +134,13 @@
 
     async def tick_forever(self) -> None:
         while True:
-            fleet.tick(self.view, _now_s())
-            self.deliver()
-            self.refresh()
+            try:
+                fleet.tick(self.view, _now_s())
+                self.deliver()
+                self.refresh()
+            except Exception:
+                self.counts["errors"] += 1
+                _log.exception("membership-failed")
             await asyncio.sleep(TICK_S)
 
     async def read_list_forever(self) -> None:
@@ -149,6 +153,10 @@
             except errors.PlatformError as error:
                 _log.warning("vm-list", error=error.message)
                 pace.failed(_now_s())
+            except Exception:
+                self.counts["errors"] += 1
+                _log.exception("vm-list-failed")
+                pace.failed(_now_s())
             else:
                 self.take_list(rows)
                 mean_s = list_interval_s(self.options.list_s, len(rows))
--- a/laurelrock/spread.py
+++ b/laurelrock/spread.py
@@ -83,9 +83,18 @@
             if fetch is None:
                 await asyncio.sleep(TICK_S)
             else:
-                await self.read(fetch, watcher)
+                await self.read_guarded(fetch, watcher)
             self.log_alarms()
 
+    async def read_guarded(self, fetch: spreading.Fetch, watcher: bool) -> None:
+        """Makes one read; an unexpected failure backs off like another."""
+        try:
+            await self.read(fetch, watcher)
+        except Exception:
+            self.refused["internal"] += 1
+            _log.exception("spread-failed", kind=fetch.kind)
+            spreading.on_failure(self.state, _now_s())
+
     async def read(self, fetch: spreading.Fetch, watcher: bool) -> None:
         """Makes one read of the platform and takes in its outcome."""
         before = self.generation
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -25,6 +25,7 @@
         self.objects = {}
         self.rows = []
         self.down = False
+        self.broken = False
 
     def commit(self, generation: int, raw: bytes) -> None:
         full = head.full_key(generation, "p")
@@ -34,6 +35,9 @@
         self.objects[head.HEAD_KEY] = platform.Stored(generation, body)
 
     def check(self) -> None:
+        if self.broken:
+            self.broken = False
+            raise ZeroDivisionError("broken")
         if self.down:
             raise errors.PlatformError("down")
 
@@ -150,6 +154,16 @@
         codes = {code for node in nodes for code in node.spread.refused}
         self.assertEqual(codes, {"digest-mismatch"})
 
+    async def test_unexpected_failure_ends_nothing(self):
+        for generation in range(2, 5):
+            self.store.broken = True
+            await self.until(lambda: not self.store.broken, "a failure")
+            raw = fleet.small_manifest(f"g{generation}")
+            self.store.commit(generation, raw)
+            await self.until(
+                lambda wanted=generation: self.all_hold(wanted), "in force"
+            )
+
     async def test_generations_with_and_without_the_platform(self):
         self.store.commit(2, fleet.small_manifest("second"))
         await self.until(lambda: self.all_hold(2), "generation 2")
