--- a/laurelrock/membership.py
+++ b/laurelrock/membership.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import functools
 import random as randomness
@@ -68,6 +69,7 @@
         options: From the settings.
         listed: Set once the list of VMs was read or could not be.
         listeners: Called with each heartbeat received.
+        counts: Decisions by kind, for the metrics.
         rosters: Usable members by role; a list is replaced when it changes.
         roster_key: What they were made from.
         watcher: Whether this daemon reads for its failure domain.
@@ -88,6 +90,7 @@
         self.options = options
         self.listed = asyncio.Event()
         self.listeners: list[HeartbeatListener] = []
+        self.counts: collections.Counter[str] = collections.Counter()
         self.rosters: dict[members.Role, list[members.Member]] = {}
         self.roster_key: collections.abc.Hashable = None
         self.watcher = True
@@ -131,9 +134,13 @@
 
     async def tick_forever(self) -> None:
         while True:
-            fleet.tick(self.view, _now_s())
-            self.deliver()
-            self.refresh()
+            try:
+                fleet.tick(self.view, _now_s())
+                self.deliver()
+                self.refresh()
+            except Exception:
+                self.counts["errors"] += 1
+                _log.exception("membership-failed")
             await asyncio.sleep(TICK_S)
 
     async def read_list_forever(self) -> None:
@@ -146,6 +153,10 @@
             except errors.PlatformError as error:
                 _log.warning("vm-list", error=error.message)
                 pace.failed(_now_s())
+            except Exception:
+                self.counts["errors"] += 1
+                _log.exception("vm-list-failed")
+                pace.failed(_now_s())
             else:
                 self.take_list(rows)
                 mean_s = list_interval_s(self.options.list_s, len(rows))
@@ -197,6 +208,7 @@
             self.bus.send(outgoing.address, outgoing.message)
         events, self.view.events = self.view.events, []
         for event in events:
+            self.counts[event.kind] += 1
             _log.info(
                 f"member-{event.kind}",
                 vm=event.record.vm,
