Give a ledger one owner over all regions, and the ledgers of a part the same

Cause: with an owner in each region two daemons write each ledger.

Change: owners are drawn from the entries of all regions.

--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -1,13 +1,14 @@
-"""What claims cost: platform calls and time a save, in four variants.
+"""What claims cost: platform calls and time a save, by variant.
 
-Usage: `python -m bench.ledger [--seconds N]`. Prints one JSON object a
-variant and rate. Each point has a stand-in of the platform of its own with
-the brief's rates, and nine entries in this process.
+Usage: `python -m bench.ledger [--seconds N] [--variants NAME ...]`. Prints
+one JSON object a variant and rate. Each point has a stand-in of the
+platform of its own with the brief's rates, and nine entries in this process.
 
 Variants: "key-objects" writes one object a key; "ungrouped" writes each
 change to a ledger alone; "grouped" lets the changes of one entry share a
 write; "owned" lets the entries pass them to each ledger's owner; "spaced"
-also keeps `SPACED_S` between two writes of a ledger.
+also keeps `SPACED_S` between two writes of a ledger; "regions" has an owner
+in each of two regions.
 """
 
 import argparse
@@ -40,7 +41,9 @@
 
 ENTRIES = 9
 RATES_PER_S = (1.0, 50.0, 500.0)
-VARIANTS = ("key-objects", "ungrouped", "grouped", "owned", "spaced")
+VARIANTS = ("key-objects", "ungrouped", "grouped", "owned", "spaced", "regions")
+#: Variants in which entries pass changes to the owner.
+OWNED = ("owned", "spaced", "regions")
 #: Between two writes of a ledger in the last variant, in seconds.
 SPACED_S = 0.05
 #: Added by the stand-in to each call, in milliseconds.
@@ -127,7 +130,9 @@
     clients = [typing.cast(platform_port.Platform, meter) for meter in meters]
     local = [ledgers.Ledgers(client, rng.random, tuning) for client in clients]
     entries = [
-        members.Member(f"e{i}", "entry", str(i), "abc"[i % 3], "r", "")
+        members.Member(
+            f"e{i}", "entry", str(i), "abcdef"[i % 6], region_of(variant, i), ""
+        )
         for i in range(len(meters))
     ]
 
@@ -142,9 +147,9 @@
     stores: list[saves.Store] = list(local)
     if variant == "key-objects":
         stores = [KeyObjects(client) for client in clients]
-    elif variant in ("owned", "spaced"):
+    elif variant in OWNED:
         stores = [
-            claims.Claims(store, entry, lambda: entries, ask)
+            claims.Claims(store, entry, peers_of(entry, entries), ask)
             for store, entry in zip(local, entries, strict=True)
         ]
     made = [
@@ -156,6 +161,19 @@
     return made, local
 
 
+def region_of(variant: str, number: int) -> str:
+    """Returns the region of an entry."""
+    return f"r{number % 2}" if variant == "regions" else "r0"
+
+
+def peers_of(
+    own: members.Member, entries: list[members.Member]
+) -> collections.abc.Callable[[], list[members.Member]]:
+    """Returns the roster of an entry."""
+    peers = [entry for entry in entries if entry.region == own.region]
+    return lambda: peers
+
+
 def new_key() -> str:
     """Returns a UUID of version 7."""
     value = int(time.time() * 1000) << 80
@@ -262,10 +280,10 @@
             await asyncio.sleep(0.1)
 
 
-async def run(seconds: float) -> None:
-    """Runs every variant at every rate."""
+async def run(seconds: float, variants: list[str]) -> None:
+    """Runs the variants at every rate."""
     for rate_per_s in RATES_PER_S:
-        for variant in VARIANTS:
+        for variant in variants:
             length_s = max(seconds, 20 / rate_per_s)
             async with open_platform() as url:
                 row = await run_point(url, variant, rate_per_s, length_s)
@@ -276,11 +294,14 @@
     """Runs the command line."""
     parser = argparse.ArgumentParser(description="What claims cost.")
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument(
+        "--variants", nargs="+", choices=VARIANTS, default=VARIANTS
+    )
     arguments = parser.parse_args(argv)
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(LOG_LEVEL)
     )
-    asyncio.run(run(arguments.seconds))
+    asyncio.run(run(arguments.seconds, arguments.variants))
     return 0
 
 
--- a/laurelrock/claimbus.py
+++ b/laurelrock/claimbus.py
@@ -152,7 +152,10 @@
         start_id=daemon.start_id,
     )
     shared = claims.Claims(
-        store, own, lambda: entries(daemon), create_claim_bus(daemon, store).ask
+        store,
+        own,
+        lambda: daemon.members.roster("entry"),
+        create_claim_bus(daemon, store).ask,
     )
     created = saves.Saves(
         shared,
@@ -163,16 +166,6 @@
     return created
 
 
-def entries(daemon: daemons.Daemon) -> list[members.Member]:
-    """Returns the live entries of the daemon's own region."""
-    region = daemon.settings.vm.region
-    return [
-        entry
-        for entry in daemon.members.roster("entry")
-        if entry.region == region
-    ]
-
-
 def _register_metrics(
     daemon: daemons.Daemon,
     store: writers.Ledgers,
--- a/laurelrock/claims.py
+++ b/laurelrock/claims.py
@@ -1,7 +1,9 @@
 """Claims: which daemon writes a claim.
 
-Each ledger has an owner among the entries, by rendezvous hashing, so that
-claims of many entries share its writes. Ownership only saves platform calls:
+Each ledger has an owner among the entries of all regions, by rendezvous
+hashing, so that claims of many entries share its writes. The ledgers of all
+slots with the same part have the same owner, which keeps an entry's
+connections few. Ownership only saves platform calls:
 any daemon may write any ledger, and the version check decides. A daemon that
 gets no answer from the owner writes the claim itself; one that is cut off
 from the platform passes it through a peer.
@@ -81,8 +83,8 @@
             fresh = self.suspects.get(peer.address, now_s) <= now_s
             if peer.vm != self.own.vm and fresh:
                 live.append(peer)
-        index = ledger.index_of(key)
-        ranked = ownership.owners(f"ledger/{index}", live)
+        part = ledger.index_of(key) % ledger.LEDGERS_PER_SLOT
+        ranked = ownership.owners(f"ledger/{part}", live)
         rest = [peer for peer in ranked[1:] if peer is not self.own]
         if ranked[0] is self.own:
             return [self.own, *rest][:MAX_HOPS]
