--- a/laurelrock/adapters/searcher.py
+++ b/laurelrock/adapters/searcher.py
@@ -247,7 +247,7 @@
     searcher: manifest.Searcher,
     connections: int,
     local_address: str,
-    force_close: bool = False,
+    keepalive_s: float = KEEPALIVE_S,
 ) -> HttpSearcher:
     """Returns a client of one searcher; call `close` when done.
 
@@ -255,15 +255,14 @@
         searcher: From the manifest.
         connections: Most that are open at a time.
         local_address: IP number that connections leave from.
-        force_close: Whether each call opens a new connection.
+        keepalive_s: For which an idle connection is kept.
     """
 
     def connect() -> aiohttp.ClientSession:
         connector = aiohttp.TCPConnector(
             limit=connections,
             local_addr=(local_address, 0),
-            keepalive_timeout=None if force_close else KEEPALIVE_S,
-            force_close=force_close,
+            keepalive_timeout=keepalive_s,
         )
         return aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar()
--- a/laurelrock/saverelay.py
+++ b/laurelrock/saverelay.py
@@ -1,8 +1,9 @@
 """Relay's side of saves.
 
 Calls one searcher for each `Save`. Another searcher is tried only where the
-first certainly did not run it: its connection never opened, or its reply says
-so. A `Save` seen before is dropped; one whose time is over is not run.
+first certainly did not run it: its connection did not answer a probe before
+the save was sent on it, or its reply says so. A `Save` seen before is
+dropped; one whose time is over is not run.
 """
 
 import asyncio
@@ -24,6 +25,8 @@
 MAX_TRIES = 3
 #: Connections to one searcher that saves may open.
 MAX_CONNECTIONS = 2
+#: For which an idle connection is kept.
+KEEPALIVE_S = 1.0
 
 _log = logs.get_logger(__name__)
 
@@ -32,14 +35,23 @@
     """One searcher as the saves of this relay see it.
 
     Attributes:
-        client: Calls it, each time on a new connection.
-        slots: Limits the calls in flight.
+        searcher: From the manifest.
+        clients: Each calls it on one connection.
+        idle: Clients without a call.
         in_flight: Calls in flight or waiting.
     """
 
-    def __init__(self, client: searchers.HttpSearcher) -> None:
-        self.client = client
-        self.slots = asyncio.Semaphore(MAX_CONNECTIONS)
+    def __init__(
+        self,
+        searcher: manifest.Searcher,
+        clients: list[searchers.HttpSearcher],
+    ) -> None:
+        self.searcher = searcher
+        self.clients = clients
+        self.idle: asyncio.LifoQueue[searchers.HttpSearcher]
+        self.idle = asyncio.LifoQueue()
+        for client in clients:
+            self.idle.put_nowait(client)
         self.in_flight = 0
 
 
@@ -99,7 +111,7 @@
             upstream = self.choose(save, tried)
             if upstream is None:
                 break
-            tried.add(upstream.client.searcher.id)
+            tried.add(upstream.searcher.id)
             reply = await self.call(upstream, save, until_s)
             if reply.ran != "no" or reply.reason == "deadline":
                 break
@@ -123,9 +135,9 @@
             "place-save",
             request_id=save.request_id,
             service=save.service,
-            chosen=chosen.client.searcher.id,
+            chosen=chosen.searcher.id,
             candidates={
-                upstream.client.searcher.id: upstream.in_flight
+                upstream.searcher.id: upstream.in_flight
                 for upstream in candidates
             },
         )
@@ -135,36 +147,55 @@
         """Returns the state of a searcher, opening it on first use."""
         key = (searcher.id, searcher.address)
         if key not in self.upstreams:
-            client = searchers.open_searcher(
-                searcher,
-                MAX_CONNECTIONS,
-                self.daemon.settings.vm.address,
-                force_close=True,
-            )
-            self.upstreams[key] = Upstream(client)
+            address = self.daemon.settings.vm.address
+            clients = [
+                searchers.open_searcher(searcher, 1, address, KEEPALIVE_S)
+                for _ in range(MAX_CONNECTIONS)
+            ]
+            self.upstreams[key] = Upstream(searcher, clients)
         return self.upstreams[key]
 
     async def call(
         self, upstream: Upstream, save: messages.Save, until_s: float
     ) -> messages.SaveReply:
         """Makes the call to one searcher, if its turn comes in time."""
-        loop = asyncio.get_running_loop()
         upstream.in_flight += 1
         try:
             async with asyncio.timeout_at(until_s):
-                await upstream.slots.acquire()
+                client = await upstream.idle.get()
         except TimeoutError:
             upstream.in_flight -= 1
             return _reply(save, "no", "deadline")
         try:
-            left_s = until_s - loop.time()
+            if not await self.probe(client, until_s):
+                return _reply(save, "no", "no-connection")
+            left_s = until_s - asyncio.get_running_loop().time()
             if left_s <= 0:
                 return _reply(save, "no", "deadline")
-            return await self.post(upstream.client, save, left_s)
+            return await self.post(client, save, left_s)
         finally:
-            upstream.slots.release()
+            upstream.idle.put_nowait(client)
             upstream.in_flight -= 1
 
+    async def probe(
+        self, client: searchers.HttpSearcher, until_s: float
+    ) -> bool:
+        """Tells whether the client's connection is open and answers.
+
+        A searcher closes a connection over its limit at once, and an open
+        one may be silent; a save sent on either would be unknown.
+        """
+        left_s = until_s - asyncio.get_running_loop().time()
+        limit_s = self.daemon.settings.relay.connect_timeout_ms / 1000
+        try:
+            await client.state(min(limit_s, left_s / 2))
+        except errors.SearcherError as error:
+            _log.warning(
+                "save-probe-failed", code=error.code, reason=error.message
+            )
+            return False
+        return True
+
     async def post(
         self,
         client: searchers.HttpSearcher,
@@ -191,9 +222,8 @@
                 sent=error.sent,
             )
             ran: errors.Ran = "unknown" if error.sent else "no"
-            return _reply(
-                save, ran, "no-answer" if error.sent else "no-connection"
-            )
+            reason = "no-answer" if error.sent else "no-connection"
+            return _reply(save, ran, reason)
         wait_ms = result.get("retry_after_ms", 0.0)
         if not result["ran"]:
             return _reply(save, "no", result["status"], wait_ms)
@@ -205,7 +235,8 @@
         while self.tasks:
             await asyncio.wait(self.tasks)
         for upstream in self.upstreams.values():
-            await upstream.client.close()
+            for client in upstream.clients:
+                await client.close()
 
 
 def create_save_relay(daemon: daemons.Daemon) -> SaveRelay:
--- a/tests/test_savecall.py
+++ b/tests/test_savecall.py
@@ -55,6 +55,11 @@
         self.answer = answer
         self.called = called
 
+    async def state(self, timeout_s: float) -> str:
+        if self.answer == "no probe":
+            raise RESET
+        return "ready"
+
     async def save(
         self, item: typing.Any, timeout_s: float, connect_s: float
     ) -> typing.Any:
@@ -72,6 +77,8 @@
     CASES: list[tuple[list[typing.Any], str, int]] = [
         ([OK, OK], "yes", 1),
         ([REFUSED, OK], "yes", 2),
+        (["no probe", OK], "yes", 1),
+        (["no probe"], "no", 0),
         ([SHED, OK], "yes", 2),
         ([RESET, OK], "unknown", 1),
         ([CROSSED, OK], "unknown", 1),
@@ -103,7 +110,8 @@
         for searcher, answer in zip(searchers, answers, strict=True):
             client = Client(searcher.id, answer, called)
             relay.upstreams[searcher.id, searcher.address] = saverelay.Upstream(
-                typing.cast(typing.Any, client)
+                typing.cast(typing.Any, searcher),
+                [typing.cast(typing.Any, client)],
             )
         return relay
 
