Load only the command that runs; repair a malformed head in a test

Change: the mapping of the commands holds their first lines, as the help needs no more; a test compares them with the modules.

The test of publish also overwrites the head with rubbish: the daemons keep their generation and the next publish is in force at all of them.

--- a/laurelrock/cmdline.py
+++ b/laurelrock/cmdline.py
@@ -19,8 +19,13 @@
 EXIT_FAILURE = 1
 
 
-def create_parser() -> argparse.ArgumentParser:
-    """Returns the parser with one subparser a command."""
+def create_parser(
+    arguments: collections.abc.Sequence[str],
+) -> argparse.ArgumentParser:
+    """Returns the parser with one subparser a command.
+
+    Only the commands that the arguments name are loaded.
+    """
     parser = argparse.ArgumentParser(
         prog="laurelrock", description="A query tier over many shards."
     )
@@ -28,13 +33,12 @@
         "--version", action="version", version=laurelrock.__version__
     )
     subparsers = parser.add_subparsers(dest="command", required=True)
-    for name in sorted(commands.COMMANDS):
-        command = commands.load(name)
-        summary = (command.__doc__ or "").partition("\n")[0]
-        subparser = subparsers.add_parser(
-            name, help=summary, description=command.__doc__
-        )
-        command.add_arguments(subparser)
+    for name, summary in commands.summaries().items():
+        subparser = subparsers.add_parser(name, help=summary)
+        if name in arguments:
+            command = commands.load(name)
+            subparser.description = command.__doc__
+            command.add_arguments(subparser)
     return parser
 
 
@@ -47,7 +51,7 @@
     Returns:
         The exit code: 0, `EXIT_USAGE` or `EXIT_FAILURE`.
     """
-    arguments = create_parser().parse_args(argv[1:])
+    arguments = create_parser(argv[1:]).parse_args(argv[1:])
     try:
         return commands.load(arguments.command).run(arguments)
     except (errors.SettingsError, errors.ManifestError) as error:
--- a/laurelrock/commands/__init__.py
+++ b/laurelrock/commands/__init__.py
@@ -8,11 +8,15 @@
 
 from laurelrock.commands import _mapping
 
-__all__ = ["COMMANDS", "load"]
-
-COMMANDS = _mapping.COMMANDS
+__all__ = ["load", "summaries"]
 
 
 def load(name: str) -> types.ModuleType:
     """Returns the module of a command."""
-    return importlib.import_module(COMMANDS[name])
+    return importlib.import_module(_mapping.COMMANDS[name][0])
+
+
+def summaries() -> dict[str, str]:
+    """Returns one line about each command, in alphabetical order."""
+    rows = sorted(_mapping.COMMANDS.items())
+    return {name: summary for name, (_, summary) in rows}
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -4,10 +4,12 @@
 import io
 import json
 import unittest
+import urllib.request
 
 import laurelrock
 from laurelrock import cmdline
 from laurelrock import commands
+from laurelrock import head as heads
 from laurelrock import settings
 from tests import builders
 from tests import processes
@@ -34,11 +36,15 @@
         )
 
     def test_every_command_has_help(self):
-        for name in commands.COMMANDS:
+        _, overview, _ = run("--help")
+        for name, summary in commands.summaries().items():
             with self.subTest(name):
                 code, out, _ = run(name, "--help")
                 self.assertEqual(code, 0)
-                self.assertIn("usage: laurelrock", out)
+                self.assertIn(f"usage: laurelrock {name}", out)
+                text = commands.load(name).__doc__
+                self.assertEqual(text.partition("\n")[0], summary)
+                self.assertIn(summary, " ".join(overview.split()))
 
     def test_settings_prints_every_option_and_can_be_read_back(self):
         code, out, _ = run("settings")
@@ -112,6 +118,13 @@
         status, body = processes.post(url, json.dumps(fields).encode())
         self.assertEqual(status, 200, body)
 
+    def overwrite_head(self, body: bytes) -> None:
+        url = f"{self.deployment.platform}/v1/objects/{heads.HEAD_KEY}"
+        with urllib.request.urlopen(url, timeout=5) as response:
+            version = response.headers["ETag"]
+        status, _ = processes.ask("PUT", url, body, {"If-Match": version})
+        self.assertEqual(status, 200)
+
     def status(self) -> dict:
         url = self.deployment.platform
         code, out, _ = run("status", "--platform", url, "--json")
@@ -148,20 +161,29 @@
             self.assertEqual(code, 0)
             self.assertIn("published: generation 3, publish id i4", out)
             self.control(lose_replies=0)
+        with self.subTest("a head written by something else"):
+            self.overwrite_head(b"rubbish")
+            overview = self.status()
+            self.assertTrue(overview["malformed"])
+            found = {row["status"]["generation"] for row in overview["places"]}
+            self.assertEqual(found, {3})
+            code, out, err = self.publish("repair", "--wait")
+            self.assertEqual((code, err), (0, ""))
+            self.assertIn("published: generation 4", out)
         with self.subTest("a daemon that is gone is named"):
             self.deployment.kill("relay-e2")
             code, out, err = self.publish("five", "--wait", "--timeout", "1")
             self.assertEqual(code, 1)
-            self.assertIn("published: generation 4", out)
+            self.assertIn("published: generation 5", out)
             self.assertIn(f"not in force: e2 relay in a: {GONE}", err)
             self.assertIn(
-                "not-in-force: generation 4 is not in force at 1", err
+                "not-in-force: generation 5 is not in force at 1", err
             )
             self.assertEqual(err.count("not in force: "), 1)
         with self.subTest("status names it as well"):
             url = self.deployment.platform
             code, out, _ = run("status", "--platform", url)
             self.assertEqual(code, 0)
-            self.assertIn("head: generation 4", out)
+            self.assertIn("head: generation 5", out)
             self.assertEqual(out.count(f"silent: {GONE}"), 1)
             self.assertEqual(len(out.splitlines()), 2 + 4)
