End a deployment's processes on SIGTERM; fail where one ends by itself

Cause: a run of the fault scenarios that was ended by SIGTERM left its daemons at the lane's addresses; the next run talked to them, and 48 of 52 save attempts of a run without faults ended unknown. Ruled out: a fault of the saves (the same run alone at other addresses had none).

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -281,10 +281,12 @@
 ) -> collections.abc.AsyncIterator[Cluster]:
     """Starts a deployment with its manifest in force; ends it afterwards.
 
+    SIGTERM ends the program like SIGINT, so that no process is left behind.
     The addresses are fixed, so a second deployment on the same machine waits
     until the first one has ended.
     """
     with tempfile.TemporaryDirectory(prefix="laurelrock-") as folder:
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
         lock = await asyncio.to_thread(take_lock, deployment)
         cluster = Cluster(deployment, pathlib.Path(folder), log_level, extra)
         try:
@@ -321,6 +323,7 @@
         await publish(cluster, cluster.deployment.manifest)
 
         async def all_ready() -> bool:
+            check_running(cluster)
             probes = [
                 is_ok(session, f"http://{row['address']}:{port}/readyz")
                 for row in cluster.vms
@@ -331,6 +334,15 @@
         await wait_for(all_ready, "every daemon is ready")
 
 
+def check_running(cluster: Cluster) -> None:
+    """Raises OSError where a process ended by itself."""
+    for name, process in cluster.processes.items():
+        if process.poll() is not None:
+            log = cluster.folder / f"{name}.log"
+            text = log.read_text(encoding="utf-8", errors="replace")
+            raise OSError(f"{name} ended: {text[-500:]}")
+
+
 async def publish(cluster: Cluster, path: pathlib.Path, *options: str) -> None:
     """Publishes a manifest by the command line."""
     process = await asyncio.create_subprocess_exec(
