--- a/laurelrock/spread.py
+++ b/laurelrock/spread.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import random as randomness
 import time
@@ -40,6 +41,7 @@
         bus: To the other daemons.
         platform: Holds the head and the bodies.
         listeners: Called with each generation that comes into force.
+        refused: Failures by code, for the metrics.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.bus = bus
         self.platform = platform
         self.listeners: list[ChangeListener] = []
+        self.refused: collections.Counter[str] = collections.Counter()
 
     @property
     def generation(self) -> int:
@@ -80,9 +83,18 @@
             if fetch is None:
                 await asyncio.sleep(TICK_S)
             else:
-                await self.read(fetch, watcher)
+                await self.read_guarded(fetch, watcher)
             self.log_alarms()
 
+    async def read_guarded(self, fetch: spreading.Fetch, watcher: bool) -> None:
+        """Makes one read; an unexpected failure backs off like another."""
+        try:
+            await self.read(fetch, watcher)
+        except Exception:
+            self.refused["internal"] += 1
+            _log.exception("spread-failed", kind=fetch.kind)
+            spreading.on_failure(self.state, _now_s())
+
     async def read(self, fetch: spreading.Fetch, watcher: bool) -> None:
         """Makes one read of the platform and takes in its outcome."""
         before = self.generation
@@ -169,6 +181,7 @@
         """Logs what was refused; the last good manifest stays in force."""
         alarms, self.state.alarms = self.state.alarms, []
         for error in alarms:
+            self.refused[error.code] += 1
             _log.error(
                 "manifest-refused",
                 code=error.code,
