--- a/laurelrock/dispatch.py
+++ b/laurelrock/dispatch.py
@@ -5,8 +5,8 @@
 """
 
 import asyncio
-import collections
 
+from laurelrock import attempts
 from laurelrock import calls
 from laurelrock import manifest
 from laurelrock import messages
@@ -14,14 +14,11 @@
 from laurelrock import pools
 from laurelrock.adapters import logs
 from laurelrock.core import groups
-from laurelrock.core import hedge
 from laurelrock.core import queue
 from laurelrock.core import upstreams
 
 __all__ = ["Dispatcher", "create_dispatcher"]
 
-#: Calls that one work may have at the same time.
-MAX_CALLS = 3
 #: Works passed over in one turn because their searchers are busy.
 MAX_PASSED = 16
 #: Part of the usual latency below which a call is not begun.
@@ -35,6 +32,7 @@
     Attributes:
         choices: How work is placed.
         caller: Calls in flight.
+        attempts: Begins and hedges them.
         pools: By service.
         channels: By id and address of the searcher.
         counts: Calls by kind and unusual events.
@@ -54,10 +52,11 @@
         self.caller = calls.Caller(
             start_id, spawn, lambda *args: settle(self, *args)
         )
+        self.attempts = attempts.Attempts(choices, self.caller)
         self.loop = asyncio.get_running_loop()
         self.pools: dict[groups.Service, pools.Pool] = {}
         self.channels: dict[tuple[str, str], pools.Channel] = {}
-        self.counts: collections.Counter[str] = collections.Counter()
+        self.counts = self.attempts.counts
         self.config: manifest.Manifest | None = None
 
     def adopt(self, config: manifest.Manifest) -> None:
@@ -207,87 +206,7 @@
     chosen = dispatcher.choices.choose([row.upstream for row in rows])
     channel = next(row for row in rows if row.upstream is chosen)
     kind = "retry" if work.retried else "first"
-    call(dispatcher, pool, work, channel, kind, usable)
-    return True
-
-
-def call(
-    dispatcher: Dispatcher,
-    pool: pools.Pool,
-    work: pools.Work,
-    channel: pools.Channel,
-    kind: str,
-    candidates: list[pools.Channel],
-) -> None:
-    """Begins one call and logs the decision."""
-    searcher_id = channel.upstream.searcher.id
-    _log.info(
-        "place",
-        request_id=work.search.request_id,
-        service=work.part.service,
-        kind=kind,
-        chosen=searcher_id,
-        candidates={
-            row.upstream.searcher.id: row.upstream.in_flight
-            for row in candidates
-        },
-        waiting=len(pool.queue),
-    )
-    dispatcher.counts[kind] += 1
-    work.tried.add(searcher_id)
-    attempt = calls.start(dispatcher.caller, channel, work)
-    if dispatcher.choices.hedge_fraction and len(work.calls) < MAX_CALLS:
-        attempt.timer = dispatcher.loop.call_later(
-            hedge.delay_s(channel.upstream), on_slow, dispatcher, pool, attempt
-        )
-
-
-def on_slow(
-    dispatcher: Dispatcher, pool: pools.Pool, attempt: pools.Call
-) -> None:
-    """Notes that a call takes longer than usual and hedges it."""
-    attempt.timer = None
-    attempt.slow = True
-    attempt.channel.upstream.note_slow()
-    if not try_hedge(dispatcher, pool, attempt):
-        pool.slow.append(attempt)
-
-
-def hedge_waiting(dispatcher: Dispatcher, pool: pools.Pool) -> None:
-    """Hedges the slow calls that found no free slot, oldest first."""
-    while pool.slow and not pool.queue:
-        if not try_hedge(dispatcher, pool, pool.slow[0]):
-            return
-        pool.slow.popleft()
-
-
-def try_hedge(
-    dispatcher: Dispatcher, pool: pools.Pool, attempt: pools.Call
-) -> bool:
-    """Hedges a slow call; False where a free slot is lacking."""
-    work = attempt.work
-    if work.ended or attempt.lost or attempt not in work.calls:
-        return True
-    if len(work.calls) >= MAX_CALLS:
-        return True
-    now_s = dispatcher.loop.time()
-    usable = pool.usable(work, now_s)
-    chosen = hedge.target(
-        [row.upstream for row in usable],
-        [row.channel.upstream for row in work.calls],
-        len(pool.queue),
-        now_s,
-        dispatcher.choices.choose,
-    )
-    if chosen is None:
-        dispatcher.counts["hedge-no-slot"] += 1
-        return False
-    if work.hedges.left < 1 or not pool.hedges.take():
-        dispatcher.counts["hedge-no-budget"] += 1
-        return True
-    work.hedges.left -= 1
-    channel = next(row for row in usable if row.upstream is chosen)
-    call(dispatcher, pool, work, channel, "hedge", usable)
+    attempts.begin(dispatcher.attempts, pool, work, channel, kind, usable)
     return True
 
 
@@ -348,7 +267,7 @@
             try_again(dispatcher, pool, work, reply.status)
     if pool is not None:
         pump(dispatcher, pool)
-        hedge_waiting(dispatcher, pool)
+        attempts.hedge_waiting(dispatcher.attempts, pool)
 
 
 def try_again(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,6 +9,7 @@
 from laurelrock import errors
 from laurelrock import messages
 from laurelrock import pools
+from laurelrock.core import hedge
 from laurelrock.core import upstreams
 from tests import builders
 from tests import virtual
@@ -234,8 +235,8 @@
             row.fault = "refused"
         for _ in range(200):
             await bench.run()
-        most = 200 * (1 + dispatch.hedge.RETRY_FRACTION)
-        self.assertLessEqual(bench.asked, most + dispatch.hedge.BUDGET_BURST)
+        most = 200 * (1 + hedge.RETRY_FRACTION)
+        self.assertLessEqual(bench.asked, most + hedge.BUDGET_BURST)
 
     @in_virtual_time
     async def test_unknown_service(self):
