--- a/bench/faults.py
+++ b/bench/faults.py
@@ -147,7 +147,9 @@
     partial = [r for r in answered if r.answer["partial"]]
     verdicts = checker.check(history)
     failures = collections.Counter(
-        r.error or r.answer["code"] for r in history.records if r.status != 200
+        f"{r.kind}: {r.error or r.answer['code']}"
+        for r in history.records
+        if r.status != 200
     )
     return {
         "scenario": scenario.name,
