--- a/laurelrock/core/exchange.py
+++ b/laurelrock/core/exchange.py
@@ -23,10 +23,6 @@
 #: Heartbeats in a row with another digest before tables are compared.
 MISMATCHES = 3
 
-#: Buckets whose records are exchanged in one comparison by a daemon that has
-#: joined; others follow with other peers.
-COMPARED_BUCKETS = 8
-
 #: Least time between two comparisons with the same peer, in seconds.
 COMPARE_S = 1.0
 
@@ -85,9 +81,6 @@
     buckets = view.table.differing(message.digests)
     if not buckets:
         return
-    if view.joined and len(buckets) > COMPARED_BUCKETS:
-        chosen = view.random.sample(sorted(buckets), COMPARED_BUCKETS)
-        buckets = set(chosen)
     held = [
         view.table.outgoing(address, now_s)
         for address in view.table.in_buckets(buckets)
