Test the probe of a save's connection on real sockets; note it

Cause: a connection that the searcher closes at once, as it does over its limit, or that is silent from the start, made the save's outcome unknown though nothing ran.

--- a/tests/test_savecall.py
+++ b/tests/test_savecall.py
@@ -93,7 +93,9 @@
         self, answers: list[typing.Any], called: list[str]
     ) -> saverelay.SaveRelay:
         searchers = [
-            types.SimpleNamespace(id=f"s{i}", address=f"h{i}", state="live")
+            types.SimpleNamespace(
+                id=f"s{i}", address=f"h{i}", state="live", slots=2
+            )
             for i in range(len(answers))
         ]
         application = types.SimpleNamespace(services={"svc": searchers})
@@ -102,7 +104,8 @@
             stopping=asyncio.Event(),
             manifest=types.SimpleNamespace(applications={"a": application}),
             settings=types.SimpleNamespace(
-                relay=types.SimpleNamespace(connect_timeout_ms=500.0)
+                relay=types.SimpleNamespace(connect_timeout_ms=100.0),
+                vm=types.SimpleNamespace(address="127.0.0.1"),
             ),
             spawn=lambda work: asyncio.ensure_future(work),
         )
@@ -134,6 +137,34 @@
                 self.assertEqual([ran], [reply.ran for reply in replies])
                 self.assertEqual(calls, len(called))
 
+    def test_connection_closed_or_silent_from_the_start_is_not_run(
+        self,
+    ) -> None:
+        async def go(close: bool) -> messages.SaveReply:
+            async def accept(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                if close:
+                    writer.close()
+
+            server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            relay = self.relay([OK], [])
+            config = relay.daemon.manifest
+            assert config is not None
+            [searcher] = config.applications["a"].services["svc"]
+            searcher.address = f"127.0.0.1:{port}"
+            relay.upstreams.clear()
+            until_s = asyncio.get_running_loop().time() + 1.0
+            reply = await relay.run(SAVE, until_s)
+            await relay.close()
+            server.close()
+            return reply
+
+        for close in (True, False):
+            with self.subTest(close=close):
+                self.assertEqual("no", asyncio.run(go(close)).ran)
+
     def test_doubled_message_is_dropped(self) -> None:
         replies, called = virtual.run(self.send([OK, OK], SAVE, SAVE))
         self.assertEqual((1, 1), (len(replies), len(called)))
