Wait for late outcomes of saves, so that retries get them

Cause: the relay and the entry dropped a reply that came after the deadline. The caller had been told "unknown", and a retry got "unknown" for a save whose outcome was known.

Change: the relay waits 5 s longer for the searcher, the entry 10 s longer for the relay; the caller is still answered at its deadline, the outcome goes to the ledger. The table's new row failed before (unknown), now the outcome is taken three seconds late.

--- a/laurelrock/savecall.py
+++ b/laurelrock/savecall.py
@@ -24,6 +24,8 @@
 FRESH_S = 0.5
 #: Between looks for a relay's sign of life.
 LOOK_S = 0.002
+#: Seconds after the deadline for which an outcome is still recorded.
+LATE_S = 10.0
 #: Reasons of a relay after which another one is asked.
 OTHER_RELAY = frozenset(["unknown-service", "relay-leaving"])
 #: Caller's wait where no relay gave one.
@@ -113,7 +115,8 @@
 
         Returns:
             The reply, or None if the save certainly was not sent. Where no
-            reply comes in time, one that says "unknown".
+            reply comes within `LATE_S` of the deadline, one that says
+            "unknown"; the caller has been answered by then.
         """
         loop = asyncio.get_running_loop()
         left_s = until_s - loop.time()
@@ -141,7 +144,7 @@
                 chosen=relay.address,
                 time_left_ms=round(left_s * 1000, 1),
             )
-            async with asyncio.timeout_at(until_s):
+            async with asyncio.timeout_at(until_s + LATE_S):
                 return await waiting
         except TimeoutError:
             return messages.SaveReply(query_id, "", "unknown")
--- a/laurelrock/saverelay.py
+++ b/laurelrock/saverelay.py
@@ -25,6 +25,8 @@
 MAX_TRIES = 3
 #: Connections to one searcher that saves may open.
 MAX_CONNECTIONS = 2
+#: Seconds after the deadline for which a searcher's reply is waited for.
+LATE_S = 5.0
 #: For which an idle connection is kept.
 KEEPALIVE_S = 1.0
 
@@ -212,7 +214,9 @@
         }
         connect_s = self.daemon.settings.relay.connect_timeout_ms / 1000
         try:
-            result = await client.save(item, left_s, min(connect_s, left_s / 2))
+            result = await client.save(
+                item, left_s + LATE_S, min(connect_s, left_s / 2)
+            )
         except errors.SearcherError as error:
             _log.warning(
                 "save-call-failed",
--- a/tests/test_savecall.py
+++ b/tests/test_savecall.py
@@ -215,6 +215,7 @@
         (["full", reply("yes")], "yes", 1),
         (["dead", reply("yes")], "yes", 1),
         (["silent", reply("yes")], "unknown", 1),
+        (["late", reply("yes")], "yes", 1),
         (["crossed", reply("yes")], "unknown", 1),
         (["dead", "full"], "no", 0),
         ([], "no", 0),
@@ -260,12 +261,13 @@
                 return False
             daemon.bus.sent.append((address, message))
             start_id = "other" if fate == "crossed" else "p"
-            if isinstance(fate, messages.SaveReply) or fate == "crossed":
-                answer = reply("yes") if fate == "crossed" else fate
+            if fate != "silent":
+                answer = fate if isinstance(fate, tuple) else reply("yes")
                 answer = answer._replace(
                     query_id=message.query_id, start_id=start_id
                 )
-                loop.call_later(0.01, calls.on_reply, b"@h", answer)
+                delay_s = 3.0 if fate == "late" else 0.01
+                loop.call_later(delay_s, calls.on_reply, b"@h", answer)
             return True
 
         daemon.bus.deliver = deliver
