Take no conflict of the head for a proof that the publish was lost

Cause: aiohttp repeats a PUT once when a kept connection is closed on it. A write that took effect and lost its reply then conflicts with itself, so the publisher gets 412 for its own commit. If the platform went down before the head could be read again, it said that nothing was in force.

Change: after any attempt at the head only reading it again settles the outcome; until then it is unknown. A head that conflicts without having moved is retried after a pause, not at once. The in-memory platform has this fault ("twice"), and the interleavings of publishers use it.

Seen failing first: test_write_that_conflicts_with_itself_before_an_outage (PlatformError in place of PublishUnknownError).

--- a/laurelrock/core/publish.py
+++ b/laurelrock/core/publish.py
@@ -155,7 +155,7 @@
     Args:
         present: The head as read.
         request: What is published.
-        sent: Head of an earlier attempt whose reply was lost, if any.
+        sent: Head that was to be committed before, if any.
 
     Returns:
         The outcome, or None where the request is not in force.
@@ -278,60 +278,38 @@
     request: Request,
     retry: Retry,
 ) -> Outcome:
-    """Moves the head; settles lost replies by reading it again."""
-    sent: heads.Head | None = None
+    """Moves the head; settles lost replies by reading it again.
+
+    A conflict proves nothing either: an HTTP client may have repeated a
+    write that took effect.
+    """
+
+    async def persist(error: errors.PlatformError) -> None:
+        try:
+            await retry(error)
+        except errors.PlatformError as last:
+            raise unknown(request, last.message) from None
+
     while True:
         try:
             await store.put(heads.HEAD_KEY, heads.encode(head), present.version)
             return Outcome(
                 "published", head.generation, head.publish_id, head.digest
             )
-        except errors.VersionConflictError:
-            pass
+        except errors.VersionConflictError as error:
+            failure = errors.PlatformError(error.message)
         except errors.PlatformError as error:
-            sent = head
-            await _wait(retry, error, request)
-        now = await _read_again(store, request, retry, sent)
-        settled = settle(now, request, sent)
+            failure = error
+        now = await insist(lambda: read_head(store), persist)
+        settled = settle(now, request, head)
         if settled is not None:
             return settled
-        if now.version != present.version:
-            raise _lost(now, request, sent)
-
-
-async def _read_again(
-    store: platform.Platform,
-    request: Request,
-    retry: Retry,
-    sent: heads.Head | None,
-) -> Present:
-    while True:
-        try:
-            return await read_head(store)
-        except errors.PlatformError as error:
-            if sent is None:
-                await retry(error)
-            else:
-                await _wait(retry, error, request)
-
-
-async def _wait(
-    retry: Retry, error: errors.PlatformError, request: Request
-) -> None:
-    try:
-        await retry(error)
-    except errors.PlatformError as last:
-        raise unknown(request, last.message) from None
-
-
-def _lost(
-    now: Present, request: Request, sent: heads.Head | None
-) -> errors.LaurelrockError:
-    if now.head is not None:
-        return conflict(now.head, "it was published first")
-    if sent is not None:
-        return unknown(request, "the head was overwritten")
-    return errors.PublishConflictError("the head was overwritten", 0)
+        if now.version == present.version:
+            await persist(failure)
+        elif now.head is None:
+            raise unknown(request, "the head was overwritten")
+        else:
+            raise conflict(now.head, "it was published first")
 
 
 def conflict(head: heads.Head, reason: str) -> errors.PublishConflictError:
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -8,8 +8,10 @@
 from laurelrock.ports import platform
 
 #: ok: answered; down: nothing done, no answer; lost: done, no answer;
-#: late: no answer, and a write takes effect only at `land`.
-Fault = typing.Literal["ok", "down", "lost", "late"]
+#: late: no answer, and a write takes effect only at `land`; twice: a write
+#: takes effect and is repeated by the HTTP client, so that it conflicts with
+#: itself.
+Fault = typing.Literal["ok", "down", "lost", "late", "twice"]
 
 
 class Call(typing.NamedTuple):
@@ -80,7 +82,7 @@
 
     async def read(self, method: str, key: str) -> platform.Stored | None:
         fault = await self.store.fault(Call(self.caller, method, key))
-        if fault != "ok":
+        if fault not in ("ok", "twice"):
             raise errors.PlatformError(fault)
         return self.store.objects.get(key)
 
@@ -95,6 +97,8 @@
         if fault in ("down", "late"):
             raise errors.PlatformError(fault)
         version = self.store.write(call)
+        if fault == "twice":
+            self.store.write(call)
         if fault == "lost":
             raise errors.PlatformError(fault)
         return version
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -18,7 +18,8 @@
 
 #: Failures of the platform that a publisher of these tests retries.
 RETRIES = 4
-OWN_FAULTS = ("down", "lost", "late")
+WRITE_FAULTS = ("down", "lost", "late", "twice")
+READ_FAULTS = ("down",)
 
 
 def text_of(name: str) -> bytes:
@@ -177,7 +178,9 @@
     for publisher in world.waiting:
         options.append((publisher, "ok"))
         if faults_left and (anywhere or publisher.call.key == heads.HEAD_KEY):
-            options += [(publisher, kind) for kind in OWN_FAULTS]
+            is_write = publisher.call.method == "put"
+            kinds = WRITE_FAULTS if is_write else READ_FAULTS
+            options += [(publisher, kind) for kind in kinds]
     if world.store.late:
         options.append((None, "ok"))
     return options
@@ -295,7 +298,7 @@
             if not world.waiting:
                 break
             publisher = world.waiting[choice % len(world.waiting)]
-            kinds = ("ok", "ok", "ok", *OWN_FAULTS, "land")
+            kinds = ("ok", "ok", "ok", *WRITE_FAULTS, "land")
             kind = kinds[choice // 3 % len(kinds)]
             if kind == "land":
                 world.land()
@@ -407,6 +410,15 @@
             await self.publish("a", "p1")
         self.assertEqual(self.store.objects, {})
 
+    async def test_write_that_conflicts_with_itself_before_an_outage(self):
+        downs = ["down"] * (RETRIES + 1)
+        self.store.script.extend(["ok", "ok", "ok", "twice", *downs])
+        with self.assertRaises(errors.PublishUnknownError):
+            await self.publish("a", "p1")
+        self.assertEqual(head_of(self.store).publish_id, "p1")
+        again = await self.publish("a", "p1")
+        self.assertEqual((again.kind, again.generation), ("published", 1))
+
     async def test_bad_requests_do_not_reach_the_platform(self):
         rows = [
             (b"{}", "p1", errors.ManifestError),
