Ask a daemon no more once it has the generation that is waited for

Change: only those that lack it are asked again. Tests of the wait in virtual time: each daemon is asked until it has it, late and leaving places, no VM at all, and a platform that is down.

19 tests of the fleet, the command line and the client pass in 11 s.

--- a/laurelrock/fleet.py
+++ b/laurelrock/fleet.py
@@ -69,7 +69,11 @@
     client: admin.Admin, vms: list[platform.Vm], ports: Ports
 ) -> list[Place]:
     """Asks every daemon at once."""
-    places = places_of(vms, ports)
+    return await ask_all(client, places_of(vms, ports))
+
+
+async def ask_all(client: admin.Admin, places: list[Place]) -> list[Place]:
+    """Returns the places with what their daemons say."""
     return list(await asyncio.gather(*(ask(client, row) for row in places)))
 
 
@@ -95,6 +99,8 @@
 ) -> list[Place]:
     """Waits until a generation is in force at every daemon.
 
+    A daemon that has it is not asked again.
+
     Args:
         store: The platform, for the list of VMs.
         client: Asks the daemons.
@@ -111,13 +117,25 @@
     loop = asyncio.get_running_loop()
     until = loop.time() + timeout_s
     vms: list[platform.Vm] = []
+    in_force: dict[str, Place] = {}
     while True:
         try:
             vms = await store.vms()
         except errors.PlatformError:
             if not vms and loop.time() >= until:
                 raise
-        places = await survey(client, vms, ports)
+        listed = places_of(vms, ports)
+        left = [place for place in listed if place.address not in in_force]
+        answers = {row.address: row for row in await ask_all(client, left)}
+        places = [
+            in_force.get(place.address) or answers[place.address]
+            for place in listed
+        ]
+        in_force = {
+            place.address: place
+            for place in places
+            if place.generation >= generation
+        }
         done = bool(places) and not behind(places, generation)
         if done or loop.time() >= until:
             return places
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,80 @@
+"""Tests of the wait until a manifest is in force everywhere."""
+
+import collections
+import unittest
+
+from laurelrock import errors
+from laurelrock import fleet
+from laurelrock.ports import platform
+from tests import memory
+from tests import virtual
+
+PORTS = fleet.Ports(1, 2)
+
+
+class Admin:
+    """Daemons whose generation depends on how often they were asked."""
+
+    def __init__(self, **generations: list[int]) -> None:
+        self.generations = generations
+        self.asked: collections.Counter[str] = collections.Counter()
+
+    async def status(self, address: str) -> dict:
+        host = address.partition(":")[0]
+        steps = self.generations[host]
+        step = min(self.asked[address], len(steps) - 1)
+        self.asked[address] += 1
+        if steps[step] < 0:
+            raise errors.PeerSilentError("silent")
+        return {"generation": steps[step]}
+
+
+def wait(
+    client: Admin, vms: dict[str, str], script=(), timeout_s: float = 5.0
+) -> list[fleet.Place]:
+    """Waits for generation 7 in virtual time."""
+    store = memory.Store()
+    store.vms = [
+        platform.Vm(name, name, "a", state) for name, state in vms.items()
+    ]
+    store.script.extend(script)
+    port = memory.MemoryPlatform(store)
+    return virtual.run(fleet.wait_in_force(port, client, PORTS, 7, timeout_s))
+
+
+class WaitTest(unittest.TestCase):
+    def test_each_daemon_is_asked_until_it_has_the_generation(self):
+        client = Admin(v1=[7], v2=[6, 6, 8], v3=[-1, 7])
+        places = wait(client, {"v1": "live", "v2": "live", "v3": "live"})
+        self.assertEqual(fleet.behind(places, 7), [])
+        self.assertEqual(len(places), 6)
+        self.assertEqual(
+            client.asked,
+            {"v1:1": 1, "v1:2": 1, "v2:1": 3, "v2:2": 3, "v3:1": 2, "v3:2": 2},
+        )
+
+    def test_late_places_are_named(self):
+        cases = [
+            ("behind", [6], "live", 2),
+            ("silent", [-1], "live", 2),
+            ("leaving and behind", [6], "leaving", 2),
+            ("leaving and silent", [-1], "leaving", 0),
+        ]
+        for name, steps, state, late in cases:
+            with self.subTest(name):
+                client = Admin(v1=[7], v2=steps)
+                places = wait(client, {"v1": "live", "v2": state})
+                names = [place.vm for place in fleet.behind(places, 7)]
+                self.assertEqual(names, ["v2"] * late)
+
+    def test_no_vm_is_listed(self):
+        self.assertEqual(wait(Admin(), {}), [])
+
+    def test_platform_down_after_the_first_list(self):
+        client = Admin(v1=[6, 6, 7])
+        places = wait(client, {"v1": "live"}, ["ok", "down", "down"])
+        self.assertEqual(fleet.behind(places, 7), [])
+
+    def test_platform_down_for_good(self):
+        with self.assertRaises(errors.PlatformError):
+            wait(Admin(v1=[7]), {"v1": "live"}, ["down"] * 99)
