Write the stop table of saves as a table

The rows of STOPS took eight lines each once formatted. The same 15 rows stand one to a line now; platform faults, searcher, both answers and the number of calls are checked as before.

--- a/tests/test_saves.py
+++ b/tests/test_saves.py
@@ -71,165 +71,68 @@
         return "yes", "replayed" if answer.replayed else "answered"
 
 
-#: Where the first attempt stops: platform faults in the order of its calls
-#: (read, write, ...), fate at the searcher, seconds until it answers; then
-#: what the first attempt is told, what a retry through another VM is told,
-#: and how often the searcher was called.
-STOPS: list[tuple[str, list[memory.Fault], str, float, tuple, tuple, int]] = [
-    ("nothing", [], "yes", 0.01, ("yes", "answered"), ("yes", "replayed"), 1),
-    (
-        "read fails once",
-        ["down"],
-        "yes",
-        0.01,
-        ("yes", "answered"),
-        ("yes", "replayed"),
-        1,
-    ),
-    (
-        "read fails for long",
-        ["down", "down"],
-        "yes",
-        0.01,
-        ("no", "not-ready"),
-        ("yes", "answered"),
-        1,
-    ),
-    (
-        "claim's reply lost",
-        ["ok", "lost"],
-        "yes",
-        0.01,
-        ("yes", "answered"),
-        ("yes", "replayed"),
-        1,
-    ),
-    (
-        "claim not written, no reply",
-        ["ok", "down"],
-        "yes",
-        0.01,
-        ("yes", "answered"),
-        ("yes", "replayed"),
-        1,
-    ),
-    (
-        "claim's reply lost, then an outage past the deadline",
-        ["ok", "lost", *["down"] * 9],
-        "yes",
-        0.01,
-        ("no", "not-ready"),
-        ("yes", "answered"),
-        1,
-    ),
-    (
-        "claim lands after the attempt gave it up",
-        ["ok", "late", *["down"] * 9],
-        "yes",
-        0.01,
-        ("no", "not-ready"),
-        ("yes", "answered"),
-        1,
-    ),
-    (
-        "searcher refuses",
-        [],
-        "no",
-        0.01,
-        ("no", "overloaded"),
-        ("yes", "answered"),
-        2,
-    ),
-    (
-        "entry refuses after the claim",
-        [],
-        "refusal",
-        0.01,
-        ("no", "overloaded"),
-        ("yes", "answered"),
-        2,
-    ),
-    (
-        "searcher's reply lost",
-        [],
-        "unknown",
-        0.01,
-        ("unknown", "outcome-unknown"),
-        ("unknown", "outcome-unknown"),
-        1,
-    ),
-    (
-        "call breaks",
-        [],
-        "broken",
-        0.01,
-        ("unknown", "outcome-unknown"),
-        ("unknown", "outcome-unknown"),
-        1,
-    ),
-    (
-        "searcher answers after the deadline",
-        [],
-        "yes",
-        3.0,
-        ("unknown", "outcome-unknown"),
-        ("yes", "replayed"),
-        1,
-    ),
-    (
-        "searcher refuses after the deadline",
-        [],
-        "no",
-        3.0,
-        ("unknown", "outcome-unknown"),
-        ("yes", "answered"),
-        2,
-    ),
-    (
-        "outcome's reply lost",
-        ["ok", "ok", "lost"],
-        "yes",
-        0.01,
-        ("yes", "answered"),
-        ("yes", "replayed"),
-        1,
-    ),
-    (
-        "outcome not written for a while",
-        ["ok", "ok", *["down"] * 5],
-        "yes",
-        0.01,
-        ("yes", "answered"),
-        ("yes", "replayed"),
-        1,
-    ),
-]
+#: Where the first attempt stops, one row each: the platform's answers in the
+#: order of its calls (read, write, ...), what the searcher does ("late" is
+#: after the deadline), what the caller is told, what a retry through another
+#: VM is told, calls of the searcher.
+STOPS = """
+nothing                 |                 | yes      | answered   | replayed | 1
+read fails once         | down            | yes      | answered   | replayed | 1
+read fails for long     | down*2          | yes      | not-ready  | answered | 1
+claim's reply lost      | ok lost         | yes      | answered   | replayed | 1
+claim not written       | ok down         | yes      | answered   | replayed | 1
+reply lost, long outage | ok lost down*9  | yes      | not-ready  | answered | 1
+claim lands too late    | ok late down*9  | yes      | not-ready  | answered | 1
+searcher refuses        |                 | no       | overloaded | answered | 2
+entry refuses, claimed  |                 | refusal  | overloaded | answered | 2
+searcher's reply lost   |                 | unknown  | unknown    | unknown  | 1
+call breaks             |                 | broken   | unknown    | unknown  | 1
+searcher answers late   |                 | yes late | unknown    | replayed | 1
+searcher refuses late   |                 | no late  | unknown    | answered | 2
+outcome's reply lost    | ok*2 lost       | yes      | answered   | replayed | 1
+outcome not written     | ok*2 down*5     | yes      | answered   | replayed | 1
+"""
+
+#: What the words of the table stand for.
+TOLD = {
+    "answered": ("yes", "answered"),
+    "replayed": ("yes", "replayed"),
+    "not-ready": ("no", "not-ready"),
+    "overloaded": ("no", "overloaded"),
+    "unknown": ("unknown", "outcome-unknown"),
+}
+LATE_S = 3.0
+
+
+def read_script(text: str) -> list[memory.Fault]:
+    """Returns the faults of a row; `down*2` stands for two."""
+    faults: list[memory.Fault] = []
+    for word in text.split():
+        fault, _, count = word.partition("*")
+        faults += [typing.cast(memory.Fault, fault)] * int(count or 1)
+    return faults
 
 
 class StopTest(unittest.TestCase):
     def test_every_stop(self) -> None:
-        for name, script, fate, delay_s, first, retry, calls in STOPS:
+        for row in STOPS.strip().splitlines():
+            name, *fields = (field.strip() for field in row.split("|"))
             with self.subTest(name):
-                virtual.run(
-                    self.stop(script, fate, delay_s, first, retry, calls)
-                )
+                virtual.run(self.stop(*fields))
 
     async def stop(
-        self,
-        script: list[memory.Fault],
-        fate: str,
-        delay_s: float,
-        first: tuple[str, ...],
-        retry: tuple[str, ...],
-        calls: int,
+        self, script: str, fate: str, first: str, retry: str, calls: str
     ) -> None:
         bench = Bench()
-        bench.store.script.extend(script)
-        self.assertEqual(first, await bench.ask(bench.e1, fate, delay_s))
+        bench.store.script.extend(read_script(script))
+        fate, _, late = fate.partition(" ")
+        delay_s = LATE_S if late else 0.01
+        told = await bench.ask(bench.e1, fate, delay_s)
+        self.assertEqual(TOLD[first], told)
         await asyncio.sleep(WAIT_S)
         bench.store.land()
-        self.assertEqual(retry, await bench.ask(bench.e2))
-        self.assertEqual(calls, len(bench.ran))
+        self.assertEqual(TOLD[retry], await bench.ask(bench.e2))
+        self.assertEqual(int(calls), len(bench.ran))
 
 
 class SavesTest(unittest.TestCase):
