Call an entry ready only once a manifest is in force

Cause: kill-vm: 6 searches and a save were refused not-ready by the entry that came back, since it was ready as soon as it knew a relay. Ruled out: the balancer's lag, as the refusals came after a 200 of /readyz. Change: readiness also asks for a manifest; tests/test_entry.py failed on the row 'relays before a manifest' before it.

--- a/laurelrock/entry.py
+++ b/laurelrock/entry.py
@@ -105,10 +105,17 @@
     """Marks the entry ready once it has a manifest and knows relays."""
     daemon = entry.daemon
     while not daemon.stopping.is_set():
-        daemon.ready = bool(daemon.relays(daemon.settings.vm.region))
+        daemon.ready = can_answer(daemon)
         await asyncio.sleep(0.1)
 
 
+def can_answer(daemon: daemons.Daemon) -> bool:
+    """Tells whether a manifest is in force and a relay of the region known."""
+    if daemon.manifest is None:
+        return False
+    return bool(daemon.relays(daemon.settings.vm.region))
+
+
 def create_app(entry: Entry) -> applications.Starlette:
     """Returns the callers' HTTP application."""
     return applications.Starlette(
