Count a test with failing subtests once

Cause: the runner subtracted the failures from the tests run, and each failing subtest is a failure of its own. One test with two failing subtests printed "-1 passed, 2 failed" (run on a scratch folder).

Change: a test counts as passed where unittest says so of the whole test, and as failed once. What decides the exit code stays as it was: the ids of all failures, subtests by themselves, less those of KNOWN-RED.txt.

After, on the same folder: "0 passed, 1 failed", exit code 1 before and after.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -7,12 +7,28 @@
 
 import pathlib
 import sys
+import typing
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
+class Result(unittest.TextTestResult):
+    """Counts the tests that passed as a whole.
+
+    Attributes:
+        passed: Tests without a failure, an error or a skip, in themselves and
+            in all of their subtests.
+    """
+
+    passed = 0
+
+    def addSuccess(self, test: unittest.TestCase) -> None:  # noqa: N802
+        super().addSuccess(test)
+        self.passed += 1
+
+
 def known_red_tests() -> set[str]:
     """Returns the ids of the tests listed in KNOWN-RED.txt."""
     if not KNOWN_RED.exists():
@@ -25,6 +41,23 @@
     }
 
 
+def run(suite: unittest.TestSuite, stream: typing.Any = None) -> Result:
+    """Runs a suite and prints its failures, on stderr unless told else."""
+    runner = unittest.TextTestRunner(stream, resultclass=Result)
+    return typing.cast(Result, runner.run(suite))
+
+
+def failed_tests(result: Result) -> list[unittest.TestCase]:
+    """Returns what failed: tests, and subtests by themselves."""
+    failed = [test for test, _ in result.failures + result.errors]
+    return [*failed, *result.unexpectedSuccesses]
+
+
+def whole_test(test: unittest.TestCase) -> unittest.TestCase:
+    """Returns the test that a subtest belongs to, or the test itself."""
+    return getattr(test, "test_case", test)
+
+
 def main(names: list[str]) -> int:
     """Runs the named tests, or all of them; returns the exit code."""
     loader = unittest.TestLoader()
@@ -32,18 +65,21 @@
         suite = loader.loadTestsFromNames(names)
     else:
         suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    result = run(suite)
     listed = known_red_tests()
-    bad = {test.id() for test, _ in result.failures + result.errors}
-    bad |= {test.id() for test in result.unexpectedSuccesses}
+    bad = {test.id() for test in failed_tests(result)}
     for name in sorted(bad & listed):
         print(f"known red: {name}")
     unlisted = bad - listed
     stale = set() if names else listed - bad
+    failed = {
+        whole_test(test).id()
+        for test in failed_tests(result)
+        if test.id() in unlisted
+    }
     for name in sorted(stale):
         print(f"listed in KNOWN-RED.txt but passes: {name}")
-    passed = result.testsRun - len(bad) - len(result.skipped)
-    print(f"{passed} passed, {len(unlisted) + len(stale)} failed")
+    print(f"{result.passed} passed, {len(failed) + len(stale)} failed")
     return 1 if unlisted or stale or not result.testsRun else 0
 
 
