--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 RUN = $(VENV)/bin/python
+# Keeps the exit code of a command whose output goes through tee.
+SHELL = /bin/bash
+.SHELLFLAGS = -o pipefail -c
 
 .PHONY: demo test faults bench bench-long bench-control report lint format binary clean
 
@@ -19,13 +22,16 @@
 	$(RUN) -m bench.faults
 
 bench: $(VENV)/.installed
-	$(RUN) -m bench.policy
+	mkdir -p reports
+	$(RUN) -m bench.policy | tee reports/policy.jsonl
 
 bench-long: $(VENV)/.installed
-	$(RUN) -m bench.policy --long
+	mkdir -p reports
+	$(RUN) -m bench.policy --long | tee reports/policy-long.jsonl
 
 bench-control: $(VENV)/.installed
-	$(RUN) -m bench.control
+	mkdir -p reports
+	$(RUN) -m bench.control | tee reports/control.jsonl
 
 report: $(VENV)/.installed
 	$(RUN) -m bench.report
