Compare refusals with the searchers' ledgers by the search's own id

Cause: searchers note the id of each call, which is the search's id, a dot and a number (`calls.start`). The checker looked for the search's id alone, so no search that was refused as not run could ever be found to have run: the promise of true refusals was counted as exercised, but only checked for saves.

Seen failing first: the new row of test_broken_histories_are_rejected, whose id comes from `calls.start`, was accepted. After: rejected.

--- a/bench/checker.py
+++ b/bench/checker.py
@@ -40,7 +40,8 @@
         limit: Hits asked for.
         outcomes: All answers to each save.
         saved: Keys of the saves that searchers ran, once a run.
-        ran_ids: Request ids of the searches that searchers ran.
+        ran_ids: Ids of the calls that searchers ran: the request id of the
+            search, a dot and a number.
         late: Items sent to searchers long after they began to leave.
         leaving: Items sent to them before that.
         shutdowns: Daemons that were asked to end.
@@ -130,10 +131,11 @@
         for record in history.records
         if record.status not in (0, 200) and record.answer.get("ran") == "no"
     ]
+    ran_ids = {call_id.partition(".")[0] for call_id in history.ran_ids}
     bad = [
         f"{record.answer['request_id']}: ran, {record.answer['code']}"
         for record in refused
-        if record.answer["request_id"] in history.ran_ids
+        if record.answer["request_id"] in ran_ids
     ]
     faults = checks.faults_of_saves(history.outcomes, history.saved)
     bad += [f"{key}: save ran, all answers said no" for key in faults.denied]
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -1,11 +1,13 @@
 """The checker rejects a broken history of each promise."""
 
+import types
 import unittest
 
 from bench import checker
 from fakes import checks
 from fakes import corpus
 from fakes import load
+from laurelrock import calls
 
 QUERY = {"text": "panel"}
 SHARDS = {("quotes", "v1"): ["s0", "s1"], ("quotes", "v2"): ["s0", "s1"]}
@@ -81,6 +83,20 @@
     return search({"request_id": "r1", "ran": ran, "code": "overloaded"}, 503)
 
 
+def call_id():
+    """Returns the id of a relay's call for the request r1."""
+    caller = types.SimpleNamespace(
+        ids=iter([7]),
+        loop=types.SimpleNamespace(time=lambda: 0.0),
+        spawn=lambda work: work.close(),
+    )
+    asked = types.SimpleNamespace(request_id="r1")
+    work = types.SimpleNamespace(search=asked, calls=[])
+    upstream = types.SimpleNamespace(in_flight=0, calls=0)
+    channel = types.SimpleNamespace(upstream=upstream)
+    return calls.start(caller, channel, work).request_id
+
+
 CUT = search({}, status=0, began_s=1.0, ended_s=3.0, error="reset")
 SHUTDOWN = checker.Shutdown(URL, 2.0)
 RELAY_SHUTDOWN = checker.Shutdown("", 2.0)
@@ -121,6 +137,7 @@
         history(outcomes=[saved("k", "yes", result={"saved": "x"})]),
     ),
     ("true-refusal", "it ran", history([refusal()], ran_ids={"r1"})),
+    ("true-refusal", "a call ran", history([refusal()], ran_ids={call_id()})),
     (
         "true-refusal",
         "a save ran",
