--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -165,11 +165,18 @@
 
 class UnforeseenTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_failure_without_a_type_is_answered_as_unknown(self):
+        self.assertEqual(await self.refuse(0), (500, "internal", "unknown"))
+
+    async def test_too_many_requests_run_nothing(self):
+        self.assertEqual(await self.refuse(1), (503, "overloaded", "no"))
+
+    async def refuse(self, in_flight):
+        """Asks an endpoint that fails; returns what the caller is told."""
         limits = types.SimpleNamespace(max_in_flight=1)
         settings = types.SimpleNamespace(entry=limits)
         stub = types.SimpleNamespace(
             daemon=types.SimpleNamespace(settings=settings),
-            in_flight=0,
+            in_flight=in_flight,
             answers=collections.Counter(),
             latency=types.SimpleNamespace(record=lambda *_: None),
         )
@@ -181,11 +188,8 @@
         with self.assertNoLogs(), contextlib.redirect_stdout(io.StringIO()):
             answer = await entry.guarded(stub, endpoint)(request)
         problem = json.loads(answer.body)
-        self.assertEqual(answer.status_code, 500)
-        self.assertEqual(
-            (problem["code"], problem["ran"]), ("internal", "unknown")
-        )
-        self.assertEqual(stub.in_flight, 0)
+        self.assertEqual(stub.in_flight, in_flight)
+        return answer.status_code, problem["code"], problem["ran"]
 
 
 class BadInputTest(unittest.TestCase):
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -5,10 +5,12 @@
 import typing
 import unittest
 
+from laurelrock import admit
 from laurelrock import callers
 from laurelrock import errors
 from laurelrock import messages
 from laurelrock import search
+from laurelrock.core import admission
 from laurelrock.core import members
 from tests import builders
 from tests import virtual
@@ -19,10 +21,12 @@
 ]
 SILENT = "silent"
 
-#: Statuses of the shard by message sent, `silent` for no reply; relays alive;
+#: Statuses of the shards by message sent, `silent` for no reply; relays alive;
 #: code and `ran` of the refusal, "answered" for none.
 STOPS: list[tuple[list[str], int, str, str]] = [
     (["ok"], 2, "answered", "yes"),
+    (["ok/deadline"], 1, "coverage-too-low", "yes"),
+    (["shed/deadline"], 1, "coverage-too-low", "unknown"),
     ([], 0, "overloaded", "no"),
     (["shed"], 2, "overloaded", "no"),
     (["draining"], 2, "overloaded", "no"),
@@ -71,7 +75,7 @@
             message.query_id,
             message.start_id,
             message.snapshot,
-            [messages.ShardOutcome(shard, status) for shard in shards],
+            list(map(messages.ShardOutcome, shards, status.split("/"))),
             [],
         )
         sender = search.bus.ADDRESS_MARK + address.encode()
@@ -86,8 +90,19 @@
                 told = virtual.run(self.ask(script, alive))
                 self.assertEqual(told, (code, ran))
 
-    async def ask(self, script, alive) -> tuple[str, str]:
-        config = builders.small_manifest(1, 1)
+    def test_no_manifest_yet(self):
+        told = virtual.run(self.ask([], 2, published=False))
+        self.assertEqual(told, ("not-ready", "no"))
+
+    def test_limit_of_the_application(self):
+        told = virtual.run(self.ask([], 2, limit=0))
+        self.assertEqual(told, ("overloaded", "no"))
+
+    async def ask(
+        self, script, alive, published=True, limit=1
+    ) -> tuple[str, str]:
+        services = 1 + sum("/" in status for status in script)
+        config = builders.small_manifest(services, 1)
         application = config.applications[builders.APPLICATION]
         [first] = application.snapshots
         second = first._replace(version="v2")
@@ -108,10 +123,14 @@
             spawn=lambda work: work.close(),
         )
         request = callers.SearchRequest(
-            "q", "c", builders.APPLICATION, b"1", 10, 2000.0, 0.5
+            "q", "c", builders.APPLICATION, b"1", 10, 2000.0, 0.9
         )
+        limits = admission.Admission(limit, False)
+        searches = search.create_searches(daemon)
+        if not published:
+            daemon.manifest = None
         try:
-            await search.run(search.create_searches(daemon), request)
+            await admit.run(limits, searches, application.policy, request)
         except errors.RefusalError as refusal:
             return refusal.code, refusal.ran
         return "answered", "yes"
