Send a draining searcher no work until its health says otherwise

A relay asked again with real work every 2 s, and saves did not heed the state that their probe had just read. Ruled out: other relays' late view; each had been told by its own first call. Change: a drain lasts until a health call, 2 s later and then less and less often, no longer says so; a save is not sent to a searcher whose probe says draining.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -35,6 +35,7 @@
         random: Chooses what is hit.
         shutdowns: Daemons that were asked to end.
         publications: Manifests that were accepted.
+        ledgers: Of the searchers that were killed, by failure domain.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         self.random = random.Random(seed)
         self.shutdowns: list[checker.Shutdown] = []
         self.publications: list[checker.Publication] = []
+        self.ledgers: dict[str, typing.Any] = {}
 
     def now(self) -> float:
         """Returns the loop's clock in seconds."""
@@ -90,6 +92,15 @@
     ]
 
 
+async def read_ledger(run: Run, domain: str) -> typing.Any:
+    """Returns what the searchers of a failure domain ran."""
+    if domain in run.ledgers:
+        return run.ledgers[domain]
+    url = f"{run.running.control_url(domain)}/control/ledger"
+    async with run.session.get(url) as response:
+        return await response.json(content_type=None)
+
+
 async def publish(run: Run, config: manifest.Manifest, name: str) -> None:
     """Publishes a manifest and notes its generation."""
     path = run.running.folder / f"{name}.json"
@@ -234,8 +245,15 @@
 
 
 async def kill_searchers(run: Run) -> None:
-    """Kills all searchers of a failure domain."""
-    run.running.signal(f"searcher-{run.domain()}", signal.SIGKILL)
+    """Kills all searchers of a failure domain.
+
+    They first close all connections and refuse new ones, so that nothing runs
+    between the reading of their ledger and their end.
+    """
+    domain = run.domain()
+    await run.searchers(domain, behaviour={"fault": "crash"})
+    run.ledgers[domain] = await read_ledger(run, domain)
+    run.running.signal(f"searcher-{domain}", signal.SIGKILL)
 
 
 async def drain_searchers(run: Run) -> None:
--- a/laurelrock/core/upstreams.py
+++ b/laurelrock/core/upstreams.py
@@ -36,8 +36,10 @@
 MAX_EJECT_S = 8.0
 #: Time over which a new or returned searcher gets its slots, in seconds.
 RAMP_S = 2.0
-#: Wait before a searcher that said it drains is asked again, in seconds.
+#: First and longest wait before the health of a searcher that drains is asked
+#: for, in seconds.
 DRAIN_RECHECK_S = 2.0
+MAX_DRAIN_RECHECK_S = 60.0
 #: Wait before a snapshot that a searcher lacked is asked again, in seconds.
 LACK_S = 0.5
 #: Weight of a call that only the searcher's report shows.
@@ -64,6 +66,9 @@
         ejections: In a row.
         ejected_until_s: End of the present ejection.
         closed_until_s: No new work before, by the searcher's own word.
+        draining: Whether it said so; no new work until its health differs.
+        drains: Times in a row that it said so, with no call run between.
+        recheck_at_s: When its health is asked for while it drains.
         ramp_from_s: Start of the ramp of the slots.
         lacks: Time until which a snapshot is not asked, by version.
         reported: Calls that the searcher's last report shows.
@@ -80,6 +85,9 @@
         self.ejections = 0
         self.ejected_until_s = 0.0
         self.closed_until_s = 0.0
+        self.draining = False
+        self.drains = 0
+        self.recheck_at_s = 0.0
         self.ramp_from_s = now_s
         self.lacks: dict[str, float] = {}
         self.reported = 0
@@ -100,6 +108,7 @@
         """Tells whether it takes new work at all."""
         return (
             self.searcher.state == "live"
+            and not self.draining
             and now_s >= self.closed_until_s
             and now_s >= self.ejected_until_s
         )
@@ -116,6 +125,7 @@
             slow: Whether `note_slow` was told of the call before.
         """
         self.note_alive(now_s)
+        self.drains = 0
         self.note_latency(latency_s)
         if slow:
             return
@@ -180,13 +190,25 @@
         """Notes a reply that says that nothing was run."""
         self.note_alive(now_s)
         if status == "draining":
-            self.closed_until_s = now_s + max(DRAIN_RECHECK_S, retry_s)
-            self.ramp_from_s = self.closed_until_s
+            self.note_draining(now_s)
         elif status == "shed":
             self.closed_until_s = now_s + min(retry_s, DRAIN_RECHECK_S)
         elif status in ("version-gone", "version-unknown"):
             self.lacks[snapshot] = now_s + LACK_S
 
+    def note_draining(self, now_s: float) -> None:
+        """Notes that it drains, by a reply or by its health."""
+        if not self.draining:
+            self.drains += 1
+        self.draining = True
+        wait_s = DRAIN_RECHECK_S * 2 ** (self.drains - 1)
+        self.recheck_at_s = now_s + min(wait_s, MAX_DRAIN_RECHECK_S)
+
+    def resumed(self, now_s: float) -> None:
+        """Notes that its health no longer says that it drains."""
+        self.draining = False
+        self.ramp_from_s = now_s
+
     def holds(self, snapshot: str, now_s: float) -> bool:
         """Tells whether it did not lately say that it lacks a snapshot."""
         return now_s >= self.lacks.get(snapshot, 0.0)
@@ -232,12 +254,17 @@
 ) -> list[Upstream]:
     """Returns the searchers that take a snapshot's work.
 
-    Where all of them are ejected, all that are not leaving are returned.
+    Where all of them are ejected, all that neither leave nor drain are
+    returned.
     """
     rows = [row for row in upstreams if row.searcher.state == "live"]
     working = [row for row in rows if row.takes_work(now_s)]
     if not working:
-        working = [row for row in rows if now_s >= row.closed_until_s]
+        working = [
+            row
+            for row in rows
+            if now_s >= row.closed_until_s and not row.draining
+        ]
     return [row for row in working if row.holds(snapshot, now_s)] or working
 
 
--- a/laurelrock/saverelay.py
+++ b/laurelrock/saverelay.py
@@ -30,6 +30,9 @@
 #: For which an idle connection is kept.
 KEEPALIVE_S = 1.0
 
+#: When to come back after a searcher that drains, in milliseconds.
+DRAIN_RETRY_MS = 1000.0
+
 _log = logs.get_logger(__name__)
 
 
@@ -169,8 +172,11 @@
             upstream.in_flight -= 1
             return _reply(save, "no", "deadline")
         try:
-            if not await self.probe(client, until_s):
+            state = await self.probe(client, until_s)
+            if state is None:
                 return _reply(save, "no", "no-connection")
+            if state == "draining":
+                return _reply(save, "no", "draining", DRAIN_RETRY_MS)
             left_s = until_s - asyncio.get_running_loop().time()
             if left_s <= 0:
                 return _reply(save, "no", "deadline")
@@ -181,8 +187,8 @@
 
     async def probe(
         self, client: searchers.HttpSearcher, until_s: float
-    ) -> bool:
-        """Tells whether the client's connection is open and answers.
+    ) -> str | None:
+        """Returns the searcher's state, or None where it does not answer.
 
         A searcher closes a connection over its limit at once, and an open
         one may be silent; a save sent on either would be unknown.
@@ -190,13 +196,12 @@
         left_s = until_s - asyncio.get_running_loop().time()
         limit_s = self.daemon.settings.relay.connect_timeout_ms / 1000
         try:
-            await client.state(min(limit_s, left_s / 2))
+            return await client.state(min(limit_s, left_s / 2))
         except errors.SearcherError as error:
             _log.warning(
                 "save-probe-failed", code=error.code, reason=error.message
             )
-            return False
-        return True
+            return None
 
     async def post(
         self,
--- a/laurelrock/warm.py
+++ b/laurelrock/warm.py
@@ -14,6 +14,7 @@
 from laurelrock.core import groups
 from laurelrock.core import members
 from laurelrock.core import ownership
+from laurelrock.core import upstreams
 
 __all__ = ["keep_warm"]
 
@@ -42,6 +43,8 @@
                 due_s[key] = loop.time() + REFRESH_S
                 for _ in range(count):
                     daemon.spawn(check(dispatcher, channel))
+        for channel in drained(dispatcher, loop.time()):
+            daemon.spawn(check(dispatcher, channel))
         await asyncio.sleep(LOOK_S)
 
 
@@ -55,7 +58,7 @@
         rank = rank_of(daemon, service, relays)
         for channel in pool.channels[service]:
             upstream = channel.upstream
-            if upstream.searcher.state != "live" or upstream.ejected:
+            if not upstream.takes_work(dispatcher.loop.time()):
                 continue
             if rank == 0:
                 rows.append((channel, upstream.searcher.slots + 1))
@@ -64,6 +67,18 @@
     return rows
 
 
+def drained(
+    dispatcher: dispatch.Dispatcher, now_s: float
+) -> list[pools.Channel]:
+    """Returns the draining searchers whose health is due."""
+    return [
+        channel
+        for service, pool in dispatcher.pools.items()
+        for channel in pool.channels[service]
+        if channel.upstream.draining and channel.upstream.recheck_at_s <= now_s
+    ]
+
+
 def rank_of(
     daemon: daemons.Daemon,
     service: groups.Service,
@@ -81,6 +96,8 @@
 ) -> None:
     """Makes one health call; a draining searcher gets no new work."""
     upstream = channel.upstream
+    now_s = dispatcher.loop.time()
+    upstream.recheck_at_s = now_s + upstreams.DRAIN_RECHECK_S
     try:
         state = await channel.client.state(HEALTH_TIMEOUT_S)
     except errors.SearcherError as error:
@@ -88,4 +105,7 @@
         _log.info("health-failed", code=error.code, reason=error.message)
         return
     if state == "draining":
-        upstream.refused("draining", "", 0.0, dispatcher.loop.time())
+        upstream.note_draining(dispatcher.loop.time())
+    elif upstream.draining:
+        upstream.resumed(dispatcher.loop.time())
+        _log.info("searcher-resumed", searcher=upstream.searcher.id)
