--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -33,6 +33,8 @@
 #: Longest wait for a process to be ready or to end, in seconds.
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
+#: Between two tries to take a deployment's lock, in seconds.
+LOCK_POLL_S = 0.2
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "examples"
@@ -293,7 +295,7 @@
     """
     with tempfile.TemporaryDirectory(prefix="laurelrock-") as folder:
         signal.signal(signal.SIGTERM, signal.default_int_handler)
-        lock = await asyncio.to_thread(take_lock, deployment)
+        lock = await take_lock(deployment)
         cluster = Cluster(deployment, pathlib.Path(folder), log_level, extra)
         try:
             await start_all(cluster)
@@ -303,13 +305,18 @@
             lock.close()
 
 
-def take_lock(deployment: Deployment) -> typing.IO[bytes]:
+async def take_lock(deployment: Deployment) -> typing.IO[bytes]:
     """Waits until nothing else runs at a deployment's addresses."""
     name = f"laurelrock-{deployment.platform.replace(':', '-')}.lock"
     path = pathlib.Path(tempfile.gettempdir()) / name
-    lock = open(path, "wb")  # noqa: SIM115
-    fcntl.flock(lock, fcntl.LOCK_EX)
-    return lock
+    lock = open(path, "wb")  # noqa: ASYNC230, SIM115
+    while True:
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            await asyncio.sleep(LOCK_POLL_S)
+        else:
+            return lock
 
 
 async def start_all(cluster: Cluster) -> None:
