Close a relay's connections to searchers that others own now

While rosters grow at the start, each relay in turn believes that it owns a service, warms its connections and keeps them for 60 s: 9 relays with 3 connections are over a searcher's limit of 25. Change: a relay that is neither owner nor stand-by releases idle connections; tests/test_searcher_client.py.

--- a/laurelrock/adapters/searcher.py
+++ b/laurelrock/adapters/searcher.py
@@ -229,6 +229,13 @@
         reason = str(error) or type(error).__name__
         return errors.SearcherError(f"{self.searcher.id}: {reason}", sent)
 
+    async def release(self) -> None:
+        old = self.session
+        self.session = self.connect()
+        if not self.in_use[old]:
+            del self.in_use[old]
+            await old.close()
+
     async def close(self) -> None:
         for session in {self.session, *self.in_use}:
             await session.close()
--- a/laurelrock/ports/searcher.py
+++ b/laurelrock/ports/searcher.py
@@ -83,5 +83,8 @@
     async def state(self, timeout_s: float) -> str:
         """Returns the state that it reports; raises `SearcherError`."""
 
+    async def release(self) -> None:
+        """Closes the idle connections; calls in flight keep theirs."""
+
     async def close(self) -> None:
         """Closes all connections."""
--- a/laurelrock/warm.py
+++ b/laurelrock/warm.py
@@ -34,6 +34,7 @@
     """Opens and refreshes connections until cancelled."""
     loop = asyncio.get_running_loop()
     due_s: dict[tuple[str, int], float] = {}
+    held: set[str] = set()
     while True:
         if daemon.manifest is not None:
             dispatcher.adopt(daemon.manifest)
@@ -43,6 +44,7 @@
                 due_s[key] = loop.time() + REFRESH_S
                 for _ in range(count):
                     daemon.spawn(check(dispatcher, channel))
+        await release(daemon, dispatcher, held)
         for channel in drained(dispatcher, loop.time()):
             daemon.spawn(check(dispatcher, channel))
         await asyncio.sleep(LOOK_S)
@@ -67,6 +69,29 @@
     return rows
 
 
+async def release(
+    daemon: daemons.Daemon, dispatcher: dispatch.Dispatcher, held: set[str]
+) -> None:
+    """Closes the connections to searchers that others own now.
+
+    Args:
+        daemon: Process that it runs in.
+        dispatcher: With the searchers' channels.
+        held: Addresses of the searchers that were owned; updated.
+    """
+    relays = daemon.relays(daemon.settings.vm.region)
+    for service, pool in dispatcher.pools.items():
+        owned = rank_of(daemon, service, relays) <= 1
+        for channel in pool.channels[service]:
+            address = channel.upstream.searcher.address
+            if owned:
+                held.add(address)
+            elif address in held and not channel.upstream.in_flight:
+                held.discard(address)
+                await channel.client.release()
+                _log.info("searcher-released", searcher=address)
+
+
 def drained(
     dispatcher: dispatch.Dispatcher, now_s: float
 ) -> list[pools.Channel]:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -98,6 +98,9 @@
     async def state(self, timeout_s):
         return "ready"
 
+    async def release(self):
+        pass
+
     async def close(self):
         pass
 
--- a/tests/test_searcher_client.py
+++ b/tests/test_searcher_client.py
@@ -76,6 +76,19 @@
         await self.search(2)
         self.assertEqual(self.stand_in.counts["connections"], 2)
 
+    async def test_release_closes_what_is_idle_and_ends_no_call(self):
+        await self.search(1)
+        await self.client.release()
+        await builders.until(lambda: not self.stand_in.connections)
+        self.behave(mean_ms=5000.0)
+        call = asyncio.create_task(self.search(2))
+        await builders.until(lambda: len(self.stand_in.running) == 1)
+        await self.client.release()
+        named = {"request_id": "q2", "start_id": "e1"}
+        await self.client.cancel([named], TIMEOUT_S)
+        [result] = await call
+        self.assertEqual(result["status"], "deadline")
+
     async def test_state(self):
         self.behave(state="draining")
         self.assertEqual(await self.client.state(TIMEOUT_S), "draining")
