--- a/laurelrock/adapters/metrics.py
+++ b/laurelrock/adapters/metrics.py
@@ -20,6 +20,9 @@
 
 Reader = collections.abc.Callable[[], float]
 RowsReader = collections.abc.Callable[[], dict[str, float]]
+Observer = collections.abc.Callable[
+    [metrics.CallbackOptions], list[metrics.Observation]
+]
 
 
 class Metrics(typing.NamedTuple):
@@ -30,48 +33,22 @@
 
     def counter(self, name: str, read: Reader, meaning: str) -> None:
         """Registers a counter whose value is read when it is exported."""
-
-        def observe(
-            options: metrics.CallbackOptions,
-        ) -> list[metrics.Observation]:
-            return [metrics.Observation(read())]
-
+        observe = _single(read)
         self.meter.create_observable_counter(name, [observe], "1", meaning)
 
     def counters(self, name: str, read: RowsReader, meaning: str) -> None:
         """Registers a family of counters, one a kind."""
-
-        def observe(
-            options: metrics.CallbackOptions,
-        ) -> list[metrics.Observation]:
-            return [
-                metrics.Observation(value, {"kind": kind})
-                for kind, value in read().items()
-            ]
-
+        observe = _by_kind(read)
         self.meter.create_observable_counter(name, [observe], "1", meaning)
 
     def gauge(self, name: str, read: Reader, meaning: str) -> None:
         """Registers a gauge whose value is read when it is exported."""
-
-        def observe(
-            options: metrics.CallbackOptions,
-        ) -> list[metrics.Observation]:
-            return [metrics.Observation(read())]
-
+        observe = _single(read)
         self.meter.create_observable_gauge(name, [observe], "1", meaning)
 
     def gauges(self, name: str, read: RowsReader, meaning: str) -> None:
         """Registers a family of gauges, one a kind."""
-
-        def observe(
-            options: metrics.CallbackOptions,
-        ) -> list[metrics.Observation]:
-            return [
-                metrics.Observation(value, {"kind": kind})
-                for kind, value in read().items()
-            ]
-
+        observe = _by_kind(read)
         self.meter.create_observable_gauge(name, [observe], "1", meaning)
 
     def histogram(self, name: str, meaning: str) -> metrics.Histogram:
@@ -96,3 +73,24 @@
     )
     provider = sdk.MeterProvider([reader], resource=resource)
     return Metrics(provider, provider.get_meter("laurelrock"))
+
+
+def _single(read: Reader) -> Observer:
+    """Returns a callback that observes one value."""
+
+    def observe(options: metrics.CallbackOptions) -> list[metrics.Observation]:
+        return [metrics.Observation(read())]
+
+    return observe
+
+
+def _by_kind(read: RowsReader) -> Observer:
+    """Returns a callback that observes one value a kind."""
+
+    def observe(options: metrics.CallbackOptions) -> list[metrics.Observation]:
+        return [
+            metrics.Observation(value, {"kind": kind})
+            for kind, value in read().items()
+        ]
+
+    return observe
