Serve the users' platform by a gateway, one process a VM

Cause: the users' machines could not start laurelrock; no deploy file and no adapter. Ruled out for now: the two-process form (entry and relay), which costs a second process's memory a VM and a hop that 9 VMs don't need.

--- a/laurelrock/adapters/logs.py
+++ b/laurelrock/adapters/logs.py
@@ -12,11 +12,14 @@
 Logger = typing.Any
 
 
-def configure(level: str, **fields: str) -> None:
+def configure(
+    level: str, stream: typing.BinaryIO | None = None, **fields: str
+) -> None:
     """Sets up the logs of this process.
 
     Args:
         level: Least level that is written.
+        stream: That takes the lines; standard error where not given.
         **fields: Added to every line, such as the VM's name.
     """
     processors: list[typing.Any] = [
@@ -30,7 +33,9 @@
     structlog.configure(
         processors=processors,
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.BytesLoggerFactory(file=sys.stderr.buffer),
+        logger_factory=structlog.BytesLoggerFactory(
+            file=stream or sys.stderr.buffer
+        ),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(**fields)
--- a/laurelrock/commands/_mapping.py
+++ b/laurelrock/commands/_mapping.py
@@ -5,6 +5,10 @@
         "laurelrock.commands.entry",
         "Runs the role that callers ask.",
     ),
+    "gateway": (
+        "laurelrock.commands.gateway",
+        "Runs the role that serves callers on the users' platform.",
+    ),
     "publish": (
         "laurelrock.commands.publish",
         "Puts a manifest in force at every daemon.",
--- /dev/null
+++ b/laurelrock/core/repeats.py
@@ -0,0 +1,108 @@
+"""Repeats: a budget for second calls that holds over all VMs.
+
+A service may get, in any window, a fraction of its requests and a fixed
+allowance as extra calls, summed over all VMs. Each VM uses the fraction of
+its own requests and its part of the allowance, so that no message is needed:
+the parts add up to the whole whichever VMs can talk.
+"""
+
+import collections
+import typing
+
+__all__ = ["Budget", "Rule", "create_budget"]
+
+#: Steps in which a window slides.
+STEPS = 10
+#: Part of the whole budget that is used; the rest covers clocks that start
+#: their steps at different moments, and processes that began anew and have
+#: forgotten what they used.
+SAFETY = 0.6
+#: Fewest VMs that the allowance is divided by.
+LEAST_VMS = 4
+
+
+class Rule(typing.NamedTuple):
+    """What operators allow.
+
+    Attributes:
+        fraction: Extra calls for each request.
+        allowance: Extra calls of a service in a window, besides.
+        window_s: Length of the window.
+    """
+
+    fraction: float = 0.1
+    allowance: float = 10.0
+    window_s: float = 10.0
+
+
+class Usage:
+    """Requests and extra calls of one service, by step."""
+
+    def __init__(self) -> None:
+        self.steps: collections.deque[list[int]] = collections.deque()
+
+    def at(self, step: int) -> list[int]:
+        """Returns the counts of a step: its number, requests, extras."""
+        if not self.steps or self.steps[-1][0] != step:
+            self.steps.append([step, 0, 0])
+            while self.steps[0][0] < step - STEPS:
+                self.steps.popleft()
+        return self.steps[-1]
+
+    def totals(self, step: int) -> tuple[int, int]:
+        """Returns the requests and extras of the window that ends now."""
+        rows = [row for row in self.steps if row[0] >= step - STEPS]
+        return sum(row[1] for row in rows), sum(row[2] for row in rows)
+
+
+class Budget:
+    """Extra calls of all services from this VM.
+
+    Attributes:
+        rule: For all VMs together.
+        vms: That share the allowance.
+        usage: By service.
+    """
+
+    def __init__(self, rule: Rule) -> None:
+        self.rule = rule
+        self.vms = LEAST_VMS
+        self.usage: dict[str, Usage] = {}
+
+    def set_vms(self, count: int) -> None:
+        """Notes how many VMs share the allowance."""
+        self.vms = max(LEAST_VMS, count)
+
+    def request(self, service: str, now_s: float) -> None:
+        """Notes a request's first call."""
+        self._at(service, now_s)[1] += 1
+
+    def left(self, service: str, now_s: float) -> float:
+        """Returns the extra calls that a service may get now."""
+        step = self._step(now_s)
+        usage = self.usage.get(service)
+        requests, extras = usage.totals(step) if usage else (0, 0)
+        allowed = self.rule.fraction * requests
+        allowed += self.rule.allowance / self.vms
+        return SAFETY * allowed - extras
+
+    def take(self, service: str, now_s: float) -> bool:
+        """Takes one extra call; False where none is left."""
+        if self.left(service, now_s) < 1.0:
+            return False
+        self._at(service, now_s)[2] += 1
+        return True
+
+    def _step(self, now_s: float) -> int:
+        return int(now_s * STEPS / self.rule.window_s)
+
+    def _at(self, service: str, now_s: float) -> list[int]:
+        usage = self.usage.get(service)
+        if usage is None:
+            usage = self.usage[service] = Usage()
+        return usage.at(self._step(now_s))
+
+
+def create_budget(rule: Rule) -> Budget:
+    """Returns an unused budget."""
+    return Budget(rule)
--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -327,3 +327,39 @@
     """A write may or may not have taken effect, and time ran out."""
 
     code = "write-unsettled"
+
+
+class ConnectError(LaurelrockError):
+    """No connection to an upstream; nothing was sent."""
+
+    code = "connect-failed"
+
+
+class CallBrokenError(LaurelrockError):
+    """A connection ended before the answer; the call may have run."""
+
+    code = "call-broken"
+
+
+class CallGarbledError(CallBrokenError):
+    """What came back is no answer to the call, which may have run."""
+
+    code = "call-garbled"
+
+
+class StoreError(LaurelrockError):
+    """The platform's store gave no usable answer."""
+
+    code = "store-failed"
+
+
+class StoreHistoryError(StoreError):
+    """The store no longer holds the changes since a revision."""
+
+    code = "store-history-lost"
+
+
+class FieldError(StoreError):
+    """An object of the platform's store lacks a field or has a bad one."""
+
+    code = "field-invalid"
--- /dev/null
+++ b/laurelrock/gateways/calls.py
@@ -0,0 +1,254 @@
+"""Calls: one request at one searcher, and what its end means."""
+
+import asyncio
+import collections.abc
+import enum
+import typing
+
+from laurelrock import errors
+from laurelrock.adapters import http_client
+from laurelrock.adapters import http_server
+from laurelrock.adapters import http_wire
+from laurelrock.adapters import logs
+from laurelrock.core import routes
+from laurelrock.gateways import upstreams
+from laurelrock.ports import wire
+
+__all__ = ["Calls", "Ended", "Fate", "Flight", "Work", "create_calls"]
+
+#: Time that a call nobody waits for may go on, in seconds. Most end by
+#: themselves; closing its connection costs the searcher a new one.
+LINGER_S = 0.25
+#: Interval at which calls that are over their time are ended, in seconds.
+SWEEP_S = 0.05
+#: Time over a call's own limit after which it is ended, in seconds.
+OVER_S = 0.15
+
+_log = logs.get_logger(__name__)
+
+
+class Work(typing.NamedTuple):
+    """A caller's request, as searchers get it.
+
+    Attributes:
+        request: From the caller.
+        ticket: What the caller said of it.
+        route: Taken when the request began.
+        version: Of the configuration that holds the route.
+        head: Header lines that all its calls share.
+        end_s: Loop time at which the caller, or the route, gives up.
+    """
+
+    request: http_server.Request
+    ticket: wire.Ticket
+    route: routes.Route
+    version: int
+    head: bytes
+    end_s: float
+
+
+class Fate(enum.Enum):
+    """How a call ended."""
+
+    ANSWERED = "answered"
+    ERRED = "erred"
+    NOT_RUN = "not-run"
+    UNSENT = "unsent"
+    BROKEN = "broken"
+
+
+class Ended(typing.NamedTuple):
+    """The end of a call.
+
+    Attributes:
+        fate: What it means for the request.
+        reply: The searcher's answer, with ANSWERED and ERRED.
+        proof: Of the answer.
+        reason: For logs.
+    """
+
+    fate: Fate
+    reply: http_client.Reply | None = None
+    proof: bytes = b""
+    reason: str = ""
+
+
+class Flight:
+    """A call without an end yet.
+
+    Attributes:
+        upstream: That was asked.
+        kind: Name of the route, under which its latency counts.
+        call: On a connection, or waiting for one.
+        number: Of the call at the searcher.
+        begun_s: Loop time.
+        limit_s: Loop time at which it is ended.
+        ended: Told of the end, unless nobody waits.
+    """
+
+    def __init__(
+        self,
+        upstream: upstreams.Upstream,
+        kind: str,
+        call: http_client.Call,
+        begun_s: float,
+        limit_s: float,
+        ended: collections.abc.Callable[["Flight", Ended], None],
+    ) -> None:
+        self.upstream = upstream
+        self.kind = kind
+        self.call = call
+        self.number = upstream.replica.begin(begun_s)
+        self.begun_s = begun_s
+        self.limit_s = limit_s
+        self.ended: collections.abc.Callable[[Flight, Ended], None] | None = (
+            ended
+        )
+
+    def abandon(self, now_s: float) -> None:
+        """Notes that nobody waits for the call any more."""
+        self.ended = None
+        if not self.call.sent:
+            self.call.withdraw()
+        self.limit_s = min(self.limit_s, now_s + LINGER_S)
+
+
+class Calls:
+    """All calls in flight.
+
+    Attributes:
+        platform: Headers of the calls.
+        upstreams: That are called.
+        flights: Without an end, the oldest first.
+        counts: Ends by fate, for the metrics.
+    """
+
+    def __init__(self, platform: wire.Wire, known: upstreams.Upstreams) -> None:
+        self.platform = platform
+        self.upstreams = known
+        self.loop = asyncio.get_running_loop()
+        self.flights: dict[Flight, None] = {}
+        self.counts: dict[str, int] = {fate.value: 0 for fate in Fate}
+
+    def begin(
+        self,
+        work: Work,
+        upstream: upstreams.Upstream,
+        ended: collections.abc.Callable[[Flight, Ended], None],
+    ) -> Flight:
+        """Sends a request to a searcher.
+
+        Args:
+            work: The request.
+            upstream: To be asked.
+            ended: Called once with the end, not from within `begin`.
+        """
+        request = work.request
+        searcher = upstream.searcher.id
+        request_id = work.ticket.request_id
+
+        def encode() -> bytes:
+            left_s = work.end_s - self.loop.time()
+            target = self.platform.encode_target(searcher, left_s)
+            return http_wire.encode_request(
+                request.method, request.target, work.head + target, request.body
+            )
+
+        def accept(headers: http_wire.Headers) -> bool:
+            found = self.platform.read_facts(0, headers).request_id
+            return found is None or found == request_id
+
+        call = upstream.client.call(
+            encode,
+            accept,
+            bodiless=request.method == b"HEAD",
+        )
+        now_s = self.loop.time()
+        flight = Flight(
+            upstream, work.route.name, call, now_s, work.end_s + OVER_S, ended
+        )
+        self.flights[flight] = None
+        call.future.add_done_callback(
+            lambda future: self.settle(flight, future)
+        )
+        return flight
+
+    def settle(
+        self, flight: Flight, future: asyncio.Future[http_client.Reply]
+    ) -> None:
+        """Learns from the end of a call and passes it on."""
+        self.flights.pop(flight, None)
+        flight.upstream.replica.end(flight.number)
+        ended = self.judge(flight, future)
+        self.counts[ended.fate.value] += 1
+        self.learn(flight, ended)
+        if flight.ended is not None:
+            flight.ended(flight, ended)
+
+    def judge(
+        self, flight: Flight, future: asyncio.Future[http_client.Reply]
+    ) -> Ended:
+        """Tells what the end of a call means."""
+        if future.cancelled():
+            fate = Fate.BROKEN if flight.call.sent else Fate.UNSENT
+            return Ended(fate, reason="withdrawn")
+        error = future.exception()
+        if isinstance(error, errors.ConnectError):
+            return Ended(Fate.UNSENT, reason=error.message)
+        if isinstance(error, errors.LaurelrockError):
+            return Ended(Fate.BROKEN, reason=f"{error.code}: {error.message}")
+        if error is not None:
+            raise error
+        reply = future.result()
+        facts = self.platform.read_facts(reply.status, reply.headers)
+        replica = flight.upstream.replica
+        if facts.load is not None:
+            replica.report(*facts.load, self.loop.time())
+        if facts.misplaced:
+            replica.misplaced = True
+        if facts.not_run:
+            return Ended(Fate.NOT_RUN, reason=f"status {reply.status}")
+        success = 200 <= reply.status < 300
+        if success and (facts.proof is None or facts.encoded):
+            return Ended(Fate.BROKEN, reason="no proof, or an encoded body")
+        fate = Fate.ANSWERED if reply.status < 500 else Fate.ERRED
+        return Ended(fate, reply, facts.proof or b"", f"status {reply.status}")
+
+    def learn(self, flight: Flight, ended: Ended) -> None:
+        """Updates what is known of the searcher."""
+        replica = flight.upstream.replica
+        now_s = self.loop.time()
+        if ended.fate is Fate.ANSWERED:
+            sent_s = flight.call.began_s or flight.begun_s
+            typical = self.upstreams.typical[flight.kind]
+            typical.note(now_s - sent_s)
+            replica.answered(now_s - sent_s, typical, now_s)
+        elif ended.fate is Fate.ERRED:
+            replica.erred()
+        elif ended.fate is Fate.NOT_RUN:
+            replica.full(now_s)
+        elif ended.reason == "withdrawn" and not flight.call.sent:
+            return
+        elif replica.failed(now_s):
+            _log.warning(
+                "searcher-ejected",
+                searcher=replica.searcher.id,
+                reason=ended.reason,
+                failures=replica.failures,
+                for_ms=round((replica.ejected_until_s - now_s) * 1000),
+            )
+
+    def sweep(self) -> None:
+        """Ends the calls that are over their time."""
+        now_s = self.loop.time()
+        late = [row for row in self.flights if now_s > row.limit_s]
+        for flight in late:
+            flight.call.withdraw()
+        self.loop.call_later(SWEEP_S, self.sweep)
+
+
+def create_calls(platform: wire.Wire, known: upstreams.Upstreams) -> Calls:
+    """Returns the state with no call in flight; starts its sweep."""
+    calls = Calls(platform, known)
+    calls.sweep()
+    return calls
--- /dev/null
+++ b/laurelrock/gateways/deployment.py
@@ -0,0 +1,39 @@
+"""Deployment: what a gateway's process is told at its start."""
+
+import typing
+
+from laurelrock.core import repeats
+
+__all__ = ["Deployment"]
+
+Address = tuple[str, int]
+
+
+class Deployment(typing.NamedTuple):
+    """Checked settings.
+
+    Attributes:
+        vm: Name of this VM.
+        address: IPv4 number of this VM.
+        failure_domain: Where it runs.
+        region: Of the failure domain.
+        callers: Where callers connect.
+        readiness: Where the balancer asks whether callers may come.
+        ports: First and last port free for the project's own use.
+        store: The platform's store.
+        repeats: Bounds of extra calls, over all VMs.
+        grace_s: From SIGTERM until the process is killed.
+        contact_s: Silence after which a connection is given up.
+    """
+
+    vm: str
+    address: str
+    failure_domain: str
+    region: str
+    callers: Address
+    readiness: Address
+    ports: tuple[int, int]
+    store: Address
+    repeats: repeats.Rule
+    grace_s: float
+    contact_s: float
--- /dev/null
+++ b/laurelrock/gateways/following.py
@@ -0,0 +1,228 @@
+"""Following: the configuration and the searchers, as the platform has them.
+
+Two long polls follow the platform. A poll that ends without an answer, or
+finds that changes were missed, starts with a whole read. A configuration
+older than the one in force is never taken.
+"""
+
+import asyncio
+import collections.abc
+import random
+import typing
+
+from laurelrock import errors
+from laurelrock.adapters import logs
+from laurelrock.core import registry
+from laurelrock.core import retry
+from laurelrock.core import routes
+from laurelrock.gateways import upstreams
+from laurelrock.ports import directory
+
+__all__ = ["Following", "open_following"]
+
+#: Longest wait of a poll, as a part of the silence after which this VM counts
+#: as out of touch; a poll on a silent connection ends within that time.
+WAIT_FRACTION = 0.6
+#: Interval at which entries kept after an outage are looked at, in seconds.
+EXPIRE_S = 0.25
+#: Interval at which the list of VMs is read, in seconds.
+VMS_S = 5.0
+#: Wait after the start before that list is read first, in seconds; all VMs
+#: of a new deployment have announced themselves by then.
+FIRST_VMS_S = 1.5
+
+_log = logs.get_logger(__name__)
+
+
+class Link(typing.NamedTuple):
+    """What a poll does.
+
+    Attributes:
+        name: For logs.
+        read: Reads everything; returns the revision.
+        watch: Waits for changes after a revision; returns the next one.
+    """
+
+    name: str
+    read: collections.abc.Callable[
+        [], collections.abc.Coroutine[typing.Any, typing.Any, int]
+    ]
+    watch: collections.abc.Callable[
+        [int], collections.abc.Coroutine[typing.Any, typing.Any, int]
+    ]
+
+
+class Following:
+    """State of what is followed.
+
+    Attributes:
+        source: The platform.
+        me: This VM's row in the list of VMs.
+        known: Searchers with their connections.
+        registry: Entries of searchers.
+        table: Routes in force; None before the first configuration.
+        taken_s: Loop time at which they were taken.
+        listed: Whether the searchers were read once.
+        changed: Called with each new configuration.
+        vms_changed: Called with the number of VMs.
+        down: Names of the polls that get no answer.
+    """
+
+    def __init__(
+        self,
+        source: directory.Directory,
+        me: directory.VmRow,
+        known: upstreams.Upstreams,
+        wait_s: float,
+        changed: collections.abc.Callable[[routes.Configuration], None],
+        vms_changed: collections.abc.Callable[[int], None],
+    ) -> None:
+        self.source = source
+        self.me = me
+        self.known = known
+        self.wait_s = wait_s
+        self.registry = registry.create_registry()
+        self.table: routes.Table | None = None
+        self.taken_s = 0.0
+        self.listed = False
+        self.changed = changed
+        self.vms_changed = vms_changed
+        self.down: set[str] = set()
+        self.loop = asyncio.get_running_loop()
+
+    def take(self, configuration: routes.Configuration | None) -> None:
+        """Puts a configuration in force, unless an equal or newer one is."""
+        if configuration is None:
+            return
+        version = configuration.version
+        present = self.table.configuration.version if self.table else None
+        if present is not None and version <= present:
+            if version < present:
+                _log.warning(
+                    "configuration-older", version=version, present=present
+                )
+            return
+        self.table = routes.create_table(configuration)
+        self.taken_s = self.loop.time()
+        _log.info(
+            "configuration-taken",
+            version=version,
+            before=present,
+            routes=len(configuration.routes),
+        )
+        self.known.configure(configuration)
+        self.changed(configuration)
+
+    def apply(self, changes: list[registry.Change]) -> None:
+        """Hands changes of the registry to the searchers."""
+        self.known.apply(changes, self.loop.time())
+
+    async def read_configuration(self) -> int:
+        """Reads the configuration."""
+        found = await self.source.read_configuration()
+        self.take(found.configuration)
+        return found.revision
+
+    async def watch_configuration(self, revision: int) -> int:
+        """Waits for a newer configuration."""
+        if not revision:
+            await asyncio.sleep(retry.pause_s(1, random.random()))
+            return await self.read_configuration()
+        found = await self.source.watch_configuration(revision, self.wait_s)
+        self.take(found.configuration)
+        return found.revision
+
+    async def read_searchers(self) -> int:
+        """Reads the entries of all searchers."""
+        found = await self.source.read_searchers()
+        self.apply(self.registry.replace(found.rows, self.loop.time()))
+        self.listed = True
+        return found.revision
+
+    async def watch_searchers(self, revision: int) -> int:
+        """Waits for changed entries."""
+        found = await self.source.watch_searchers(revision, self.wait_s)
+        self.apply(self.registry.apply(found.rows, self.loop.time()))
+        return found.revision
+
+    async def follow(self, link: Link) -> None:
+        """Polls for ever."""
+        revision, attempt = None, 0
+        while True:
+            try:
+                if revision is None:
+                    revision = await link.read()
+                else:
+                    revision = await link.watch(revision)
+            except errors.StoreHistoryError as error:
+                _log.info("history-lost", link=link.name, reason=error.message)
+                revision = None
+            except errors.StoreError as error:
+                self.lost(link, error)
+                revision = None
+                await asyncio.sleep(retry.pause_s(attempt, random.random()))
+                attempt += 1
+            else:
+                attempt = 0
+                self.regained(link)
+
+    def lost(self, link: Link, error: errors.StoreError) -> None:
+        """Notes a poll without an answer."""
+        if link.name in self.down:
+            return
+        self.down.add(link.name)
+        _log.warning("platform-lost", link=link.name, reason=error.message)
+
+    def regained(self, link: Link) -> None:
+        """Notes a poll that was answered."""
+        if link.name in self.down:
+            self.down.discard(link.name)
+            _log.info("platform-regained", link=link.name)
+
+    async def expire(self) -> None:
+        """Drops the entries that an outage explains no longer."""
+        while True:
+            await asyncio.sleep(EXPIRE_S)
+            self.apply(self.registry.expire(self.loop.time()))
+
+    async def count_vms(self) -> None:
+        """Announces this VM and counts all."""
+        attempt = 0
+        announced = False
+        await asyncio.sleep(random.random() / 2)
+        while True:
+            try:
+                if not announced:
+                    await self.source.announce(self.me)
+                    announced = True
+                    await asyncio.sleep(FIRST_VMS_S)
+                rows = await self.source.read_vms()
+            except errors.StoreError as error:
+                _log.info("vms-unknown", reason=error.message)
+                await asyncio.sleep(retry.pause_s(attempt, random.random()))
+                attempt += 1
+                continue
+            attempt = 0
+            if rows:
+                self.vms_changed(len(rows))
+            await asyncio.sleep(VMS_S)
+
+
+def open_following(
+    following: Following,
+) -> list[collections.abc.Coroutine[typing.Any, typing.Any, None]]:
+    """Returns the work that keeps the state up to date."""
+    configuration = Link(
+        "configuration",
+        following.read_configuration,
+        following.watch_configuration,
+    )
+    searchers = Link(
+        "searchers", following.read_searchers, following.watch_searchers
+    )
+    return [
+        following.follow(configuration),
+        following.follow(searchers),
+        following.expire(),
+        following.count_vms(),
+    ]
--- /dev/null
+++ b/laurelrock/gateways/gateway.py
@@ -0,0 +1,303 @@
+"""Gateway: the process that serves the callers of one VM."""
+
+import asyncio
+import collections
+import collections.abc
+import random
+import signal
+import typing
+
+from laurelrock.adapters import http_server
+from laurelrock.adapters import http_wire
+from laurelrock.adapters import logs
+from laurelrock.core import gathering
+from laurelrock.core import repeats
+from laurelrock.core import routes
+from laurelrock.gateways import calls
+from laurelrock.gateways import deployment
+from laurelrock.gateways import following
+from laurelrock.gateways import parts
+from laurelrock.gateways import queries
+from laurelrock.gateways import upstreams
+from laurelrock.ports import directory
+from laurelrock.ports import wire
+
+__all__ = ["Gateway", "open_gateway", "run"]
+
+#: Time for which a process that stops takes new connections, in seconds: the
+#: balancer asks once a second and needs two misses.
+NOTICE_S = 2.6
+#: Part of the grace period that requests in hand may use.
+GRACE_FRACTION = 0.93
+#: Interval at which a stopping process looks for requests in hand, in seconds.
+DRAIN_LOOK_S = 0.05
+#: Time until a refused caller may come back, in seconds: searchers are back,
+#: or another VM has the route, in about this time.
+COME_BACK_S = 0.3
+#: Time for a refused caller where the VM knows no configuration, in seconds.
+NO_ROUTES_S = 0.5
+
+_log = logs.get_logger(__name__)
+
+
+class Gateway:
+    """State of one process.
+
+    Attributes:
+        deployment: Settings.
+        platform: Headers of callers and searchers.
+        source: The platform's store.
+        known: Searchers.
+        calls: In flight.
+        budget: Of repeats.
+        placement: Of calls.
+        split: Shares of routes with several services.
+        following: Configuration and registry.
+        servers: Ports for callers and for readiness.
+        counts: Answers by outcome.
+        stopping_s: Loop time of SIGTERM; 0 before.
+        tasks: Background work.
+    """
+
+    def __init__(
+        self,
+        options: deployment.Deployment,
+        platform: wire.Wire,
+        source: directory.Directory,
+    ) -> None:
+        self.deployment = options
+        self.platform = platform
+        self.source = source
+        self.loop = asyncio.get_running_loop()
+        self.known = upstreams.create_upstreams(options.failure_domain)
+        self.calls = calls.create_calls(platform, self.known)
+        self.budget = repeats.create_budget(options.repeats)
+        self.placement = parts.Placement(self.calls, self.known, self.budget)
+        self.split = routes.Split()
+        me = directory.VmRow(
+            vm=options.vm,
+            failure_domain=options.failure_domain,
+            address=options.address,
+        )
+        self.following = following.Following(
+            source,
+            me,
+            self.known,
+            options.contact_s * following.WAIT_FRACTION,
+            self.configured,
+            self.count_vms,
+        )
+        self.servers: list[http_server.Server] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.stopping_s = 0.0
+        self.tasks: set[asyncio.Task[typing.Any]] = set()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return (
+            self.following.table is not None
+            and self.following.listed
+            and not self.stopping_s
+        )
+
+    def spawn(
+        self,
+        work: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any],
+    ) -> None:
+        """Runs work in the background."""
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def configured(self, configuration: routes.Configuration) -> None:
+        """Takes a new configuration's limits and searchers."""
+        self.split.keep(configuration.routes)
+        if self.servers:
+            self.servers[0].limits = configuration.limits
+        used = {
+            name
+            for route in configuration.routes
+            for name in [*route.shards, *(row.service for row in route.parts)]
+        }
+        self.spawn(self.known.warm(sorted(used)))
+
+    def count_vms(self, count: int) -> None:
+        """Takes the number of VMs that share budgets and connections."""
+        if count != self.known.vms:
+            _log.info("vms-counted", count=count, before=self.known.vms)
+        self.known.set_vms(count)
+        self.budget.set_vms(count)
+
+    async def answer_readiness(
+        self, request: http_server.Request
+    ) -> http_server.Answer:
+        """Answers the balancer."""
+        return http_server.Answer(200 if self.ready else 503, [])
+
+    async def answer(self, request: http_server.Request) -> http_server.Answer:
+        """Answers a caller."""
+        ticket = self.platform.read_ticket(request.headers)
+        table = self.following.table
+        if table is None or not self.following.listed:
+            return self.refuse(ticket, 503, "no configuration", NO_ROUTES_S)
+        host = http_wire.value_of(request.headers, b"host") or b""
+        target = request.target.decode("latin-1")
+        route = routes.find(table, host.decode("latin-1"), target)
+        if route is None:
+            return self.refuse(ticket, 404, f"no route for {host!r} {target}")
+        work = self.create_work(request, ticket, route, table)
+        try:
+            outcome = await self.run_work(work)
+        except asyncio.CancelledError:
+            self.note(work, queries.Outcome("failed", 0, reason="caller left"))
+            raise
+        self.note(work, outcome)
+        return self.encode(work, outcome)
+
+    def create_work(
+        self,
+        request: http_server.Request,
+        ticket: wire.Ticket,
+        route: routes.Route,
+        table: routes.Table,
+    ) -> calls.Work:
+        """Returns a request with what its calls need."""
+        patience_s = route.timeout_s
+        if ticket.patience_s is not None:
+            patience_s = min(patience_s, ticket.patience_s)
+        return calls.Work(
+            request,
+            ticket,
+            route,
+            table.configuration.version,
+            self.platform.encode_head(request.headers, ticket),
+            request.received_s + patience_s,
+        )
+
+    async def run_work(self, work: calls.Work) -> queries.Outcome:
+        """Runs a request at its searchers."""
+        if work.route.shards:
+            asked_s = work.request.received_s
+            return await queries.gather(work, self.placement, asked_s)
+        service = self.split.next(work.route)
+        return await queries.single(work, service, self.placement)
+
+    def encode(
+        self, work: calls.Work, outcome: queries.Outcome
+    ) -> http_server.Answer:
+        """Returns the answer to a caller."""
+        if outcome.reply is not None:
+            reply = outcome.reply
+            headers = self.platform.passed_on(reply.headers)
+            return http_server.Answer(reply.status, headers, reply.body)
+        if outcome.status == 200:
+            missing = outcome.shards - len(outcome.proofs)
+            headers = self.platform.gathered(
+                work.ticket, list(outcome.proofs), missing
+            )
+            body = gathering.greatest(outcome.bodies, work.route.top)
+            return http_server.Answer(200, headers, body)
+        headers = self.platform.refused(work.ticket)
+        if outcome.status == 503:
+            headers.append(come_back(COME_BACK_S))
+        return http_server.Answer(outcome.status, headers)
+
+    def refuse(
+        self, ticket: wire.Ticket, status: int, reason: str, back_s: float = 0
+    ) -> http_server.Answer:
+        """Refuses a request that no searcher was asked for."""
+        self.counts[f"refused-{status}"] += 1
+        _log.info(
+            "request-refused",
+            request=ticket.request_id.decode("latin-1"),
+            status=status,
+            reason=reason,
+        )
+        headers = self.platform.refused(ticket)
+        if back_s:
+            headers.append(come_back(back_s))
+        return http_server.Answer(status, headers)
+
+    def note(self, work: calls.Work, outcome: queries.Outcome) -> None:
+        """Counts and logs the end of a request."""
+        self.counts[outcome.kind] += 1
+        elapsed_s = self.loop.time() - work.request.received_s
+        _log.info(
+            "request",
+            request=work.ticket.request_id.decode("latin-1"),
+            route=work.route.name,
+            version=work.version,
+            outcome=outcome.kind,
+            status=outcome.status,
+            ms=round(elapsed_s * 1000, 1),
+            patience_ms=round((work.end_s - work.request.received_s) * 1000),
+            shards=outcome.shards,
+            included=len(outcome.proofs),
+            attempts=outcome.attempts,
+            reason=outcome.reason,
+        )
+
+    async def stop(self) -> None:
+        """Ends the process without cutting a request."""
+        self.stopping_s = begun_s = self.loop.time()
+        _log.info("stopping", in_hand=self.servers[0].busy)
+        for server in self.servers:
+            server.closing = True
+        end_s = begun_s + self.deployment.grace_s * GRACE_FRACTION
+        await asyncio.sleep(NOTICE_S)
+        self.servers[0].stop_listening()
+        self.servers[0].close_idle()
+        while self.servers[0].connections and self.loop.time() < end_s:
+            await asyncio.sleep(DRAIN_LOOK_S)
+            self.servers[0].close_idle()
+        _log.info(
+            "stopped",
+            in_hand=self.servers[0].busy,
+            after_ms=round((self.loop.time() - begun_s) * 1000),
+        )
+
+
+def come_back(seconds: float) -> tuple[bytes, bytes]:
+    """Returns the header with the time until a caller may come back.
+
+    The time is spread, so that callers refused together don't return
+    together.
+    """
+    spread_s = seconds * (0.75 + random.random() / 2)
+    return b"retry-after", b"%.2f" % spread_s
+
+
+async def open_gateway(gateway: Gateway) -> None:
+    """Opens the ports and begins to follow the platform."""
+    options = gateway.deployment
+    gateway.servers.append(
+        await http_server.open_server(
+            gateway.answer, options.callers, routes.Limits()
+        )
+    )
+    gateway.servers.append(
+        await http_server.open_server(
+            gateway.answer_readiness, options.readiness, routes.Limits()
+        )
+    )
+    for work in following.open_following(gateway.following):
+        gateway.spawn(work)
+
+
+async def run(
+    options: deployment.Deployment,
+    platform: wire.Wire,
+    source: directory.Directory,
+) -> None:
+    """Runs a gateway until SIGTERM."""
+    gateway = Gateway(options, platform, source)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gateway.loop.add_signal_handler(number, stop.set)
+    await open_gateway(gateway)
+    _log.info("started", callers=options.callers, domain=options.failure_domain)
+    await stop.wait()
+    await gateway.stop()
+    for task in list(gateway.tasks):
+        task.cancel()
--- /dev/null
+++ b/laurelrock/gateways/upstreams.py
@@ -0,0 +1,157 @@
+"""Upstreams: the searchers of all services, with their connections."""
+
+import asyncio
+import collections
+import collections.abc
+
+from laurelrock.adapters import http_client
+from laurelrock.adapters import logs
+from laurelrock.core import registry
+from laurelrock.core import replicas
+from laurelrock.core import routes
+
+__all__ = ["Upstream", "Upstreams", "create_upstreams"]
+
+#: Part of a searcher's connections that all VMs together open; the rest is
+#: for connections of processes that ended, which the searcher still counts.
+CONNECTION_SHARE = 0.8
+#: Most connections of one VM to one searcher.
+MAX_CONNECTIONS = 8
+#: Interval between connections that are opened ahead of need, in seconds.
+WARM_S = 0.02
+
+_log = logs.get_logger(__name__)
+
+
+class Upstream:
+    """One searcher: what is known of it, and its connections."""
+
+    def __init__(
+        self, replica: replicas.Replica, client: http_client.Client
+    ) -> None:
+        self.replica = replica
+        self.client = client
+
+    @property
+    def searcher(self) -> registry.Searcher:
+        """Its entry in the registry."""
+        return self.replica.searcher
+
+
+class Upstreams:
+    """State of all searchers.
+
+    Attributes:
+        failure_domain: Of this VM.
+        vms: That call the searchers.
+        services: Configured, by name.
+        by_id: All searchers.
+        by_service: The same, by service and id.
+        typical: Latencies by kind of call.
+        opened: Connections opened to searchers that are gone.
+    """
+
+    def __init__(self, failure_domain: str) -> None:
+        self.failure_domain = failure_domain
+        self.vms = 0
+        self.services: dict[str, routes.Service] = {}
+        self.by_id: dict[str, Upstream] = {}
+        self.by_service: dict[str, dict[str, Upstream]] = (
+            collections.defaultdict(dict)
+        )
+        self.typical: dict[str, replicas.Typical] = collections.defaultdict(
+            replicas.Typical
+        )
+        self.opened = 0
+
+    def near(self, replica: replicas.Replica) -> bool:
+        """Tells whether a searcher is in this VM's failure domain."""
+        return replica.searcher.failure_domain == self.failure_domain
+
+    def of(self, service: str) -> collections.abc.Iterable[Upstream]:
+        """Returns the searchers of a service."""
+        return self.by_service.get(service, {}).values()
+
+    def limit(self, service: str) -> int:
+        """Returns the connections to one searcher of a service."""
+        configured = self.services.get(service, routes.Service())
+        share = configured.connections * CONNECTION_SHARE / max(1, self.vms)
+        return max(1, min(MAX_CONNECTIONS, int(share)))
+
+    def configure(self, configuration: routes.Configuration) -> None:
+        """Takes the services of a configuration."""
+        self.services = configuration.services
+        self.set_vms(self.vms)
+
+    def set_vms(self, count: int) -> None:
+        """Notes how many VMs share the searchers' connections."""
+        self.vms = count
+        for upstream in self.by_id.values():
+            upstream.client.limit = self.limit(upstream.searcher.service)
+
+    def apply(
+        self,
+        changes: collections.abc.Iterable[registry.Change],
+        now_s: float,
+    ) -> None:
+        """Takes changes of the registry."""
+        for change in changes:
+            self.apply_one(change, now_s)
+
+    def apply_one(self, change: registry.Change, now_s: float) -> None:
+        known = self.by_id.get(change.id)
+        searcher = change.searcher
+        if known is not None and (
+            searcher is None or not same_start(known.searcher, searcher)
+        ):
+            self.remove(known)
+            known = None
+        if searcher is None:
+            _log.info("searcher-gone", searcher=change.id)
+            return
+        _log.info(
+            "searcher-known",
+            searcher=searcher.id,
+            service=searcher.service,
+            state=searcher.state,
+            warm_up_ms=round(searcher.warm_up_s * 1000),
+        )
+        if known is not None:
+            known.replica.searcher = searcher
+            known.replica.cold_until_s = now_s + searcher.warm_up_s
+            return
+        client = http_client.open_client(
+            searcher.address, self.limit(searcher.service)
+        )
+        upstream = Upstream(replicas.create_replica(searcher, now_s), client)
+        self.by_id[searcher.id] = upstream
+        self.by_service[searcher.service][searcher.id] = upstream
+
+    def remove(self, upstream: Upstream) -> None:
+        """Forgets a searcher; its calls in flight go on."""
+        upstream.client.close()
+        self.opened += upstream.client.opened
+        del self.by_id[upstream.searcher.id]
+        del self.by_service[upstream.searcher.service][upstream.searcher.id]
+
+    async def warm(self, names: collections.abc.Iterable[str]) -> None:
+        """Opens a first connection to each searcher of some services."""
+        for name in names:
+            for upstream in list(self.of(name)):
+                if not upstream.client.connections:
+                    upstream.client.warm()
+                    await asyncio.sleep(WARM_S)
+
+
+def same_start(one: registry.Searcher, other: registry.Searcher) -> bool:
+    """Tells whether two entries speak of one start of a searcher."""
+    return (one.born_ms, one.service, one.address) == (
+        other.born_ms,
+        other.service,
+        other.address,
+    )
+
+
+def create_upstreams(failure_domain: str) -> Upstreams:
+    """Returns the state with no searcher known."""
+    return Upstreams(failure_domain)
