Send partial answers 10 ms before the objective

Ruled out: missing searchers (18 of 20 shards were in, the least is 18). Change: RETURN_S 6 ms -> 10 ms.

--- a/laurelrock/core/gathering.py
+++ b/laurelrock/core/gathering.py
@@ -17,7 +17,7 @@
 RECORD_BYTES = 16
 #: Time that the way back to the caller takes, with what the loop needs to
 #: merge and send, in seconds.
-RETURN_S = 0.006
+RETURN_S = 0.010
 #: Time after the objective that missing parts are given, as a fraction of
 #: the objective.
 GRACE_FRACTION = 0.25
