Probe searchers that went silent; refuse at once when cut off

Ruled out: a cut seen by silent searchers alone; the VMs on the other side of a cut see the same, so the platform is asked too. Change: connections have 0.4 s to open; two calls in a row without a sign of life eject a searcher, which is then probed by opening a connection and takes one call at a time until it answers. Failures with an answer or a reset only raise its cost. A VM that reaches neither another failure domain nor the platform reports not ready. A call that never left gives its repeat back.

--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -17,8 +17,9 @@
 
 __all__ = ["Call", "Client", "Reply", "open_client"]
 
-#: Longest time that a connection may take to open, in seconds.
-CONNECT_S = 1.0
+#: Longest time that a connection may take to open, in seconds. The kernel
+#: repeats a lost opening packet after one second, too late for a caller.
+CONNECT_S = 0.4
 #: Part of the other side's idle time for which a connection is used again.
 IDLE_FRACTION = 0.7
 #: Idle time where the other side names none, in seconds.
@@ -149,6 +150,19 @@
         if not self.connections and not self.opening and not self.closed:
             self.open_one()
 
+    async def probe(self) -> bool:
+        """Tells whether a connection can be opened now."""
+        before = self.opened
+        self.opening += 1
+        await self.connect()
+        return self.opened > before
+
+    def drop_idle(self) -> None:
+        """Closes the idle connections, which may be silent."""
+        for connection in self.idle:
+            connection.transport.abort()
+        self.idle.clear()
+
     def open_for_waiting(self) -> None:
         """Opens connections for calls that wait, within the limit."""
         wanted = sum(1 for call in self.waiting if not call.future.done())
--- a/laurelrock/core/repeats.py
+++ b/laurelrock/core/repeats.py
@@ -93,6 +93,11 @@
         self._at(service, now_s)[2] += 1
         return True
 
+    def give_back(self, service: str, now_s: float) -> None:
+        """Notes that a call never left this VM."""
+        counts = self._at(service, now_s)
+        counts[2] = max(0, counts[2] - 1)
+
     def _step(self, now_s: float) -> int:
         return int(now_s * STEPS / self.rule.window_s)
 
--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -32,11 +32,12 @@
 STALL_COST_S = 0.1
 #: Time for which a report of load counts, in seconds.
 REPORT_S = 0.1
-#: Failures in a row after which a searcher is ejected.
-MAX_FAILURES = 2
-#: First and longest ejection, in seconds.
-EJECT_S = 0.4
-MAX_EJECT_S = 4.0
+#: Calls in a row that found no connection, or no answer in their time, after
+#: which a searcher is ejected.
+MAX_SILENT = 2
+#: First and longest time before an ejected searcher is probed, in seconds.
+EJECT_S = 0.3
+MAX_EJECT_S = 2.0
 #: Time that a failure costs a caller, as a factor of the typical latency.
 FAILURE_FACTOR = 3.0
 #: Time without new work after a searcher said that it is full, in seconds.
@@ -46,6 +47,10 @@
 #: Time that a call to another failure domain costs besides, in seconds: the
 #: way there and back, and what its bytes cost.
 FAR_COST_S = 0.004
+#: Fewest searchers of other failure domains that tell of a cut.
+LEAST_FAR = 4
+#: Time without an answer from any of them, in seconds.
+FAR_SILENCE_S = 0.5
 #: Longest time before a searcher is tried anew that was slow, in seconds.
 FORGET_S = 3.0
 
@@ -88,9 +93,10 @@
         slowness: Mean of its latencies over the typical ones.
         noted_s: When a latency was noted last.
         failure_rate: Mean of 1 for a failure, 0 for an answer.
-        failures: In a row.
-        ejections: In a row.
-        ejected_until_s: End of the present ejection.
+        silent: Calls in a row without any sign of life.
+        ejections: In a row; above 0 while it is ejected.
+        probe_s: Loop time at which it may be probed.
+        probed: Whether a probe reached it since its ejection.
         full_until_s: No new work before.
         reported: Calls that its last report shows, running or waiting.
         reported_s: When that report came.
@@ -105,9 +111,10 @@
         self.slowness = 1.0
         self.noted_s = now_s
         self.failure_rate = 0.0
-        self.failures = 0
+        self.silent = 0
         self.ejections = 0
-        self.ejected_until_s = 0.0
+        self.probe_s = 0.0
+        self.probed = False
         self.full_until_s = 0.0
         self.reported = 0
         self.reported_s = 0.0
@@ -137,24 +144,38 @@
 
     def alive(self) -> None:
         """Notes any sign of life; ends an ejection."""
-        self.failures = self.ejections = 0
-        self.ejected_until_s = 0.0
-
-    def failed(self, now_s: float) -> bool:
-        """Notes a call that failed; returns whether it is ejected now."""
-        self.failures += 1
-        self.failure_rate += MEAN_WEIGHT * (1 - self.failure_rate)
-        if not self.ejections and self.failures < MAX_FAILURES:
+        self.silent = self.ejections = 0
+        self.probed = False
+
+    def went_silent(self, now_s: float) -> bool:
+        """Notes a call without a sign of life.
+
+        Returns:
+            Whether the searcher is ejected now.
+        """
+        self.silent += 1
+        self.note_failure()
+        if not self.ejections and self.silent < MAX_SILENT:
             return False
         eject_s = min(EJECT_S * 2**self.ejections, MAX_EJECT_S)
         self.ejections = min(self.ejections + 1, 8)
-        self.ejected_until_s = now_s + eject_s
+        self.probe_s = now_s + eject_s
+        self.probed = False
         return True
 
+    def note_failure(self) -> None:
+        """Counts a failure into the rate."""
+        self.failure_rate += MEAN_WEIGHT * (1 - self.failure_rate)
+
+    @property
+    def reachable(self) -> bool:
+        """Whether nothing speaks against its being reached."""
+        return not self.ejections or self.probed
+
     def erred(self) -> None:
         """Notes an answer that tells of a failure."""
         self.alive()
-        self.failure_rate += MEAN_WEIGHT * (1 - self.failure_rate)
+        self.note_failure()
 
     def full(self, now_s: float) -> None:
         """Notes that it had no room."""
@@ -208,27 +229,46 @@
 
 
 def usable(
-    replicas: collections.abc.Iterable[Replica], now_s: float
+    replicas: collections.abc.Iterable[Replica],
 ) -> list[Replica]:
     """Returns the searchers that take new work.
 
-    One whose ejection is over takes one call at a time until it answers.
-    Where all are ejected, all are returned.
+    One that a probe reached takes one call at a time until it answers. Where
+    all are ejected, all are returned.
     """
-    live = [
-        row
-        for row in replicas
-        if row.searcher.state == "live" and not row.misplaced
-    ]
+    live = [row for row in replicas if takes_work(row)]
     working = [
         row
         for row in live
-        if not row.ejections
-        or (now_s >= row.ejected_until_s and not row.flights)
+        if not row.ejections or (row.probed and not row.flights)
     ]
     return working or live
 
 
+def takes_work(row: Replica) -> bool:
+    """Tells whether a searcher's entry and address are good."""
+    return row.searcher.state == "live" and not row.misplaced
+
+
+def any_reachable(replicas: collections.abc.Iterable[Replica]) -> bool:
+    """Tells whether a service may be reached at all."""
+    return any(takes_work(row) and row.reachable for row in replicas)
+
+
+def far_silent(
+    replicas: collections.abc.Iterable[Replica], near: Near, now_s: float
+) -> bool:
+    """Tells whether searchers outside this failure domain fell silent.
+
+    Several are ejected, and none has answered lately: this failure domain
+    may be cut off from the others.
+    """
+    far = [row for row in replicas if takes_work(row) and not near(row)]
+    silent = sum(1 for row in far if not row.reachable)
+    answered_s = max((row.noted_s for row in far), default=0.0)
+    return silent >= LEAST_FAR and now_s - answered_s > FAR_SILENCE_S
+
+
 def choose(
     candidates: collections.abc.Sequence[Replica],
     typical: Typical,
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -24,6 +24,9 @@
 #: Time over a call's own limit after which it is ended, in seconds.
 OVER_S = 0.15
 
+#: Reason of a call that was ended from this side.
+WITHDRAWN = "withdrawn"
+
 _log = logs.get_logger(__name__)
 
 
@@ -84,6 +87,8 @@
         begun_s: Loop time.
         limit_s: Loop time at which it is ended.
         ended: Told of the end, unless nobody waits.
+        over: Whether it was ended for taking too long.
+        over: Whether it was ended for taking too long.
     """
 
     def __init__(
@@ -101,6 +106,7 @@
         self.number = upstream.replica.begin(begun_s)
         self.begun_s = begun_s
         self.limit_s = limit_s
+        self.over = False
         self.ended: collections.abc.Callable[[Flight, Ended], None] | None = (
             ended
         )
@@ -191,7 +197,7 @@
         """Tells what the end of a call means."""
         if future.cancelled():
             fate = Fate.BROKEN if flight.call.sent else Fate.UNSENT
-            return Ended(fate, reason="withdrawn")
+            return Ended(fate, reason=WITHDRAWN)
         error = future.exception()
         if isinstance(error, errors.ConnectError):
             return Ended(Fate.UNSENT, reason=error.message)
@@ -227,22 +233,32 @@
             replica.erred()
         elif ended.fate is Fate.NOT_RUN:
             replica.full(now_s)
-        elif ended.reason == "withdrawn" and not flight.call.sent:
+        elif ended.fate is Fate.BROKEN and ended.reason != WITHDRAWN:
+            replica.note_failure()
+        elif ended.reason != WITHDRAWN or flight.over:
+            self.note_silent(flight, ended)
+
+    def note_silent(self, flight: Flight, ended: Ended) -> None:
+        """Notes a searcher that gave no sign of life."""
+        replica = flight.upstream.replica
+        now_s = self.loop.time()
+        if not replica.went_silent(now_s):
             return
-        elif replica.failed(now_s):
-            _log.warning(
-                "searcher-ejected",
-                searcher=replica.searcher.id,
-                reason=ended.reason,
-                failures=replica.failures,
-                for_ms=round((replica.ejected_until_s - now_s) * 1000),
-            )
+        flight.upstream.client.drop_idle()
+        _log.warning(
+            "searcher-ejected",
+            searcher=replica.searcher.id,
+            reason=ended.reason,
+            silent=replica.silent,
+            probe_ms=round((replica.probe_s - now_s) * 1000),
+        )
 
     def sweep(self) -> None:
         """Ends the calls that are over their time."""
         now_s = self.loop.time()
         late = [row for row in self.flights if now_s > row.limit_s]
         for flight in late:
+            flight.over = True
             flight.call.withdraw()
         self.loop.call_later(SWEEP_S, self.sweep)
 
--- a/laurelrock/gateways/following.py
+++ b/laurelrock/gateways/following.py
@@ -23,6 +23,9 @@
 #: Longest wait of a poll, as a part of the silence after which this VM counts
 #: as out of touch; a poll on a silent connection ends within that time.
 WAIT_FRACTION = 0.6
+#: Longest wait for an answer that shows that the platform is reached, in
+#: seconds.
+REACH_S = 0.5
 #: Interval at which entries kept after an outage are looked at, in seconds.
 EXPIRE_S = 0.25
 #: Interval at which the list of VMs is read, in seconds.
@@ -179,6 +182,15 @@
             self.down.discard(link.name)
             _log.info("platform-regained", link=link.name)
 
+    async def reaches_platform(self) -> bool:
+        """Tells whether the platform answers now."""
+        try:
+            async with asyncio.timeout(REACH_S):
+                await self.source.read_vms()
+        except (errors.StoreError, TimeoutError):
+            return False
+        return True
+
     async def expire(self) -> None:
         """Drops the entries that an outage explains no longer."""
         while True:
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -31,6 +31,8 @@
 GRACE_FRACTION = 0.93
 #: Interval at which a stopping process looks for requests in hand, in seconds.
 DRAIN_LOOK_S = 0.05
+#: Interval at which a cut from other failure domains is looked for, in seconds.
+REACH_S = 0.2
 #: Time until a refused caller may come back, in seconds: searchers are back,
 #: or another VM has the route, in about this time.
 COME_BACK_S = 0.3
@@ -56,6 +58,7 @@
         servers: Ports for callers and for readiness.
         counts: Answers by outcome.
         stopping_s: Loop time of SIGTERM; 0 before.
+        cut: Whether this VM reaches no other failure domain.
         tasks: Background work.
     """
 
@@ -90,6 +93,7 @@
         self.servers: list[http_server.Server] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.stopping_s = 0.0
+        self.cut = False
         self.tasks: set[asyncio.Task[typing.Any]] = set()
 
     @property
@@ -99,6 +103,7 @@
             self.following.table is not None
             and self.following.listed
             and not self.stopping_s
+            and not self.cut
         )
 
     def spawn(
@@ -129,6 +134,21 @@
         self.known.set_vms(count)
         self.budget.set_vms(count)
 
+    async def watch_reach(self) -> None:
+        """Notes when this VM is cut off from the others, and when not.
+
+        Silent searchers alone may be down or cut off themselves, so the
+        platform is asked too.
+        """
+        while True:
+            await asyncio.sleep(REACH_S)
+            cut = self.known.far_silent(self.loop.time())
+            if cut and not self.cut:
+                cut = not await self.following.reaches_platform()
+            if cut != self.cut:
+                self.cut = cut
+                _log.warning("cut-off" if cut else "cut-ended")
+
     async def answer_readiness(
         self, request: http_server.Request
     ) -> http_server.Answer:
@@ -283,6 +303,8 @@
     )
     for work in following.open_following(gateway.following):
         gateway.spawn(work)
+    gateway.spawn(gateway.known.probe())
+    gateway.spawn(gateway.watch_reach())
 
 
 async def run(
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -109,9 +109,15 @@
             for row in self.known.of(part.service)
             if row.searcher.id not in part.tried
         }
-        working = replicas.usable(rows, self.calls.loop.time())
+        working = replicas.usable(rows)
         return [rows[replica] for replica in working]
 
+    def reachable(self, service: str) -> bool:
+        """Tells whether any searcher of a service may be reached."""
+        return replicas.any_reachable(
+            row.replica for row in self.known.of(service)
+        )
+
     def pick(
         self, part: Part, rows: list[upstreams.Upstream]
     ) -> upstreams.Upstream:
@@ -163,6 +169,7 @@
             part.may_have_run = True
         if end.fate is calls.Fate.UNSENT:
             part.attempts -= 1
+            self.budget.give_back(part.service, self.calls.loop.time())
         self.retry(part, end)
 
     def retry(self, part: Part, end: calls.Ended) -> None:
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -188,7 +188,7 @@
     plan = gathering.Plan(1, 1, work.end_s, work.end_s, work.end_s)
     typical = placement.known.typical[work.route.name]
     try:
-        if not placement.start(part):
+        if not placement.reachable(service) or not placement.start(part):
             return Outcome("refused", 503, reason="no searcher")
         await wait(gathered, placement, plan, typical)
         sent = any(flight.call.sent for flight in part.flights)
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -17,6 +17,8 @@
 CONNECTION_SHARE = 0.8
 #: Most connections of one VM to one searcher.
 MAX_CONNECTIONS = 8
+#: Interval at which ejected searchers are looked at, in seconds.
+PROBE_LOOK_S = 0.1
 #: Interval between connections that are opened ahead of need, in seconds.
 WARM_S = 0.02
 
@@ -134,6 +136,29 @@
         del self.by_id[upstream.searcher.id]
         del self.by_service[upstream.searcher.service][upstream.searcher.id]
 
+    async def probe(self) -> None:
+        """Tries ejected searchers until they can be reached again."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(PROBE_LOOK_S)
+            due = [row for row in self.by_id.values() if probe_due(row, loop)]
+            if due:
+                await asyncio.gather(*[self.probe_one(row) for row in due])
+
+    async def probe_one(self, upstream: Upstream) -> None:
+        """Opens a connection to an ejected searcher."""
+        replica = upstream.replica
+        if await upstream.client.probe():
+            replica.probed = True
+            _log.info("searcher-reached", searcher=replica.searcher.id)
+        else:
+            replica.went_silent(asyncio.get_running_loop().time())
+
+    def far_silent(self, now_s: float) -> bool:
+        """Tells whether all other failure domains fell silent."""
+        rows = [row.replica for row in self.by_id.values()]
+        return replicas.far_silent(rows, self.near, now_s)
+
     async def warm(self, names: collections.abc.Iterable[str]) -> None:
         """Opens a first connection to each searcher of some services."""
         for name in names:
@@ -143,6 +168,16 @@
                     await asyncio.sleep(WARM_S)
 
 
+def probe_due(upstream: Upstream, loop: asyncio.AbstractEventLoop) -> bool:
+    """Tells whether a searcher is ejected and to be probed now."""
+    replica = upstream.replica
+    return bool(
+        replica.ejections
+        and not replica.probed
+        and loop.time() >= replica.probe_s
+    )
+
+
 def same_start(one: registry.Searcher, other: registry.Searcher) -> bool:
     """Tells whether two entries speak of one start of a searcher."""
     return (one.born_ms, one.service, one.address) == (
