Follow the platform by long polls; let the kernel find silent connections

Ruled out: longer polls alone; a poll on a connection that went silent would hear of nothing for its whole length, and a configuration has to be in force in 3 s. Change: polls wait 15 s; TCP keep-alive on these connections ends one that is silent within 3 s; 0.15 s between two polls groups changes. Entries that go just after an outage, or many at once, are kept for 2 s (the outage that a VM did not see ends that way).

--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -86,6 +86,7 @@
     Attributes:
         address: Host and port.
         limit: Connections that may be open.
+        watched: Whether the kernel probes connections that are quiet.
         opening: Connections that are being opened.
         connections: Open.
         idle: Open without a call, the last used last.
@@ -94,9 +95,12 @@
         closed: Whether no more calls are taken.
     """
 
-    def __init__(self, address: tuple[str, int], limit: int) -> None:
+    def __init__(
+        self, address: tuple[str, int], limit: int, watched: bool
+    ) -> None:
         self.address = address
         self.limit = limit
+        self.watched = watched
         self.opening = 0
         self.connections: set[Connection] = set()
         self.idle: list[Connection] = []
@@ -262,6 +266,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = typing.cast(asyncio.Transport, transport)
         http_wire.tune(transport)
+        if self.client.watched:
+            http_wire.keep_alive(transport)
 
     def data_received(self, data: bytes) -> None:
         if self.call is None:
@@ -372,6 +378,15 @@
                 self.keep_s = int(number) * IDLE_FRACTION
 
 
-def open_client(address: tuple[str, int], limit: int) -> Client:
-    """Returns a client; connections open when they are needed."""
-    return Client(address, limit)
+def open_client(
+    address: tuple[str, int], limit: int, watched: bool = False
+) -> Client:
+    """Returns a client; connections open when they are needed.
+
+    Args:
+        address: Host and port.
+        limit: Connections that may be open.
+        watched: Whether calls wait so long for their answer that the kernel
+            has to find out whether the connection went silent.
+    """
+    return Client(address, limit, watched)
--- a/laurelrock/adapters/http_wire.py
+++ b/laurelrock/adapters/http_wire.py
@@ -14,6 +14,7 @@
     "encode_request",
     "end_to_end",
     "fault_of",
+    "keep_alive",
     "tune",
     "value_of",
 ]
@@ -32,6 +33,11 @@
 FRAMING = HOP_BY_HOP | {b"content-length", b"expect"}
 #: Time after which the kernel gives up bytes without acknowledgement, in ms.
 USER_TIMEOUT_MS = 3000
+#: Idle time before the kernel probes a connection, the interval between two
+#: probes, both in seconds, and the probes without answer that end it.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
 
 _REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
@@ -45,6 +51,18 @@
     )
 
 
+def keep_alive(transport: asyncio.BaseTransport) -> None:
+    """Makes the kernel find out when a connection has gone silent."""
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def value_of(headers: Headers, name: bytes) -> bytes | None:
     """Returns the first value of a header."""
     for key, value in headers:
--- a/laurelrock/core/registry.py
+++ b/laurelrock/core/registry.py
@@ -15,6 +15,10 @@
 #: Time after an outage for which entries that are missing are kept, in
 #: seconds; searchers that live have registered again by then.
 HOLD_S = 2.0
+#: Entries that go at once, as a part of all and at least, which are taken for
+#: the end of an outage that this VM did not see.
+MASS_FRACTION = 0.25
+MASS_LEAST = 4
 
 
 class Searcher(typing.NamedTuple):
@@ -80,6 +84,14 @@
         self, changes: collections.abc.Iterable[Change], now_s: float
     ) -> list[Change]:
         """Takes changes; returns those that take effect now."""
+        changes = list(changes)
+        gone = sum(
+            1
+            for row in changes
+            if row.searcher is None and row.id in self.searchers
+        )
+        if gone >= max(MASS_LEAST, MASS_FRACTION * len(self.searchers)):
+            self.outage_ended(now_s)
         effective = []
         for change in changes:
             known = self.searchers.get(change.id)
--- a/laurelrock/gateways/following.py
+++ b/laurelrock/gateways/following.py
@@ -20,9 +20,12 @@
 
 __all__ = ["Following", "open_following"]
 
-#: Longest wait of a poll, as a part of the silence after which this VM counts
-#: as out of touch; a poll on a silent connection ends within that time.
-WAIT_FRACTION = 0.6
+#: Longest wait of a poll, in seconds: half of what the platform allows. The
+#: kernel finds out earlier that a connection went silent.
+WAIT_S = 15.0
+#: Wait after an answer before the next poll, in seconds. Changes come in
+#: groups, and each poll is a call that the platform counts.
+GROUP_S = 0.15
 #: Longest wait for an answer that shows that the platform is reached, in
 #: seconds.
 REACH_S = 0.5
@@ -34,6 +37,9 @@
 #: of a new deployment have announced themselves by then.
 FIRST_VMS_S = 1.5
 
+#: Names of the polls.
+CONFIGURATION, SEARCHERS = "configuration", "searchers"
+
 _log = logs.get_logger(__name__)
 
 
@@ -76,14 +82,12 @@
         source: directory.Directory,
         me: directory.VmRow,
         known: upstreams.Upstreams,
-        wait_s: float,
         changed: collections.abc.Callable[[routes.Configuration], None],
         vms_changed: collections.abc.Callable[[int], None],
     ) -> None:
         self.source = source
         self.me = me
         self.known = known
-        self.wait_s = wait_s
         self.registry = registry.create_registry()
         self.table: routes.Table | None = None
         self.taken_s = 0.0
@@ -131,20 +135,22 @@
         if not revision:
             await asyncio.sleep(retry.pause_s(1, random.random()))
             return await self.read_configuration()
-        found = await self.source.watch_configuration(revision, self.wait_s)
+        found = await self.source.watch_configuration(revision, WAIT_S)
         self.take(found.configuration)
         return found.revision
 
     async def read_searchers(self) -> int:
         """Reads the entries of all searchers."""
         found = await self.source.read_searchers()
+        if SEARCHERS in self.down:
+            self.registry.outage_ended(self.loop.time())
         self.apply(self.registry.replace(found.rows, self.loop.time()))
         self.listed = True
         return found.revision
 
     async def watch_searchers(self, revision: int) -> int:
         """Waits for changed entries."""
-        found = await self.source.watch_searchers(revision, self.wait_s)
+        found = await self.source.watch_searchers(revision, WAIT_S)
         self.apply(self.registry.apply(found.rows, self.loop.time()))
         return found.revision
 
@@ -168,6 +174,7 @@
             else:
                 attempt = 0
                 self.regained(link)
+                await asyncio.sleep(GROUP_S)
 
     def lost(self, link: Link, error: errors.StoreError) -> None:
         """Notes a poll without an answer."""
@@ -225,12 +232,12 @@
 ) -> list[collections.abc.Coroutine[typing.Any, typing.Any, None]]:
     """Returns the work that keeps the state up to date."""
     configuration = Link(
-        "configuration",
+        CONFIGURATION,
         following.read_configuration,
         following.watch_configuration,
     )
     searchers = Link(
-        "searchers", following.read_searchers, following.watch_searchers
+        SEARCHERS, following.read_searchers, following.watch_searchers
     )
     return [
         following.follow(configuration),
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -86,7 +86,6 @@
             source,
             me,
             self.known,
-            options.contact_s * following.WAIT_FRACTION,
             self.configured,
             self.count_vms,
         )
--- a/laurelrock/platform/store.py
+++ b/laurelrock/platform/store.py
@@ -235,5 +235,6 @@
     """Returns a client; it connects when it is first used."""
     host, port = address
     return Store(
-        http_client.open_client(address, CONNECTIONS), f"{host}:{port}"
+        http_client.open_client(address, CONNECTIONS, watched=True),
+        f"{host}:{port}",
     )
