Bound the logs; serve OpenTelemetry metrics without the exporter

Cause: the gateway's lines went to standard output unbounded, a slow reader could block the loop, and there were no metrics. Ruled out: the Prometheus exporter (4 MB beside the 2.3 MB of the SDK). Change: a sink with a rate, a bounded buffer and writes only where they don't block, with counts of dropped lines; instruments of OpenTelemetry rendered by a small module of our own on port 9464.

--- a/laurelrock/adapters/metrics.py
+++ b/laurelrock/adapters/metrics.py
@@ -1,15 +1,15 @@
-"""Metrics: OpenTelemetry, read by operators in the Prometheus format."""
+"""Metrics: OpenTelemetry, read by operators in the Prometheus format.
+
+How they are rendered is up to `prometheus` and `exposition`.
+"""
 
 import collections.abc
 import typing
 
 from opentelemetry import metrics
-from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk
-from opentelemetry.sdk import resources
-import prometheus_client
 
-__all__ = ["Metrics", "create_metrics"]
+__all__ = ["Metrics"]
 
 #: Upper bounds of the latency buckets, in milliseconds.
 LATENCY_BUCKETS_MS = [
@@ -26,10 +26,17 @@
 
 
 class Metrics(typing.NamedTuple):
-    """The meter of this process."""
+    """The meter of this process.
+
+    Attributes:
+        provider: Of the meter.
+        meter: Creates the instruments.
+        render: Returns all metrics in the Prometheus text format.
+    """
 
     provider: sdk.MeterProvider
     meter: metrics.Meter
+    render: collections.abc.Callable[[], bytes]
 
     def counter(self, name: str, read: Reader, meaning: str) -> None:
         """Registers a counter whose value is read when it is exported."""
@@ -62,17 +69,7 @@
 
     def export(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest()
-
-
-def create_metrics(vm: str, role: str) -> Metrics:
-    """Returns the metrics of this process; to be called once."""
-    reader = prometheus.PrometheusMetricReader()
-    resource = resources.Resource.create(
-        {"service.name": f"laurelrock-{role}", "service.instance.id": vm}
-    )
-    provider = sdk.MeterProvider([reader], resource=resource)
-    return Metrics(provider, provider.get_meter("laurelrock"))
+        return self.render()
 
 
 def _single(read: Reader) -> Observer:
--- a/laurelrock/daemon.py
+++ b/laurelrock/daemon.py
@@ -28,6 +28,7 @@
 from laurelrock.adapters import logs
 from laurelrock.adapters import metrics
 from laurelrock.adapters import platform
+from laurelrock.adapters import prometheus
 from laurelrock.core import members
 
 __all__ = ["Daemon", "open_daemon"]
@@ -131,7 +132,7 @@
         me, channel, store, _membership_options(options), source
     )
     configuration = spread.open_spread(fleet, channel, store, source)
-    meters = metrics.create_metrics(vm.name, role)
+    meters = prometheus.create_metrics(vm.name, role)
     daemon = Daemon(options, role, store, channel, meters, fleet, configuration)
     daemon.spawn(fleet.run())
     daemon.spawn(configuration.run())
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -10,6 +10,7 @@
 from laurelrock.adapters import http_server
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
+from laurelrock.adapters import metrics
 from laurelrock.core import gathering
 from laurelrock.core import repeats
 from laurelrock.core import routes
@@ -24,6 +25,9 @@
 
 __all__ = ["Gateway", "open_gateway", "run"]
 
+#: Where the metrics are read; the platform is told in its deploy file.
+METRICS_PORT = 9464
+METRICS_PATH = b"/metrics"
 #: Time for which a process that stops takes new connections, in seconds: the
 #: balancer asks once a second and needs two misses.
 NOTICE_S = 2.6
@@ -49,6 +53,8 @@
         deployment: Settings.
         platform: Headers of callers and searchers.
         source: The platform's store.
+        metrics: Of this process.
+        latency: Histogram of requests.
         known: Searchers.
         calls: In flight.
         budget: Of repeats.
@@ -67,8 +73,13 @@
         options: deployment.Deployment,
         platform: wire.Wire,
         source: directory.Directory,
+        meters: metrics.Metrics,
     ) -> None:
         self.deployment = options
+        self.metrics = meters
+        self.latency = meters.histogram(
+            "laurelrock_request_ms", "Latency of requests by outcome"
+        )
         self.platform = platform
         self.source = source
         self.loop = asyncio.get_running_loop()
@@ -105,6 +116,12 @@
             and not self.cut
         )
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 for none."""
+        table = self.following.table
+        return table.configuration.version if table else 0
+
     def spawn(
         self,
         work: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any],
@@ -154,6 +171,15 @@
         """Answers the balancer."""
         return http_server.Answer(200 if self.ready else 503, [])
 
+    async def answer_metrics(
+        self, request: http_server.Request
+    ) -> http_server.Answer:
+        """Answers whoever reads the metrics."""
+        if request.target.partition(b"?")[0] != METRICS_PATH:
+            return http_server.Answer(404, [])
+        kind = (b"content-type", b"text/plain; version=0.0.4")
+        return http_server.Answer(200, [kind], self.metrics.export())
+
     async def answer(self, request: http_server.Request) -> http_server.Answer:
         """Answers a caller."""
         ticket = self.platform.read_ticket(request.headers)
@@ -242,6 +268,7 @@
         """Counts and logs the end of a request."""
         self.counts[outcome.kind] += 1
         elapsed_s = self.loop.time() - work.request.received_s
+        self.latency.record(elapsed_s * 1000, {"outcome": outcome.kind})
         _log.info(
             "request",
             request=work.ticket.request_id.decode("latin-1"),
@@ -287,6 +314,54 @@
     return b"retry-after", b"%.2f" % spread_s
 
 
+def register_metrics(gateway: Gateway) -> None:
+    """Registers what is read when the metrics are."""
+    meters = gateway.metrics
+    known = gateway.known
+    meters.counters(
+        "laurelrock_answers_total",
+        lambda: dict(gateway.counts),
+        "Answers to callers by outcome",
+    )
+    meters.counters(
+        "laurelrock_calls_total",
+        lambda: dict(gateway.calls.counts),
+        "Calls to searchers by their end",
+    )
+    meters.counters(
+        "laurelrock_placements_total",
+        lambda: dict(gateway.placement.counts),
+        "Calls by why they were made, and repeats without a budget",
+    )
+    meters.counters(
+        "laurelrock_connections_total",
+        lambda: dict(gateway.servers[0].counts),
+        "Unusual ends of callers' connections",
+    )
+    meters.counter(
+        "laurelrock_platform_calls_total",
+        lambda: gateway.source.calls,
+        "Requests to the platform",
+    )
+    meters.gauge(
+        "laurelrock_configuration_version",
+        lambda: gateway.version,
+        "Version of the configuration in force, 0 for none",
+    )
+    meters.gauge(
+        "laurelrock_ready", lambda: gateway.ready, "1 while callers may come"
+    )
+    meters.gauge(
+        "laurelrock_searchers", lambda: len(known.by_id), "Searchers known"
+    )
+    meters.gauge(
+        "laurelrock_searchers_ejected",
+        lambda: sum(1 for row in known.by_id.values() if row.replica.ejections),
+        "Searchers that fell silent",
+    )
+    meters.gauge("laurelrock_vms", lambda: known.vms, "VMs that are listed")
+
+
 async def open_gateway(gateway: Gateway) -> None:
     """Opens the ports and begins to follow the platform."""
     options = gateway.deployment
@@ -300,6 +375,13 @@
             gateway.answer_readiness, options.readiness, routes.Limits()
         )
     )
+    host, _ = options.callers
+    gateway.servers.append(
+        await http_server.open_server(
+            gateway.answer_metrics, (host, METRICS_PORT), routes.Limits()
+        )
+    )
+    register_metrics(gateway)
     for work in following.open_following(gateway.following):
         gateway.spawn(work)
     gateway.spawn(gateway.known.probe())
@@ -310,9 +392,10 @@
     options: deployment.Deployment,
     platform: wire.Wire,
     source: directory.Directory,
+    meters: metrics.Metrics,
 ) -> None:
     """Runs a gateway until SIGTERM."""
-    gateway = Gateway(options, platform, source)
+    gateway = Gateway(options, platform, source, meters)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gateway.loop.add_signal_handler(number, stop.set)
--- a/laurelrock/platform/process.py
+++ b/laurelrock/platform/process.py
@@ -4,7 +4,9 @@
 import gc
 import sys
 
+from laurelrock.adapters import exposition
 from laurelrock.adapters import logs
+from laurelrock.gateways import deployment
 from laurelrock.gateways import gateway
 from laurelrock.platform import settings
 from laurelrock.platform import store
@@ -17,19 +19,25 @@
 
 def run() -> None:
     """Runs a gateway until SIGTERM; raises `SettingsError`."""
-    options = settings.load(settings.find())
+    path = settings.find()
+    options = settings.load(path)
+    gc.freeze()
+    asyncio.run(start(options))
+
+
+async def start(options: deployment.Deployment) -> None:
+    """Opens the adapters and runs the gateway."""
+    sink = logs.open_sink(sys.stdout.fileno())
     logs.configure(
         "info",
-        sys.stdout.buffer,
+        sink,
         vm=options.vm,
         role=ROLE,
         failure_domain=options.failure_domain,
     )
-    gc.freeze()
-    asyncio.run(start(options))
-
-
-async def start(options: settings.deployment.Deployment) -> None:
-    """Opens the adapters and runs the gateway."""
     source = store.open_store(options.store)
-    await gateway.run(options, wire, source)
+    meters = exposition.create_metrics()
+    try:
+        await gateway.run(options, wire, source, meters)
+    finally:
+        sink.flush()
