Ask other VMs where the platform refuses this one; follow the settings

Cause: a VM that the platform turns away, and that restarts meanwhile, knew no configuration until the platform took it back, and others kept old searchers. Ruled out: pyzmq between gateways (4 MB a process for a question that is asked only in trouble); gossip (nothing to agree on: versions are ordered by the platform). Change: gateways answer /state on their control address; one without the platform for 0.7 s asks two others and takes a newer configuration and a fresher list of searchers. The settings file is looked at each second and on SIGHUP. Before the number of VMs is known, repeats have no allowance.

--- a/laurelrock/core/repeats.py
+++ b/laurelrock/core/repeats.py
@@ -17,8 +17,6 @@
 #: their steps at different moments, and processes that began anew and have
 #: forgotten what they used.
 SAFETY = 0.6
-#: Fewest VMs that the allowance is divided by.
-LEAST_VMS = 4
 
 
 class Rule(typing.NamedTuple):
@@ -60,18 +58,18 @@
 
     Attributes:
         rule: For all VMs together.
-        vms: That share the allowance.
+        vms: That share the allowance; while none is known, there is none.
         usage: By service.
     """
 
     def __init__(self, rule: Rule) -> None:
         self.rule = rule
-        self.vms = LEAST_VMS
+        self.vms = 0
         self.usage: dict[str, Usage] = {}
 
     def set_vms(self, count: int) -> None:
         """Notes how many VMs share the allowance."""
-        self.vms = max(LEAST_VMS, count)
+        self.vms = count
 
     def request(self, service: str, now_s: float) -> None:
         """Notes a request's first call."""
@@ -83,7 +81,8 @@
         usage = self.usage.get(service)
         requests, extras = usage.totals(step) if usage else (0, 0)
         allowed = self.rule.fraction * requests
-        allowed += self.rule.allowance / self.vms
+        if self.vms:
+            allowed += self.rule.allowance / self.vms
         return SAFETY * allowed - extras
 
     def take(self, service: str, now_s: float) -> bool:
--- a/laurelrock/gateways/deployment.py
+++ b/laurelrock/gateways/deployment.py
@@ -19,11 +19,11 @@
         region: Of the failure domain.
         callers: Where callers connect.
         readiness: Where the balancer asks whether callers may come.
-        ports: First and last port free for the project's own use.
+        peers: Where other VMs ask what this one knows.
+        seeds: The same of some other VMs, which may be down.
         store: The platform's store.
         repeats: Bounds of extra calls, over all VMs.
         grace_s: From SIGTERM until the process is killed.
-        contact_s: Silence after which a connection is given up.
     """
 
     vm: str
@@ -32,8 +32,8 @@
     region: str
     callers: Address
     readiness: Address
-    ports: tuple[int, int]
+    peers: Address
+    seeds: tuple[Address, ...]
     store: Address
     repeats: repeats.Rule
     grace_s: float
-    contact_s: float
--- a/laurelrock/gateways/following.py
+++ b/laurelrock/gateways/following.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import math
 import random
 import typing
 
@@ -73,8 +74,10 @@
         taken_s: Loop time at which they were taken.
         listed: Whether the searchers were read once.
         changed: Called with each new configuration.
-        vms_changed: Called with the number of VMs.
+        vms_changed: Called with the listed VMs.
         down: Names of the polls that get no answer.
+        fresh_s: Loop time at which the searchers were known for certain last;
+            while the poll of searchers is answered, it is the present.
     """
 
     def __init__(
@@ -83,7 +86,7 @@
         me: directory.VmRow,
         known: upstreams.Upstreams,
         changed: collections.abc.Callable[[routes.Configuration], None],
-        vms_changed: collections.abc.Callable[[int], None],
+        vms_changed: collections.abc.Callable[[list[directory.VmRow]], None],
     ) -> None:
         self.source = source
         self.me = me
@@ -95,8 +98,23 @@
         self.changed = changed
         self.vms_changed = vms_changed
         self.down: set[str] = set()
+        self.fresh_s = -math.inf
         self.loop = asyncio.get_running_loop()
 
+    def age_s(self) -> float:
+        """Returns the age of what is known of the searchers."""
+        if self.listed and SEARCHERS not in self.down:
+            return 0.0
+        return self.loop.time() - self.fresh_s
+
+    def replace(self, rows: list[registry.Change], age_s: float) -> None:
+        """Takes a list of all searchers from another VM."""
+        now_s = self.loop.time()
+        self.apply(self.registry.replace(rows, now_s))
+        self.fresh_s = now_s - age_s
+        self.listed = True
+        self.down.add(SEARCHERS)
+
     def take(self, configuration: routes.Configuration | None) -> None:
         """Puts a configuration in force, unless an equal or newer one is."""
         if configuration is None:
@@ -180,6 +198,8 @@
         """Notes a poll without an answer."""
         if link.name in self.down:
             return
+        if link.name == SEARCHERS and self.listed:
+            self.fresh_s = self.loop.time()
         self.down.add(link.name)
         _log.warning("platform-lost", link=link.name, reason=error.message)
 
@@ -223,7 +243,7 @@
                 continue
             attempt = 0
             if rows:
-                self.vms_changed(len(rows))
+                self.vms_changed(rows)
             await asyncio.sleep(VMS_S)
 
 
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -18,6 +18,7 @@
 from laurelrock.gateways import deployment
 from laurelrock.gateways import following
 from laurelrock.gateways import parts
+from laurelrock.gateways import peers
 from laurelrock.gateways import queries
 from laurelrock.gateways import upstreams
 from laurelrock.ports import directory
@@ -37,6 +38,9 @@
 DRAIN_LOOK_S = 0.05
 #: Interval at which a cut from other failure domains is looked for, in seconds.
 REACH_S = 0.2
+#: Interval at which the settings are looked at, in seconds; they may change
+#: without a signal.
+SETTINGS_S = 1.0
 #: Time until a refused caller may come back, in seconds: searchers are back,
 #: or another VM has the route, in about this time.
 COME_BACK_S = 0.3
@@ -61,7 +65,8 @@
         placement: Of calls.
         split: Shares of routes with several services.
         following: Configuration and registry.
-        servers: Ports for callers and for readiness.
+        peers: What other VMs know.
+        servers: Ports for callers, readiness, other VMs and metrics.
         counts: Answers by outcome.
         stopping_s: Loop time of SIGTERM; 0 before.
         cut: Whether this VM reaches no other failure domain.
@@ -91,14 +96,20 @@
         me = directory.VmRow(
             vm=options.vm,
             failure_domain=options.failure_domain,
-            address=options.address,
+            address=":".join(map(str, options.peers)),
         )
         self.following = following.Following(
             source,
             me,
             self.known,
             self.configured,
-            self.count_vms,
+            self.take_vms,
+        )
+        self.peers = peers.create_peers(
+            self.following,
+            options.peers,
+            list(options.seeds),
+            self.set_vms,
         )
         self.servers: list[http_server.Server] = []
         self.counts: collections.Counter[str] = collections.Counter()
@@ -143,13 +154,25 @@
         }
         self.spawn(self.known.warm(sorted(used)))
 
-    def count_vms(self, count: int) -> None:
-        """Takes the number of VMs that share budgets and connections."""
-        if count != self.known.vms:
-            _log.info("vms-counted", count=count, before=self.known.vms)
+    def set_vms(self, count: int) -> None:
+        """Notes how many VMs share budgets and connections."""
+        _log.info("vms-counted", count=count, before=self.known.vms)
         self.known.set_vms(count)
         self.budget.set_vms(count)
 
+    def take_vms(self, rows: list[directory.VmRow]) -> None:
+        """Takes the list of VMs."""
+        if len(rows) != self.known.vms:
+            self.set_vms(len(rows))
+        addresses = [split_address(row["address"]) for row in rows]
+        self.peers.addresses = [row for row in addresses if row is not None]
+
+    def reload(self, options: deployment.Deployment) -> None:
+        """Takes changed settings; addresses hold until the next start."""
+        self.deployment = options
+        self.budget.rule = options.repeats
+        _log.info("reloaded", repeats=options.repeats, grace_s=options.grace_s)
+
     async def watch_reach(self) -> None:
         """Notes when this VM is cut off from the others, and when not.
 
@@ -304,6 +327,12 @@
         )
 
 
+def split_address(text: str) -> tuple[str, int] | None:
+    """Returns host and port; None where a VM announced something else."""
+    host, _, port = text.rpartition(":")
+    return (host, int(port)) if host and port.isdecimal() else None
+
+
 def come_back(seconds: float) -> tuple[bytes, bytes]:
     """Returns the header with the time until a caller may come back.
 
@@ -365,25 +394,19 @@
 async def open_gateway(gateway: Gateway) -> None:
     """Opens the ports and begins to follow the platform."""
     options = gateway.deployment
-    gateway.servers.append(
-        await http_server.open_server(
-            gateway.answer, options.callers, routes.Limits()
-        )
-    )
-    gateway.servers.append(
-        await http_server.open_server(
-            gateway.answer_readiness, options.readiness, routes.Limits()
-        )
-    )
-    host, _ = options.callers
-    gateway.servers.append(
-        await http_server.open_server(
-            gateway.answer_metrics, (host, METRICS_PORT), routes.Limits()
-        )
-    )
+    metrics_address = (options.address, METRICS_PORT)
+    for handle, address in (
+        (gateway.answer, options.callers),
+        (gateway.answer_readiness, options.readiness),
+        (gateway.peers.answer, options.peers),
+        (gateway.answer_metrics, metrics_address),
+    ):
+        server = await http_server.open_server(handle, address, routes.Limits())
+        gateway.servers.append(server)
     register_metrics(gateway)
     for work in following.open_following(gateway.following):
         gateway.spawn(work)
+    gateway.spawn(gateway.peers.run())
     gateway.spawn(gateway.known.probe())
     gateway.spawn(gateway.watch_reach())
 
@@ -393,13 +416,35 @@
     platform: wire.Wire,
     source: directory.Directory,
     meters: metrics.Metrics,
+    reload: collections.abc.Callable[[], deployment.Deployment | None],
 ) -> None:
-    """Runs a gateway until SIGTERM."""
+    """Runs a gateway until SIGTERM.
+
+    Args:
+        options: Checked settings.
+        platform: Headers of callers and searchers.
+        source: The platform's store.
+        meters: Metrics of this process.
+        reload: Returns the settings where they changed, else None.
+    """
     gateway = Gateway(options, platform, source, meters)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gateway.loop.add_signal_handler(number, stop.set)
+
+    def look() -> None:
+        changed = reload()
+        if changed is not None:
+            gateway.reload(changed)
+
+    async def look_often() -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_S)
+            look()
+
+    gateway.loop.add_signal_handler(signal.SIGHUP, look)
     await open_gateway(gateway)
+    gateway.spawn(look_often())
     _log.info("started", callers=options.callers, domain=options.failure_domain)
     await stop.wait()
     await gateway.stop()
--- a/laurelrock/platform/process.py
+++ b/laurelrock/platform/process.py
@@ -1,6 +1,7 @@
 """Process: a gateway on the users' platform, put together."""
 
 import asyncio
+import collections.abc
 import gc
 import sys
 
@@ -22,10 +23,13 @@
     path = settings.find()
     options = settings.load(path)
     gc.freeze()
-    asyncio.run(start(options))
+    asyncio.run(start(options, settings.watch(path)))
 
 
-async def start(options: deployment.Deployment) -> None:
+async def start(
+    options: deployment.Deployment,
+    reload: collections.abc.Callable[[], deployment.Deployment | None],
+) -> None:
     """Opens the adapters and runs the gateway."""
     sink = logs.open_sink(sys.stdout.fileno())
     logs.configure(
@@ -38,6 +42,6 @@
     source = store.open_store(options.store)
     meters = exposition.create_metrics()
     try:
-        await gateway.run(options, wire, source, meters)
+        await gateway.run(options, wire, source, meters, reload)
     finally:
         sink.flush()
--- a/laurelrock/platform/settings.py
+++ b/laurelrock/platform/settings.py
@@ -1,20 +1,24 @@
 """Settings file that the platform writes for each process."""
 
+import collections.abc
 import os
 import pathlib
 
 import msgspec
 
 from laurelrock import errors
+from laurelrock.adapters import logs
 from laurelrock.core import repeats
 from laurelrock.gateways import deployment
 from laurelrock.platform import objects
 
-__all__ = ["find", "load", "parse"]
+__all__ = ["find", "load", "parse", "watch"]
 
 #: Environment variable with the path of the settings file.
 VARIABLE = "LAURELROCK_CONFIG"
 
+_log = logs.get_logger(__name__)
+
 
 def find() -> pathlib.Path:
     """Returns the path of the settings file; raises `SettingsError`."""
@@ -33,6 +37,30 @@
     return parse(text)
 
 
+def watch(
+    path: pathlib.Path,
+) -> collections.abc.Callable[[], deployment.Deployment | None]:
+    """Returns a function that reads the settings where they changed.
+
+    A file that can't be read keeps the settings in force, with a log line.
+    """
+    seen = path.read_bytes()
+
+    def read_changed() -> deployment.Deployment | None:
+        nonlocal seen
+        try:
+            text = path.read_bytes()
+            if text == seen:
+                return None
+            seen = text
+            return parse(text)
+        except (OSError, errors.SettingsError) as error:
+            _log.warning("settings-unusable", reason=str(error))
+            return None
+
+    return read_changed
+
+
 def parse(text: bytes) -> deployment.Deployment:
     """Decodes a settings file; raises `SettingsError`."""
     try:
@@ -48,7 +76,7 @@
     listen = objects.Fields(fields.row.get("listen_addrs"))
     bounds = objects.Fields(fields.row.get("policy_limits") or {})
     store = objects.Fields(fields.row.get("platform"))
-    ports = fields.rows("port_range")
+    seeds = [str(row) for row in fields.rows("seed_nodes")]
     default = repeats.Rule()
     return deployment.Deployment(
         vm=fields.text("node_name"),
@@ -57,7 +85,8 @@
         region=fields.text("region"),
         callers=objects.read_address(listen.text("front")),
         readiness=objects.read_address(listen.text("readiness_addr")),
-        ports=(int(ports[0]), int(ports[1])) if len(ports) == 2 else (0, 0),
+        peers=objects.read_address(listen.text("control")),
+        seeds=tuple(objects.read_address(row) for row in seeds),
         store=objects.read_address(store.text("address")),
         repeats=repeats.Rule(
             bounds.number("retry_budget_ratio", default.fraction),
@@ -66,6 +95,4 @@
         ),
         # From SIGTERM until the process is killed.
         grace_s=bounds.number("grace_period_s", 6),
-        # Longest silence after which this VM still counts as in touch.
-        contact_s=bounds.number("contact_ms", 4000) / 1000,
     )
