--- /dev/null
+++ b/tests/gateway_builders.py
@@ -0,0 +1,155 @@
+"""Builders of test data for the gateway."""
+
+from laurelrock.core import registry
+from laurelrock.core import repeats
+from laurelrock.core import replicas
+from laurelrock.core import routes
+from laurelrock.gateways import deployment
+
+HOST = "quotes.example"
+
+
+def query_route(shards, **fields) -> routes.Route:
+    row = {
+        "name": "query",
+        "host": HOST,
+        "prefix": "/query/",
+        "repeatable": True,
+        "timeout_s": 1.0,
+        "objective_s": 0.15,
+        "shards": tuple(shards),
+        "attempts": 2,
+        "top": 5,
+        "least_share": 0.75,
+    }
+    return routes.Route(**{**row, **fields})
+
+
+def single_route(service="files", **fields) -> routes.Route:
+    row = {
+        "name": "single",
+        "host": HOST,
+        "prefix": "/single/",
+        "repeatable": True,
+        "timeout_s": 1.0,
+        "objective_s": 0.5,
+        "parts": (routes.Part(service),),
+        "attempts": 2,
+    }
+    return routes.Route(**{**row, **fields})
+
+
+def configuration(*rows, version=1, services=(), **fields):
+    named = {service for route in rows for service in route.shards}
+    named |= {part.service for route in rows for part in route.parts}
+    return routes.Configuration(
+        version=version,
+        routes=tuple(rows),
+        services={
+            name: routes.Service("/healthz", 26) for name in {*named, *services}
+        },
+        **fields,
+    )
+
+
+def searcher(name="s-1", **fields) -> registry.Searcher:
+    row = {
+        "id": name,
+        "born_ms": 1,
+        "service": "files",
+        "address": ("127.0.0.1", 9),
+        "failure_domain": "a",
+        "slots": 2,
+    }
+    return registry.Searcher(**{**row, **fields})
+
+
+def replica(name="s-1", now_s=0.0, **fields) -> replicas.Replica:
+    return replicas.create_replica(searcher(name, **fields), now_s)
+
+
+def options(callers, readiness, peers, store) -> deployment.Deployment:
+    return deployment.Deployment(
+        vm="vm-1",
+        address=callers[0],
+        failure_domain="a",
+        region="r",
+        callers=callers,
+        readiness=readiness,
+        peers=peers,
+        seeds=(),
+        store=store,
+        repeats=repeats.Rule(0.2, 58, 10),
+        grace_s=6.0,
+    )
+
+
+def store_searcher(**fields) -> dict:
+    """Returns a searcher's entry as the platform holds it."""
+    row = {
+        "service": "files",
+        "address": "127.0.0.1:9",
+        "zone": "a",
+        "version": "v1",
+        "capacity": 2,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "seq": 4,
+        "born": 1_790_000_000_000,
+    }
+    return {**row, **fields}
+
+
+def store_query(shards, **fields) -> dict:
+    """Returns a query's route as the platform holds it."""
+    row = {
+        "name": "r-query",
+        "host": HOST,
+        "path_prefix": "/query/",
+        "type": "idempotent",
+        "timeout_ms": 1000,
+        "target_latency_ms": 150,
+        "priority": 1,
+        "fanout": list(shards),
+        "max_attempts": 2,
+        "top_k": 5,
+        "min_success_share": 0.75,
+    }
+    return {**row, **fields}
+
+
+def store_single(**fields) -> dict:
+    """Returns a single request's route as the platform holds it."""
+    row = {
+        "name": "r-single",
+        "host": HOST,
+        "path_prefix": "/single/",
+        "type": "idempotent",
+        "timeout_ms": 1000,
+        "target_latency_ms": 500,
+        "priority": 2,
+        "service": "files",
+        "max_attempts": 2,
+    }
+    return {**row, **fields}
+
+
+def store_configuration(*rows, version=2, **fields) -> dict:
+    """Returns a configuration as the platform holds it."""
+    services = {name for row in rows for name in row.get("fanout", [])}
+    services |= {row["service"] for row in rows if "service" in row}
+    document = {
+        "version": version,
+        "routes": list(rows),
+        "services": [
+            {"name": name, "health_path": "/healthz", "max_connections": 26}
+            for name in sorted(services)
+        ],
+        "limits": {
+            "max_header_bytes": 2048,
+            "max_body_bytes": 4096,
+            "header_timeout_ms": 400,
+            "idle_timeout_ms": 800,
+        },
+    }
+    return {**document, **fields}
--- /dev/null
+++ b/tests/test_gathering.py
@@ -0,0 +1,81 @@
+"""Tests of when queries are answered, and of the merge."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from laurelrock.core import gathering
+
+PLAN = gathering.create_plan(20, 18, 0.0, 0.145, 1.2)
+AIM_S = PLAN.objective_s
+
+# included, open parts, moment, whether the query is answered
+MOMENTS = (
+    (20, 0, 0.05, True),
+    (19, 1, 0.05, False),
+    (19, 1, AIM_S, True),
+    (18, 2, AIM_S, True),
+    (17, 3, AIM_S, False),
+    # Missed the objective: a short time for the rest, then what is in.
+    (18, 2, AIM_S + 0.02, False),
+    (18, 2, PLAN.grace_s, True),
+    (17, 3, PLAN.grace_s, False),
+    # Too many shards have failed: said at once.
+    (10, 7, 0.02, True),
+    # The caller gives up.
+    (3, 17, 1.2, True),
+    (18, 0, 0.02, True),
+)
+
+
+class ReadyTest(unittest.TestCase):
+    def test_moments(self):
+        for included, left, now_s, ready in MOMENTS:
+            with self.subTest(included=included, left=left, now_s=now_s):
+                found = gathering.ready(PLAN, included, left, now_s)
+                self.assertEqual(found, ready)
+
+    def test_partial_answer_reaches_the_caller_in_time(self):
+        self.assertLess(AIM_S + 2 * 0.003, 0.145)
+
+    def test_wakes_at_each_moment(self):
+        moments = [0.0]
+        while moments[-1] < PLAN.end_s:
+            moments.append(gathering.wake_s(PLAN, moments[-1]))
+        self.assertEqual(
+            moments[1:], [PLAN.objective_s, PLAN.grace_s, PLAN.end_s]
+        )
+
+    def test_objective_after_the_end(self):
+        plan = gathering.create_plan(4, 4, 0.0, 5.0, 1.0)
+        self.assertEqual(gathering.wake_s(plan, 0.0), 1.0)
+        self.assertTrue(gathering.ready(plan, 1, 3, 1.0))
+
+
+class GreatestTest(unittest.TestCase):
+    def test_remainder_is_no_record(self):
+        body = b"b" * 16 + b"c" * 15
+        self.assertEqual(gathering.greatest([body], 5), b"b" * 16)
+
+    def test_equal_records_all_count(self):
+        bodies = [b"b" * 16 + b"a" * 16, b"b" * 16]
+        self.assertEqual(gathering.greatest(bodies, 2), b"b" * 32)
+
+    def test_no_records(self):
+        self.assertEqual(gathering.greatest([b"", b"short"], 5), b"")
+
+    @hypothesis.settings(
+        max_examples=200, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(
+        strategies.lists(strategies.binary(max_size=70), max_size=6),
+        strategies.integers(0, 6),
+    )
+    def test_is_the_head_of_all_records_sorted(self, bodies, top):
+        records = []
+        for body in bodies:
+            whole = len(body) // 16
+            records += [body[16 * n : 16 * n + 16] for n in range(whole)]
+        expected = b"".join(sorted(records, reverse=True)[:top])
+        self.assertEqual(gathering.greatest(bodies, top), expected)
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,98 @@
+"""Tests of the budget of repeats over all VMs."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from laurelrock.core import repeats
+
+RULE = repeats.Rule(fraction=0.2, allowance=58, window_s=10)
+
+# A step: which VM, which moment within the next tenth of a second, what
+# happens there.
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 8),
+        strategies.floats(0, 0.1),
+        strategies.sampled_from(["request", "repeat", "restart"]),
+    ),
+    min_size=50,
+    max_size=600,
+)
+
+
+def counted(events, start_s, end_s):
+    return sum(1 for moment in events if start_s <= moment < end_s)
+
+
+class BudgetTest(unittest.TestCase):
+    def test_nothing_without_requests_or_vms(self):
+        budget = repeats.create_budget(RULE)
+        self.assertFalse(budget.take("s", 0.0))
+
+    def test_fraction_of_the_own_requests(self):
+        budget = repeats.create_budget(RULE._replace(allowance=0))
+        for _ in range(100):
+            budget.request("s", 1.0)
+        taken = sum(budget.take("s", 1.0) for _ in range(100))
+        self.assertLessEqual(taken, 20)
+        self.assertGreaterEqual(taken, 10)
+
+    def test_services_are_apart(self):
+        budget = repeats.create_budget(RULE)
+        budget.set_vms(1)
+        while budget.take("s", 0.0):
+            pass
+        self.assertTrue(budget.take("t", 0.0))
+
+    def test_comes_back_after_the_window(self):
+        budget = repeats.create_budget(RULE)
+        budget.set_vms(4)
+        while budget.take("s", 0.0):
+            pass
+        self.assertFalse(budget.take("s", 9.9))
+        self.assertTrue(budget.take("s", 11.1))
+
+    def test_call_that_never_left_is_given_back(self):
+        budget = repeats.create_budget(RULE)
+        budget.set_vms(9)
+        while budget.take("s", 0.0):
+            pass
+        budget.give_back("s", 0.0)
+        self.assertTrue(budget.take("s", 0.0))
+        self.assertFalse(budget.take("s", 0.0))
+
+    @hypothesis.settings(
+        max_examples=120, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(STEPS)
+    def test_all_vms_together_stay_within_the_rule(self, steps):
+        vms = 9
+        budgets = [repeats.create_budget(RULE) for _ in range(vms)]
+        for budget in budgets:
+            budget.set_vms(vms)
+        requests, extras, restarts = [], [], 0
+        now_s = 0.0
+        for vm, pause_s, kind in steps:
+            now_s += pause_s
+            budget = budgets[vm]
+            if kind == "request":
+                budget.request("s", now_s)
+                requests.append(now_s)
+            elif kind == "repeat":
+                if budget.take("s", now_s):
+                    extras.append(now_s)
+            elif restarts < 4:
+                # A process that begins anew has forgotten what it used.
+                restarts += 1
+                budgets[vm] = repeats.create_budget(RULE)
+                budgets[vm].set_vms(vms)
+        for end_s in extras:
+            start_s = end_s - RULE.window_s
+            wanted = max(
+                counted(requests, start_s - back, end_s - back + 1e-9)
+                for back in (0, RULE.window_s / 2, RULE.window_s)
+            )
+            limit = RULE.fraction * wanted + RULE.allowance
+            self.assertLessEqual(counted(extras, start_s, end_s + 1e-9), limit)
--- /dev/null
+++ b/tests/test_replicas.py
@@ -0,0 +1,154 @@
+"""Tests of the view of searchers and of the choice between them."""
+
+import unittest
+
+from laurelrock.core import replicas
+from tests import gateway_builders as build
+
+
+def near(row):
+    return row.searcher.failure_domain == "a"
+
+
+def typical_of(latency_s):
+    typical = replicas.Typical()
+    for _ in range(50):
+        typical.note(latency_s)
+    return typical
+
+
+class ChoiceTest(unittest.TestCase):
+    """Each case is a pattern of load, and the searcher that must take it."""
+
+    def setUp(self):
+        self.typical = typical_of(0.02)
+        self.one = build.replica("one")
+        self.two = build.replica("two")
+
+    def choose(self, now_s=10.0):
+        chosen = replicas.choose(
+            [self.one, self.two], self.typical, near, now_s
+        )
+        return chosen.searcher.id
+
+    def test_near_goes_before_far(self):
+        self.one = build.replica("one", failure_domain="b")
+        self.assertEqual(self.choose(), "two")
+
+    def test_far_goes_before_a_near_one_without_a_free_slot(self):
+        self.one = build.replica("one", failure_domain="b")
+        self.two.begin(9.995)
+        self.two.begin(9.995)
+        self.assertEqual(self.choose(), "one")
+
+    def test_paused_searcher_gets_nothing_new(self):
+        self.one.begin(9.9)
+        self.two.begin(9.99)
+        self.two.begin(9.99)
+        self.assertTrue(self.one.stalled(self.typical, 10.0))
+        self.assertEqual(self.choose(), "two")
+
+    def test_slow_searcher_is_passed_over(self):
+        for _ in range(10):
+            self.one.answered(0.2, self.typical, 9.9)
+        self.assertEqual(self.choose(), "two")
+
+    def test_slow_searcher_is_tried_again_later(self):
+        for _ in range(10):
+            self.one.answered(0.2, self.typical, 10.0)
+        late_s = 10.0 + replicas.FORGET_S
+        fresh = build.replica("fresh").expected_s(self.typical, late_s)
+        self.assertAlmostEqual(self.one.expected_s(self.typical, late_s), fresh)
+
+    def test_warming_searcher_is_passed_over(self):
+        self.one = build.replica("one", now_s=9.0, warm_up_s=3.0)
+        self.assertEqual(self.choose(), "two")
+        self.assertEqual(self.choose(13.0), "one")
+
+    def test_full_searcher_rests(self):
+        self.one.full(9.99)
+        self.assertEqual(self.choose(), "two")
+
+    def test_failing_searcher_is_passed_over(self):
+        self.one.erred()
+        self.assertEqual(self.choose(), "two")
+
+    def test_fresh_report_of_load_counts(self):
+        self.one.report(4, 2, 9.95)
+        self.assertEqual(self.choose(), "two")
+
+    def test_old_report_of_load_does_not(self):
+        self.one.report(4, 2, 8.0)
+        self.assertEqual(self.choose(), "one")
+
+
+class EjectionTest(unittest.TestCase):
+    def setUp(self):
+        self.row = build.replica("one")
+        self.other = build.replica("two")
+
+    def eject(self):
+        return [self.row.went_silent(1.0) for _ in range(2)]
+
+    def test_second_silent_call_ejects(self):
+        self.assertEqual(self.eject(), [False, True])
+        self.assertEqual(replicas.usable([self.row, self.other]), [self.other])
+
+    def test_an_answer_between_them_keeps_it(self):
+        self.row.went_silent(1.0)
+        self.row.alive()
+        self.assertFalse(self.row.went_silent(1.1))
+
+    def test_reset_alone_does_not_eject(self):
+        for _ in range(20):
+            self.row.note_failure()
+        self.assertTrue(self.row.reachable)
+
+    def test_probed_searcher_takes_one_call_at_a_time(self):
+        self.eject()
+        self.row.probed = True
+        both = [self.row, self.other]
+        self.assertEqual(replicas.usable(both), both)
+        self.row.begin(2.0)
+        self.assertEqual(replicas.usable(both), [self.other])
+        self.row.alive()
+        self.assertEqual(replicas.usable(both), both)
+
+    def test_waits_grow_to_their_bound(self):
+        self.eject()
+        waits = []
+        for _ in range(6):
+            self.row.went_silent(1.0)
+            waits.append(self.row.probe_s - 1.0)
+        self.assertEqual(waits, sorted(waits))
+        self.assertEqual(waits[-1], replicas.MAX_EJECT_S)
+
+    def test_all_ejected_are_used_rather_than_none(self):
+        self.eject()
+        self.assertEqual(replicas.usable([self.row]), [self.row])
+        self.assertFalse(replicas.any_reachable([self.row]))
+
+    def test_leaving_and_misplaced_ones_are_never_used(self):
+        leaving = build.replica("three", state="draining")
+        self.other.misplaced = True
+        self.assertEqual(replicas.usable([leaving, self.other]), [])
+
+
+class FarSilenceTest(unittest.TestCase):
+    def rows(self, silent, answered_s=0.0):
+        rows = [build.replica(f"far-{n}", failure_domain="b") for n in range(8)]
+        for row in rows[:silent]:
+            row.went_silent(9.0)
+            row.went_silent(9.0)
+        rows[-1].noted_s = answered_s
+        return [*rows, build.replica("near")]
+
+    def test_silence_of_all_others(self):
+        self.assertTrue(replicas.far_silent(self.rows(4), near, 10.0))
+
+    def test_few_silent_ones_are_no_cut(self):
+        self.assertFalse(replicas.far_silent(self.rows(3), near, 10.0))
+
+    def test_an_answer_from_afar_is_no_cut(self):
+        rows = self.rows(7, answered_s=9.8)
+        self.assertFalse(replicas.far_silent(rows, near, 10.0))
