Test the gateway, its client, server and adapter on real sockets

A bad request behind a good one on a connection is now answered 400; it was cut without an answer (its test failed first).

--- a/laurelrock/adapters/http_server.py
+++ b/laurelrock/adapters/http_server.py
@@ -120,7 +120,9 @@
             collections.deque()
         )
         self.receiving = False
+        #: Whether nothing more is read, and the status that says why.
         self.refused = False
+        self.refusal = 0
         self.since_s = self.loop.time()
         self.target = b""
         self.headers: http_wire.Headers = []
@@ -242,7 +244,10 @@
             )
         )
         self.since_s = self.loop.time()
-        if not keep or (self.refused and not self.waiting):
+        if keep and self.refused and not self.waiting:
+            self.answer_refusal()
+            return
+        if not keep:
             self.end()
             return
         if self.waiting and not self.refused:
@@ -257,11 +262,17 @@
         self.receiving = False
         self.server.counts[f"refused-{status}"] += 1
         _log.info("request-refused", status=status, bytes=self.header_bytes)
+        self.refusal = status
         if self.task is None and not self.waiting:
+            self.answer_refusal()
+
+    def answer_refusal(self) -> None:
+        """Tells why nothing more is read, and ends the connection."""
+        if self.refusal:
             self.transport.write(
-                http_wire.encode_answer(status, [], b"", False, False)
+                http_wire.encode_answer(self.refusal, [], b"", False, False)
             )
-            self.end()
+        self.end()
 
     def end(self) -> None:
         """Closes the connection after the caller could read the answer."""
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -391,10 +391,12 @@
     meters.gauge("laurelrock_vms", lambda: known.vms, "VMs that are listed")
 
 
-async def open_gateway(gateway: Gateway) -> None:
+async def open_gateway(
+    gateway: Gateway, metrics_port: int = METRICS_PORT
+) -> None:
     """Opens the ports and begins to follow the platform."""
     options = gateway.deployment
-    metrics_address = (options.address, METRICS_PORT)
+    metrics_address = (options.address, metrics_port)
     for handle, address in (
         (gateway.answer, options.callers),
         (gateway.answer_readiness, options.readiness),
--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,152 @@
+"""A gateway on loopback, among stand-ins, for tests."""
+
+import asyncio
+import contextlib
+import socket
+import typing
+import unittest
+
+import structlog.testing
+
+from fakes import objects
+from fakes import shards
+from laurelrock.adapters import exposition
+from laurelrock.gateways import gateway
+from laurelrock.platform import store
+from laurelrock.platform import wire
+from tests import gateway_builders as build
+
+HOST = "127.0.0.1"
+
+
+class Answer(typing.NamedTuple):
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that nobody uses now."""
+    with contextlib.ExitStack() as stack:
+        rows = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for row in rows:
+            row.bind((HOST, 0))
+        return [row.getsockname()[1] for row in rows]
+
+
+def request(
+    target: str, request_id: str = "r-1", deadline_ms: int = 1000, **fields
+) -> bytes:
+    """Returns the bytes of a caller's request."""
+    method = fields.get("method", "GET")
+    body = fields.get("body", b"")
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        f"Host: {build.HOST}",
+        f"X-Request-Id: {request_id}",
+        f"X-Deadline-Ms: {deadline_ms}",
+        *fields.get("headers", ()),
+    ]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Reads one answer with a length."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    pairs = [line.split(": ", 1) for line in lines[1:] if line]
+    headers = {name.lower(): value for name, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Answer(int(lines[0].split()[1]), headers, body)
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    """Runs a gateway; `searchers` and `routes` say among what."""
+
+    def setUp(self):
+        #: Log lines of the test.
+        self.lines = self.enterContext(structlog.testing.capture_logs())
+
+    async def start(self, document, rows, **fields):
+        """Starts stand-ins and a gateway, and waits until it is ready.
+
+        Args:
+            document: Configuration, as the platform holds it.
+            rows: Searchers as (service, `fakes.shards.Searcher`).
+            **fields: Of the gateway's settings.
+        """
+        self.store = objects.Objects()
+        ports = free_ports(5)
+        runner = await objects.start(self.store, HOST, ports[0])
+        self.addAsyncCleanup(runner.cleanup)
+        for service, searcher in rows:
+            self.list_searcher(service, searcher)
+            self.addAsyncCleanup(searcher.stop)
+        if document is not None:
+            self.store.put("config", "main", document)
+        options = build.options(*[(HOST, port) for port in ports[1:4]],
+                                (HOST, ports[0]))  # fmt: skip
+        options = options._replace(**fields)
+        self.source = store.open_store(options.store)
+        self.gateway = gateway.Gateway(
+            options, wire, self.source, exposition.create_metrics()
+        )
+        self.address = options.callers
+        await gateway.open_gateway(self.gateway, ports[4])
+        self.metrics_address = (HOST, ports[4])
+        self.addAsyncCleanup(self.end)
+        if document is not None:
+            await self.until(lambda: self.gateway.ready)
+
+    def list_searcher(self, service, searcher, **fields):
+        host, port = searcher.address
+        row = build.store_searcher(
+            service=service, address=f"{host}:{port}", **fields
+        )
+        self.store.put("servers", searcher.name, row)
+
+    async def end(self):
+        for task in list(self.gateway.tasks):
+            task.cancel()
+        for server in self.gateway.servers:
+            server.stop_listening()
+            for connection in list(server.connections):
+                connection.transport.abort()
+        for upstream in self.gateway.known.by_id.values():
+            upstream.client.close()
+        self.source.close()
+
+    async def until(self, holds, longest_s=5.0):
+        """Waits until a condition holds."""
+        async with asyncio.timeout(longest_s):
+            while not holds():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    async def connect(self):
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.transport.abort)
+        return reader, writer
+
+    async def ask(self, raw: bytes) -> Answer:
+        """Sends one request on a connection of its own."""
+        reader, writer = await self.connect()
+        writer.write(raw)
+        async with asyncio.timeout(5):
+            return await read_answer(reader)
+
+
+async def start_shards(count, script=shards.healthy, **fields):
+    """Starts one searcher for each of some services `shard-N`."""
+    return [
+        (
+            f"shard-{n}",
+            await shards.start(
+                f"s-{n}", script, records=bytes([n + 1]) * 16, **fields
+            ),
+        )
+        for n in range(count)
+    ]
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,352 @@
+"""The gateway among stand-ins, on real sockets."""
+
+import asyncio
+
+from fakes import objects
+from fakes import shards
+from tests import gateway_builders as build
+from tests import gateways
+
+SHARDS = [f"shard-{n}" for n in range(4)]
+QUERY = build.store_query(SHARDS)
+SINGLE = build.store_single()
+SAVE = build.store_single(
+    name="r-save", path_prefix="/save/", type="non_idempotent"
+)
+
+
+def crash(searcher, request):
+    return shards.Play(end="reset")
+
+
+def hang(searcher, request):
+    return shards.Play(end="hang")
+
+
+def full(searcher, request):
+    reply = shards.answer(
+        request, "503 Service Unavailable", b"", "X-Not-Executed: 1"
+    )
+    return shards.Play(((0, reply),))
+
+
+def error(searcher, request):
+    reply = shards.answer(
+        request, "500 Oops", b"why", f"X-Server-Stamp: {searcher.name}"
+    )
+    return shards.Play(((0, reply),))
+
+
+def unproved(searcher, request):
+    return shards.Play(((0, shards.answer(request, "200 OK", b"x" * 16)),))
+
+
+def late(searcher, request):
+    play = shards.healthy(searcher, request)
+    return shards.Play(((0.3, play.chunks[0][1]),))
+
+
+class QueryTest(gateways.GatewayCase):
+    async def start_with(self, *scripts, **fields):
+        self.rows = await gateways.start_shards(4)
+        for (_, searcher), script in zip(self.rows, scripts, strict=False):
+            searcher.script = script
+        document = build.store_configuration({**QUERY, **fields})
+        await self.start(document, self.rows)
+
+    def requests(self):
+        return sum(len(searcher.requests) for _, searcher in self.rows)
+
+    async def test_whole_answer(self):
+        await self.start_with()
+        answer = await self.ask(gateways.request("/query/a?b=1"))
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["x-missing-parts"], "0")
+        proofs = answer.headers["x-part-stamps"].split(", ")
+        self.assertEqual(len(set(proofs)), 4)
+        expected = b"".join(bytes([n]) * 16 for n in (4, 3, 2, 1))
+        self.assertEqual(answer.body, expected)
+        seen = self.rows[0][1].requests[0]
+        self.assertEqual(seen.target, "/query/a?b=1")
+        self.assertLessEqual(int(seen.headers["x-deadline-ms"]), 1000)
+
+    async def test_partial_answer_names_what_is_missing(self):
+        for script in (crash, hang, error, unproved, full, late):
+            with self.subTest(script.__name__):
+                await self.start_with(script)
+                answer = await self.ask(gateways.request("/query/a"))
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(answer.headers["x-missing-parts"], "1")
+                proofs = answer.headers["x-part-stamps"].split(", ")
+                self.assertEqual(len(proofs), 3)
+                self.assertEqual(len(answer.body), 48)
+
+    async def test_too_few_shards_fail_at_once(self):
+        await self.start_with(error, error)
+        answer = await self.ask(gateways.request("/query/a"))
+        self.assertEqual(answer.status, 502)
+
+    async def test_shards_without_a_searcher_are_refused_untried(self):
+        await self.start_with()
+        for _, searcher in self.rows[:2]:
+            self.store.delete("servers", searcher.name)
+        await self.until(lambda: len(self.gateway.known.by_id) == 2)
+        before = self.requests()
+        answer = await self.ask(gateways.request("/query/a"))
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+        self.assertEqual(self.requests(), before)
+
+    async def test_failed_part_goes_to_the_other_searcher(self):
+        await self.start_with(crash)
+        spare = await shards.start("s-spare", records=b"\x09" * 16)
+        self.addAsyncCleanup(spare.stop)
+        self.list_searcher("shard-0", spare)
+        await self.until(lambda: len(self.gateway.known.by_id) == 5)
+        self.gateway.set_vms(1)
+        for number in range(8):
+            answer = await self.ask(gateways.request("/query/a", f"r-{number}"))
+            self.assertEqual(answer.headers["x-missing-parts"], "0")
+
+    async def test_late_part_is_hedged(self):
+        await self.start_with(late)
+        spare = await shards.start("s-spare", records=b"\x09" * 16)
+        self.addAsyncCleanup(spare.stop)
+        self.list_searcher("shard-0", spare, zone="b")
+        await self.until(lambda: len(self.gateway.known.by_id) == 5)
+        self.gateway.set_vms(1)
+        answer = await self.ask(gateways.request("/query/a"))
+        self.assertEqual(answer.headers["x-missing-parts"], "0")
+        self.assertEqual(self.gateway.placement.counts["hedge"], 1)
+
+    async def test_configuration_that_changes_takes_new_shards(self):
+        await self.start_with()
+        moved = {**QUERY, "fanout": SHARDS[:2]}
+        document = build.store_configuration(moved, version=9)
+        self.store.put("config", "main", document)
+        await self.until(lambda: self.gateway.version == 9)
+        answer = await self.ask(gateways.request("/query/a"))
+        self.assertEqual(answer.headers["x-missing-parts"], "0")
+        self.assertEqual(len(answer.body), 32)
+
+    async def test_caller_that_leaves_ends_its_calls(self):
+        await self.start_with(hang, hang, hang, hang)
+        _, writer = await self.connect()
+        writer.write(gateways.request("/query/a"))
+        await self.until(lambda: self.requests() == 4)
+        writer.transport.abort()
+        await self.until(
+            lambda: all(searcher.left for _, searcher in self.rows),
+            longest_s=0.5,
+        )
+
+
+class SingleTest(gateways.GatewayCase):
+    async def start_with(self, *scripts):
+        self.searchers = [
+            await shards.start(f"s-{n}", script, records=b"file")
+            for n, script in enumerate(scripts)
+        ]
+        rows = [("files", searcher) for searcher in self.searchers]
+        document = build.store_configuration(SINGLE, SAVE)
+        await self.start(document, rows)
+        self.gateway.set_vms(1)
+
+    def requests(self):
+        return sum(len(row.requests) for row in self.searchers)
+
+    async def save(self, **fields):
+        return await self.ask(
+            gateways.request("/save/a", method="POST", body=b"save", **fields)
+        )
+
+    async def test_answer_is_passed_on_unchanged(self):
+        await self.start_with(shards.healthy)
+        answer = await self.ask(gateways.request("/single/a"))
+        self.assertEqual((answer.status, answer.body), (200, b"file"))
+        self.assertEqual(answer.headers["x-server-stamp"], "s-0.r-1")
+        self.assertEqual(answer.headers["x-request-id"], "r-1")
+
+    async def test_failure_of_a_searcher_is_passed_on_unchanged(self):
+        await self.start_with(error)
+        answer = await self.ask(gateways.request("/single/a"))
+        self.assertEqual((answer.status, answer.body), (500, b"why"))
+
+    async def test_repeatable_request_goes_to_another_searcher(self):
+        for script in (crash, error, unproved, full):
+            with self.subTest(script.__name__):
+                await self.start_with(script, shards.healthy)
+                for number in range(6):
+                    raw = gateways.request("/single/a", f"r-{number}")
+                    answer = await self.ask(raw)
+                    self.assertEqual(answer.status, 200)
+
+    async def test_save_runs_at_most_once(self):
+        for script, status in (
+            (crash, 502),
+            (unproved, 502),
+            (error, 500),
+            (hang, 504),
+        ):
+            with self.subTest(script.__name__):
+                await self.start_with(script, script)
+                answer = await self.save(deadline_ms=300)
+                self.assertEqual(answer.status, status)
+                await asyncio.sleep(0.05)
+                self.assertEqual(self.requests(), 1)
+
+    async def test_save_that_did_not_run_goes_to_another(self):
+        await self.start_with(full, shards.healthy)
+        for _ in range(4):
+            answer = await self.save()
+            self.assertEqual(answer.status, 200)
+
+    async def test_refused_save_has_not_run(self):
+        await self.start_with(full, full)
+        answer = await self.save()
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+
+    async def test_another_searcher_at_the_address(self):
+        await self.start_with(shards.healthy)
+        self.searchers[0].name = "s-new"
+        answer = await self.save()
+        self.assertEqual(answer.status, 503)
+        await self.save()
+        self.assertEqual(self.requests(), 1)
+
+    async def test_same_id_born_again_begins_anew(self):
+        await self.start_with(shards.healthy)
+        self.gateway.known.by_id["s-0"].replica.misplaced = True
+        self.list_searcher("files", self.searchers[0], born=77)
+        await self.until(
+            lambda: not self.gateway.known.by_id["s-0"].replica.misplaced
+        )
+        answer = await self.ask(gateways.request("/single/a"))
+        self.assertEqual(answer.status, 200)
+
+    async def test_draining_searcher_gets_nothing(self):
+        await self.start_with(shards.healthy, shards.healthy)
+        self.list_searcher("files", self.searchers[0], state="draining")
+        replica = self.gateway.known.by_id["s-0"].replica
+        await self.until(lambda: replica.searcher.state == "draining")
+        for number in range(6):
+            await self.ask(gateways.request("/single/a", f"r-{number}"))
+        self.assertEqual(len(self.searchers[0].requests), 0)
+
+    async def test_timeout_is_answered_at_once(self):
+        await self.start_with(hang)
+        began_s = asyncio.get_running_loop().time()
+        answer = await self.ask(gateways.request("/single/a", deadline_ms=200))
+        elapsed_s = asyncio.get_running_loop().time() - began_s
+        self.assertEqual(answer.status, 504)
+        self.assertLess(elapsed_s, 0.7)
+
+    async def test_unknown_route(self):
+        await self.start_with(shards.healthy)
+        answer = await self.ask(gateways.request("/nowhere/a"))
+        self.assertEqual(answer.status, 404)
+
+
+class LifeTest(gateways.GatewayCase):
+    async def test_not_ready_without_a_configuration(self):
+        await self.start(None, [])
+        self.address = self.gateway.deployment.readiness
+        answer = await self.ask(gateways.request("/api/readiness"))
+        self.assertEqual(answer.status, 503)
+        self.address = self.gateway.deployment.callers
+        answer = await self.ask(gateways.request("/query/a"))
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+
+    async def test_older_configuration_is_never_taken(self):
+        await self.start(build.store_configuration(SINGLE, version=5), [])
+        self.store.put(
+            "config", "main", build.store_configuration(QUERY, version=4)
+        )
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.gateway.version, 5)
+
+    async def test_lost_history_is_read_anew(self):
+        await self.start(build.store_configuration(SINGLE, version=5), [])
+        self.store.faults = objects.Faults(status=410)
+        await asyncio.sleep(0.2)
+        self.store.forget()
+        self.store.faults = objects.Faults()
+        self.store.put(
+            "config", "main", build.store_configuration(QUERY, version=6)
+        )
+        await self.until(lambda: self.gateway.version == 6)
+
+    async def test_serves_on_without_the_platform(self):
+        searcher = await shards.start("s-0", records=b"file")
+        document = build.store_configuration(SINGLE)
+        await self.start(document, [("files", searcher)])
+        self.store.faults = objects.Faults(status=503)
+        self.store.changed.set()
+        answer = await self.ask(gateways.request("/single/a"))
+        self.assertEqual(answer.status, 200)
+
+    async def test_bad_entries_leave_the_others(self):
+        searcher = await shards.start("s-0", records=b"file")
+        await self.start(
+            build.store_configuration(SINGLE), [("files", searcher)]
+        )
+        for number, spec in enumerate(
+            (None, "bytes", {}, build.store_searcher(capacity="2"))
+        ):
+            self.store.put("servers", f"bad-{number}", spec)
+        await self.until(lambda: len(self.source.bad) == 3)
+        self.assertEqual(list(self.gateway.known.by_id), ["s-0"])
+
+    async def test_stop_cuts_nothing(self):
+        searcher = await shards.start("s-0", late, records=b"file")
+        await self.start(
+            build.store_configuration(SINGLE), [("files", searcher)]
+        )
+        reader, writer = await self.connect()
+        idle_reader, _ = await self.connect()
+        stop = asyncio.create_task(self.gateway.stop())
+        await asyncio.sleep(0.05)
+        self.assertFalse(self.gateway.ready)
+        writer.write(gateways.request("/single/a"))
+        answer = await gateways.read_answer(reader)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["connection"], "close")
+        late_answer = await self.ask(gateways.request("/single/a", "r-2"))
+        self.assertEqual(late_answer.status, 200)
+        await stop
+        self.assertEqual(await idle_reader.read(), b"")
+
+    async def test_refused_vm_learns_from_another(self):
+        searcher = await shards.start("s-0", records=b"file")
+        await self.start(
+            build.store_configuration(SINGLE), [("files", searcher)]
+        )
+        first, first_address = self.gateway, self.gateway.deployment.peers
+        store = self.store
+        await self.start(None, [], seeds=(first_address,))
+        self.addAsyncCleanup(self.end_other, first)
+        self.store.faults = objects.Faults(status=503)
+        await self.until(lambda: self.gateway.ready, 8.0)
+        self.assertEqual(self.gateway.version, 2)
+        answer = await self.ask(gateways.request("/single/a"))
+        self.assertEqual(answer.status, 200)
+        self.assertIsNot(store, self.store)
+
+    async def end_other(self, other):
+        for task in list(other.tasks):
+            task.cancel()
+
+    async def test_metrics(self):
+        await self.start(build.store_configuration(SINGLE), [])
+        await self.ask(gateways.request("/single/a"))
+        self.address = self.metrics_address
+        answer = await self.ask(gateways.request("/metrics"))
+        text = answer.body.decode()
+        lines = [row for row in self.lines if row["event"] == "request"]
+        self.assertEqual(lines[-1]["outcome"], "refused")
+        self.assertEqual(lines[-1]["request"], "r-1")
+        self.assertIn('laurelrock_answers_total{kind="refused"} 1', text)
+        self.assertIn("laurelrock_configuration_version 2", text)
+        self.assertIn('laurelrock_request_ms_bucket{outcome="refused"', text)
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,227 @@
+"""Contract of the HTTP client, against searchers that misbehave."""
+
+import asyncio
+import functools
+import typing
+import unittest
+
+from fakes import shards
+from laurelrock import errors
+from laurelrock.adapters import http_client
+from laurelrock.adapters import http_wire
+
+
+class Row(typing.NamedTuple):
+    """One way to answer.
+
+    Attributes:
+        name: Of the case.
+        play: Returns what the searcher does, given the request.
+        body: Of the answer that the call ends with; None for a failure.
+        kept: Whether the connection may be used again.
+        failure: Type of the failure.
+    """
+
+    name: str
+    play: typing.Callable[[shards.Request], shards.Play]
+    body: bytes | None
+    kept: bool
+    failure: type[Exception] | None = None
+
+
+def good(request, body=b"good"):
+    return shards.answer(request, "200 OK", body)
+
+
+def old(request):
+    return shards.answer(request._replace(headers={}), "200 OK", b"old")
+
+
+def sends(*makers, end="keep", wait_s=0.0):
+    def play(request):
+        chunks = tuple((wait_s, maker(request)) for maker in makers)
+        return shards.Play(chunks, end)
+
+    return play
+
+
+def raw(text):
+    return lambda request: text
+
+
+def other(request):
+    headers = {"x-request-id": "another"}
+    return shards.answer(request._replace(headers=headers), "200 OK", b"old")
+
+
+BROKEN = errors.CallBrokenError
+GARBLED = errors.CallGarbledError
+CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"
+CHUNK = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+OPEN = b"HTTP/1.1 200 OK\r\n\r\nwhole"
+CLOSES = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+INTERIM = raw(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+
+ROWS = (
+    Row("whole", sends(good), b"good", True),
+    Row("whole, in pieces", sends(raw(CLOSES[:30]), raw(CLOSES[30:])),
+        b"ok", False),
+    Row("chunked", sends(raw(CHUNK + b"2\r\nok\r\n0\r\n\r\n")), b"ok", True),
+    Row("chunked, cut", sends(raw(CHUNK + b"2\r\nok\r\n"), end="close"),
+        None, False, BROKEN),
+    Row("says that it closes", sends(raw(CLOSES)), b"ok", False),
+    Row("interim answer before", sends(INTERIM, good), b"good", True),
+    Row("no length, closed", sends(raw(OPEN), end="close"), b"whole", False),
+    Row("no length, reset", sends(raw(OPEN), end="reset", wait_s=0.01),
+        None, False, BROKEN),
+    Row("ends early", sends(raw(CUT), end="close"), None, False, BROKEN),
+    Row("reset early", sends(raw(CUT), end="reset"), None, False, BROKEN),
+    Row("closed without a word", sends(end="close"), None, False, BROKEN),
+    Row("reset without a word", sends(end="reset"), None, False, BROKEN),
+    Row("no HTTP", sends(raw(b"\x00\x01 no answer\r\n\r\n")),
+        None, False, GARBLED),
+    Row("bytes after the answer", sends(lambda r: good(r) + b"junk"),
+        b"good", False),
+    Row("a second answer with it", sends(lambda r: good(r) + old(r)),
+        b"good", False),
+    Row("an answer to an earlier request first", sends(other, good),
+        b"good", False),
+    Row("only an answer to another request", sends(other, end="close"),
+        None, False, BROKEN),
+)  # fmt: skip
+
+
+def accept(headers):
+    found = http_wire.value_of(headers, b"x-request-id")
+    return found in (None, b"id-1")
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    async def open(self, script, limit=1):
+        self.searcher = await shards.start(script=script)
+        self.addAsyncCleanup(self.searcher.stop)
+        return http_client.open_client(self.searcher.address, limit)
+
+    def call(self, client, method=b"GET", body=b""):
+        head = b"host: x\r\nx-request-id: id-1\r\n"
+        encode = functools.partial(
+            http_wire.encode_request, method, b"/q", head, body
+        )
+        return client.call(encode, accept, method == b"HEAD")
+
+    async def result(self, call):
+        async with asyncio.timeout(5):
+            return await call.future
+
+    async def test_table(self):
+        for row in ROWS:
+            with self.subTest(row.name):
+                client = await self.open(lambda _, r, row=row: row.play(r))
+                call = self.call(client)
+                if row.failure is None:
+                    reply = await self.result(call)
+                    self.assertEqual(reply.body, row.body)
+                else:
+                    with self.assertRaises(row.failure):
+                        await self.result(call)
+                    self.assertTrue(call.sent)
+                self.assertEqual(len(client.idle), row.kept)
+
+    async def test_reset_after_the_request_gives_one_call(self):
+        client = await self.open(lambda *_: shards.Play(end="reset"))
+        with self.assertRaises(errors.CallBrokenError):
+            await self.result(self.call(client, b"POST", b"once"))
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.searcher.requests), 1)
+
+    async def test_reset_on_a_kept_connection_gives_one_call(self):
+        plays = [sends(good), sends(end="reset")]
+        client = await self.open(lambda _, r: plays.pop(0)(r))
+        await self.result(self.call(client))
+        with self.assertRaises(errors.CallBrokenError):
+            await self.result(self.call(client, b"POST", b"once"))
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.searcher.requests), 2)
+        self.assertEqual(self.searcher.connections, 1)
+
+    async def test_late_bytes_on_an_idle_connection_end_it(self):
+        late = shards.Play(((0, CLOSES.replace(b"close", b"alive")),
+                            (0.02, b"HTTP/1.1 200 OK\r\n")))  # fmt: skip
+        client = await self.open(lambda *_: late)
+        await self.result(self.call(client))
+        await asyncio.sleep(0.1)
+        self.assertEqual(client.idle, [])
+        self.assertEqual(client.connections, set())
+
+    async def test_nobody_listens(self):
+        client = await self.open(shards.healthy)
+        await self.searcher.stop()
+        call = self.call(client)
+        with self.assertRaises(errors.ConnectError):
+            await self.result(call)
+        self.assertFalse(call.sent)
+
+    async def test_answer_before_the_request_is_read(self):
+        refusal = b"HTTP/1.1 413 No\r\nContent-Length: 0\r\n\r\n"
+
+        async def early(reader, writer):
+            await reader.read(100)
+            writer.write(refusal)
+            await asyncio.sleep(1)
+            writer.close()
+
+        server = await asyncio.start_server(early, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = server.sockets[0].getsockname()
+        client = http_client.open_client(address, 1)
+        call = self.call(client, b"POST", b"x" * 20_000_000)
+        reply = await self.result(call)
+        self.assertEqual(reply.status, 413)
+        self.assertEqual(client.idle, [])
+
+    async def test_limit_of_connections_holds(self):
+        slow = sends(good, wait_s=0.02)
+        client = await self.open(lambda _, r: slow(r), limit=2)
+        calls = [self.call(client) for _ in range(10)]
+        await asyncio.gather(*[self.result(call) for call in calls])
+        self.assertEqual(self.searcher.connections, 2)
+
+    async def test_withdrawn_call_frees_its_place(self):
+        client = await self.open(
+            lambda _, r: (
+                shards.Play(end="hang")
+                if len(self.searcher.requests) == 1
+                else sends(good)(r)
+            )
+        )
+        first = self.call(client)
+        second = self.call(client)
+        await asyncio.sleep(0.05)
+        first.withdraw()
+        reply = await self.result(second)
+        self.assertEqual(reply.body, b"good")
+
+    async def test_call_withdrawn_before_it_was_sent_is_never_sent(self):
+        slow = sends(good, wait_s=0.05)
+        client = await self.open(lambda _, r: slow(r))
+        first, second = self.call(client), self.call(client)
+        second.withdraw()
+        await self.result(first)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.searcher.requests), 1)
+
+    async def test_head_has_no_body(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n"
+        client = await self.open(lambda *_: shards.Play(((0, head),)))
+        reply = await self.result(self.call(client, b"HEAD"))
+        self.assertEqual((reply.status, reply.body), (200, b""))
+
+    async def test_keep_alive_of_the_other_side_is_respected(self):
+        said = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\n"
+        said += b"Content-Length: 0\r\n\r\n"
+        client = await self.open(lambda *_: shards.Play(((0, said),)))
+        await self.result(self.call(client))
+        self.assertLess(client.idle[0].keep_s, 2)
+        client.idle[0].since_s -= 1.9
+        await self.result(self.call(client))
+        self.assertEqual(self.searcher.connections, 2)
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,189 @@
+"""Contract of the HTTP server, against callers that misbehave."""
+
+import asyncio
+import typing
+import unittest
+
+from laurelrock.adapters import http_server
+from laurelrock.core import routes
+
+LIMITS = routes.Limits(
+    header_bytes=400, body_bytes=1000, header_s=0.3, idle_s=0.5
+)
+GET = b"GET /a HTTP/1.1\r\nHost: x\r\n"
+POST = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+
+
+class Row(typing.NamedTuple):
+    """What a caller sends, and what comes of it.
+
+    Attributes:
+        name: Of the case.
+        raw: Bytes sent.
+        statuses: Of the answers.
+        bodies: That the handler saw.
+        ends: Whether the connection ends then.
+    """
+
+    name: str
+    raw: bytes
+    statuses: list[int]
+    bodies: list[bytes]
+    ends: bool
+
+
+ROWS = (
+    Row("one", GET + b"\r\n", [200], [b""], False),
+    Row("pipelined", 3 * (GET + b"\r\n"), [200] * 3, [b""] * 3, False),
+    Row("length", POST + b"Content-Length: 3\r\n\r\nabc", [200], [b"abc"],
+        False),
+    Row("chunked", POST + b"Transfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", [200], [b"abc"], False),
+    Row("chunked, then another", POST + b"Transfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n0\r\n\r\n" + GET + b"\r\n", [200, 200], [b"ab", b""],
+        False),
+    Row("asks to close", GET + b"Connection: close\r\n\r\n", [200], [b""],
+        True),
+    Row("HTTP/1.0", b"GET /a HTTP/1.0\r\n\r\n", [200], [b""], True),
+    Row("upgrade is not taken", GET + b"Connection: Upgrade\r\n"
+        b"Upgrade: websocket\r\n\r\n", [200], [b""], True),
+    Row("two lengths", POST + b"Content-Length: 3\r\n"
+        b"Content-Length: 4\r\n\r\nabcd", [400], [], True),
+    Row("length and encoding", POST + b"Content-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", [400], [], True),
+    Row("encoding and length", POST + b"Transfer-Encoding: chunked\r\n"
+        b"Content-Length: 3\r\n\r\n0\r\n\r\n", [400], [], True),
+    Row("unknown encoding", POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n"
+        b"0\r\n\r\n", [400], [], True),
+    Row("negative length", POST + b"Content-Length: -3\r\n\r\n", [400], [],
+        True),
+    Row("length with a sign", POST + b"Content-Length: +3\r\n\r\nabc", [400],
+        [], True),
+    Row("no host", b"GET /a HTTP/1.1\r\n\r\n", [400], [], True),
+    Row("two hosts", GET + b"Host: y\r\n\r\n", [400], [], True),
+    Row("space before the colon", b"GET /a HTTP/1.1\r\nHost : x\r\n\r\n",
+        [400], [], True),
+    Row("bad chunk", POST + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        [400], [], True),
+    Row("no HTTP", b"\x16\x03\x01\x02\x00\x01\x00", [400], [], True),
+    Row("long header", GET + b"X-A: " + b"a" * 400 + b"\r\n\r\n", [431], [],
+        True),
+    Row("long path", b"GET /" + b"a" * 400 + b" HTTP/1.1\r\nHost: x\r\n\r\n",
+        [431], [], True),
+    Row("long length", POST + b"Content-Length: 1001\r\n\r\n", [413], [],
+        True),
+    Row("long chunks", POST + b"Transfer-Encoding: chunked\r\n\r\n3e9\r\n"
+        + b"a" * 1001 + b"\r\n0\r\n\r\n", [413], [], True),
+    Row("header that stops", GET, [408], [], True),
+    Row("body that stops", POST + b"Content-Length: 9\r\n\r\nabc", [408], [],
+        True),
+    Row("good, then bad", GET + b"\r\n" + GET + b"Host: y\r\n\r\n",
+        [200, 400], [b""], True),
+    Row("silent", b"", [], [], True),
+)  # fmt: skip
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.seen = []
+        self.left = 0
+        self.wait_s = 0.0
+        self.server = await http_server.open_server(
+            self.handle, ("127.0.0.1", 0), LIMITS
+        )
+        self.addCleanup(self.server.stop_listening)
+        self.address = self.server.listener.sockets[0].getsockname()
+
+    async def handle(self, request):
+        self.seen.append(request)
+        try:
+            await asyncio.sleep(self.wait_s)
+        except asyncio.CancelledError:
+            self.left += 1
+            raise
+        return http_server.Answer(200, [], b"ok")
+
+    async def connect(self):
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.transport.abort)
+        return reader, writer
+
+    async def read(self, reader):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length: ")[2].split()[0])
+        await reader.readexactly(length)
+        return int(head.split()[1])
+
+    async def read_all(self, reader, count):
+        statuses = [await self.read(reader) for _ in range(count)]
+        try:
+            async with asyncio.timeout(0.15 if statuses else 1.5):
+                rest = await reader.read()
+                return statuses, rest == b""
+        except TimeoutError:
+            return statuses, False
+
+    async def test_table(self):
+        for row in ROWS:
+            with self.subTest(row.name):
+                self.seen.clear()
+                reader, writer = await self.connect()
+                writer.write(row.raw)
+                async with asyncio.timeout(3):
+                    found = await self.read_all(reader, len(row.statuses))
+                self.assertEqual(found, (row.statuses, row.ends))
+                self.assertEqual([r.body for r in self.seen], row.bodies)
+
+    async def test_bytes_one_by_one(self):
+        reader, writer = await self.connect()
+        for byte in POST + b"Content-Length: 3\r\n\r\nabc":
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0)
+        self.assertEqual(await self.read(reader), 200)
+        self.assertEqual(self.seen[0].body, b"abc")
+
+    async def test_caller_that_leaves_is_noticed(self):
+        self.wait_s = 5.0
+        _, writer = await self.connect()
+        writer.write(GET + b"\r\n")
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.left, 1)
+
+    async def test_expectation_is_met(self):
+        reader, writer = await self.connect()
+        writer.write(
+            POST + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n"
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b"100", head)
+        writer.write(b"abc")
+        self.assertEqual(await self.read(reader), 200)
+
+    async def test_idle_time_counts_from_the_last_answer(self):
+        reader, writer = await self.connect()
+        for _ in range(3):
+            writer.write(GET + b"\r\n")
+            self.assertEqual(await self.read(reader), 200)
+            await asyncio.sleep(LIMITS.idle_s * 0.8)
+
+    async def test_closing_server_tells_callers(self):
+        self.wait_s = 0.1
+        reader, writer = await self.connect()
+        writer.write(GET + b"\r\n")
+        await asyncio.sleep(0.02)
+        self.server.closing = True
+        self.server.close_idle()
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b"connection: close", head)
+
+    async def test_many_pipelined_requests_keep_their_order(self):
+        reader, writer = await self.connect()
+        for number in range(100):
+            line = b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n" % number
+            writer.write(line)
+        for _ in range(100):
+            self.assertEqual(await self.read(reader), 200)
+        targets = [request.target for request in self.seen]
+        self.assertEqual(targets, [b"/%d" % n for n in range(100)])
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,267 @@
+"""Contract of the adapter: settings, objects and headers of the platform."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from fakes import objects as fake
+from laurelrock import errors
+from laurelrock.core import routes
+from laurelrock.platform import objects
+from laurelrock.platform import settings
+from laurelrock.platform import store
+from laurelrock.platform import wire
+from tests import gateway_builders as build
+from tests import gateways
+
+SETTINGS = {
+    "node_name": "vm-1",
+    "ip": "10.1.0.9",
+    "zone": "a",
+    "region": "r",
+    "listen_addrs": {
+        "front": "10.1.0.9:8104",
+        "readiness_addr": "10.1.0.9:8108",
+        "control": "10.1.0.9:8106",
+    },
+    "seed_nodes": ["10.2.0.21:8106"],
+    "policy_limits": {
+        "retry_budget_ratio": 0.2,
+        "retry_slack": 58,
+        "retry_window_s": 10,
+        "grace_period_s": 6,
+    },
+    "platform": {"address": "10.200.1.7:8102"},
+    "new_field": {"ignored": True},
+}
+
+# Entries of searchers that name no searcher.
+BAD_ENTRIES = (
+    None,
+    [],
+    "text",
+    {},
+    build.store_searcher(service=""),
+    build.store_searcher(service=7),
+    build.store_searcher(address="10.0.0.1"),
+    build.store_searcher(address="10.0.0.1:0"),
+    build.store_searcher(address="10.0.0.1:99999"),
+    build.store_searcher(address=":80"),
+    build.store_searcher(zone=None),
+    build.store_searcher(capacity="2"),
+    build.store_searcher(capacity=0),
+    build.store_searcher(capacity=True),
+    build.store_searcher(capacity=1.5),
+    build.store_searcher(state="sleeping"),
+    build.store_searcher(state=["ready"]),
+    build.store_searcher(warmup_left_ms="soon"),
+    build.store_searcher(born="yesterday"),
+    build.store_searcher(born=1.5),
+)
+
+# Configurations that are not taken.
+BAD_CONFIGURATIONS = (
+    None,
+    {"version": "2"},
+    {"version": 2, "routes": {}},
+    {"version": 2, "routes": [{}]},
+    {"version": 2, "routes": [{**build.store_single(), "timeout_ms": "1"}]},
+    {"version": 2, "routes": [{**build.store_single(), "service": 4}]},
+    {"version": 2, "routes": [], "services": [{}]},
+)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_fields(self):
+        found = settings.parse(json.dumps(SETTINGS).encode())
+        self.assertEqual(found.vm, "vm-1")
+        self.assertEqual(found.failure_domain, "a")
+        self.assertEqual(found.callers, ("10.1.0.9", 8104))
+        self.assertEqual(found.seeds, (("10.2.0.21", 8106),))
+        self.assertEqual(found.repeats, (0.2, 58, 10))
+
+    def test_bad_settings_name_the_field(self):
+        for name, value in (
+            ("node_name", None),
+            ("zone", 4),
+            ("listen_addrs", {}),
+            ("platform", {"address": "nowhere"}),
+            ("policy_limits", {"retry_slack": "many"}),
+        ):
+            with self.subTest(name):
+                text = json.dumps({**SETTINGS, name: value}).encode()
+                with self.assertRaises(errors.SettingsError):
+                    settings.parse(text)
+
+    def test_not_json(self):
+        with self.assertRaises(errors.SettingsError):
+            settings.parse(b"[vm]")
+
+    def test_changed_file_is_read_once(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "settings")
+            path.write_text(json.dumps(SETTINGS))
+            look = settings.watch(path)
+            self.assertIsNone(look())
+            path.write_text(json.dumps({**SETTINGS, "node_name": "vm-2"}))
+            self.assertEqual(look().vm, "vm-2")
+            self.assertIsNone(look())
+            path.write_text("half of a f")
+            self.assertIsNone(look())
+
+
+class ObjectsTest(unittest.TestCase):
+    def test_searcher(self):
+        found = objects.read_searcher("s-1", build.store_searcher())
+        self.assertEqual(found.state, "live")
+        self.assertEqual(found.address, ("127.0.0.1", 9))
+        self.assertEqual(found.born_ms, 1_790_000_000_000)
+
+    def test_bad_searchers(self):
+        for row in BAD_ENTRIES:
+            with self.subTest(row), self.assertRaises(errors.FieldError):
+                objects.read_searcher("s-1", row)
+
+    def test_bad_configurations(self):
+        for row in BAD_CONFIGURATIONS:
+            with self.subTest(row), self.assertRaises(errors.FieldError):
+                objects.read_configuration(row)
+
+    def test_configuration(self):
+        parts = [{"service": "x", "weight": 3}, {"service": "y", "weight": 1}]
+        split = build.store_single(backends=parts, type="non_idempotent")
+        del split["service"]
+        query = build.store_query(["a", "b"])
+        found = objects.read_configuration(
+            build.store_configuration(query, build.store_single(), split)
+        )
+        first, second, third = found.routes
+        self.assertEqual(first.shards, ("a", "b"))
+        self.assertTrue(first.repeatable and second.repeatable)
+        self.assertFalse(third.repeatable)
+        self.assertEqual(second.parts, (routes.Part("files"),))
+        self.assertEqual(
+            third.parts, (routes.Part("x", 3), routes.Part("y", 1))
+        )
+        self.assertEqual(found.limits, routes.Limits(2048, 4096, 0.4, 0.8))
+
+    def test_bytes_that_cannot_be_read_spoil_their_text_only(self):
+        body = b'{"items": [{"spec": "\xff\xfe"}, {"spec": 1}]}'
+        found = objects.decode_body(body)
+        self.assertEqual(found["items"][1], {"spec": 1})
+        with self.assertRaises(errors.StoreError):
+            objects.decode_body(b"{half")
+
+
+class WireTest(unittest.TestCase):
+    def test_ticket(self):
+        for value, patience_s in (
+            (b"300", 0.3),
+            (b" 300 ", 0.3),
+            (b"soon", None),
+            (b"-1", None),
+            (b"1e3", None),
+            (b"99999999999", wire.MAX_PATIENCE_S),
+        ):
+            with self.subTest(value):
+                headers = [(b"x-request-id", b"i"), (b"x-deadline-ms", value)]
+                ticket = wire.read_ticket(headers)
+                self.assertEqual(ticket, (b"i", patience_s))
+        self.assertEqual(wire.read_ticket([]), (b"", None))
+
+    def test_headers_passed_to_a_searcher(self):
+        headers = [
+            (b"host", b"h"),
+            (b"connection", b"keep-alive, x-hop"),
+            (b"x-hop", b"1"),
+            (b"x-request-id", b"i"),
+            (b"x-deadline-ms", b"300"),
+            (b"x-target-instance", b"forged"),
+            (b"content-length", b"3"),
+            (b"x-other", b"o"),
+        ]
+        head = wire.encode_head(headers, wire.read_ticket(headers))
+        self.assertEqual(head, b"host: h\r\nx-request-id: i\r\nx-other: o\r\n")
+        self.assertEqual(
+            wire.encode_target("s-1", 0.25),
+            b"x-deadline-ms: 250\r\nx-target-instance: s-1\r\n",
+        )
+
+    def test_facts(self):
+        facts = wire.read_facts(
+            503, [(b"x-not-executed", b"1"), (b"x-server-load", b"3,0,8")]
+        )
+        self.assertTrue(facts.not_run)
+        self.assertFalse(facts.misplaced)
+        self.assertEqual(facts.load, (3, 0))
+        self.assertTrue(wire.read_facts(421, []).misplaced)
+        self.assertTrue(wire.read_facts(421, []).not_run)
+        self.assertFalse(wire.read_facts(503, []).not_run)
+        for text in (b"", b"3", b"a,b,c", b"-1,0,8"):
+            with self.subTest(text):
+                facts = wire.read_facts(200, [(b"x-server-load", text)])
+                self.assertIsNone(facts.load)
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fake = fake.Objects()
+        port = gateways.free_ports(1)[0]
+        runner = await fake.start(self.fake, gateways.HOST, port)
+        self.addAsyncCleanup(runner.cleanup)
+        self.store = store.open_store((gateways.HOST, port))
+        self.addCleanup(self.store.close)
+
+    async def test_list_in_pages(self):
+        for number in range(120):
+            row = build.store_searcher()
+            self.fake.put("servers", f"s-{number:03}", row)
+        found = await self.store.read_searchers()
+        self.assertEqual(len(found.rows), 120)
+        self.assertEqual(found.revision, self.fake.revision)
+        self.assertEqual(len(self.fake.calls), 3)
+
+    async def test_watch_returns_changes(self):
+        self.fake.put("servers", "s-1", build.store_searcher())
+        revision = self.fake.revision
+        self.fake.delete("servers", "s-1")
+        found = await self.store.watch_searchers(revision, 1.0)
+        self.assertEqual([row.searcher for row in found.rows], [None])
+        empty = await self.store.watch_searchers(found.revision, 0.05)
+        self.assertEqual(empty.rows, [])
+
+    async def test_no_configuration_yet(self):
+        found = await self.store.read_configuration()
+        self.assertEqual(found, (None, 0))
+
+    async def test_failures_have_types(self):
+        self.fake.put("config", "main", build.store_configuration())
+        for faults, failure in (
+            (fake.Faults(status=503), errors.StoreError),
+            (fake.Faults(status=429), errors.StoreError),
+            (fake.Faults(status=410), errors.StoreHistoryError),
+            (fake.Faults(spoil=b"half {"), errors.StoreError),
+            (fake.Faults(spoil=b"[]"), errors.StoreError),
+            (fake.Faults(spoil=b'{"meta": 4}'), errors.StoreError),
+        ):
+            with self.subTest(faults):
+                self.fake.faults = faults
+                with self.assertRaises(failure):
+                    await self.store.read_configuration()
+
+    async def test_call_without_an_answer_ends(self):
+        self.fake.faults = fake.Faults(hang=True)
+        with self.assertRaises(errors.StoreError):
+            await self.store.read_configuration()
+        self.fake.faults = fake.Faults()
+        await self.store.read_configuration()
+
+    async def test_vms(self):
+        row = {"vm": "vm-1", "failure_domain": "a", "address": "127.0.0.1:1"}
+        await self.store.announce(row)
+        await self.store.announce(row)
+        self.fake.put("laurelrock-vms", "bad", {"vm": "bad"})
+        self.assertEqual(await self.store.read_vms(), [row])
+        await self.store.withdraw("vm-1")
+        self.assertEqual(await self.store.read_vms(), [])
