Let owners call groups of shards where a searcher can't take all VMs

Cause: on the grown deployment 82 VMs called each searcher, which takes 63 connections; those beyond were reset again and again (51,119 new connections, each 6 ms of a slot), and each VM saw a call to a searcher every few seconds. Small fleets call directly as before, by the same rule.

--- a/laurelrock/gateways/deployment.py
+++ b/laurelrock/gateways/deployment.py
@@ -21,6 +21,8 @@
         readiness: Where the balancer asks whether callers may come.
         peers: Where other VMs ask what this one knows.
         seeds: The same of some other VMs, which may be down.
+        exchange_port: Of messages between VMs, the same on all of them.
+        cores: Processor that the process has.
         store: The platform's store.
         repeats: Bounds of extra calls, over all VMs.
         grace_s: From SIGTERM until the process is killed.
@@ -34,6 +36,8 @@
     readiness: Address
     peers: Address
     seeds: tuple[Address, ...]
+    exchange_port: int
+    cores: float
     store: Address
     repeats: repeats.Rule
     grace_s: float
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -12,11 +12,13 @@
 from laurelrock.adapters import logs
 from laurelrock.adapters import metrics
 from laurelrock.core import gathering
+from laurelrock.core import owners
 from laurelrock.core import repeats
 from laurelrock.core import routes
 from laurelrock.gateways import calls
 from laurelrock.gateways import deployment
 from laurelrock.gateways import following
+from laurelrock.gateways import groups
 from laurelrock.gateways import parts
 from laurelrock.gateways import peers
 from laurelrock.gateways import queries
@@ -64,6 +66,7 @@
         budget: Of repeats.
         placement: Of calls.
         split: Shares of routes with several services.
+        groups: Shards that other VMs call, and that this one calls for them.
         following: Configuration and registry.
         peers: What other VMs know.
         servers: Ports for callers, readiness, other VMs and metrics.
@@ -97,6 +100,10 @@
             vm=options.vm,
             failure_domain=options.failure_domain,
             address=":".join(map(str, options.peers)),
+            cores=options.cores,
+        )
+        self.groups = groups.create_groups(
+            self.placement, platform, vm_of(me), options.exchange_port
         )
         self.following = following.Following(
             source,
@@ -147,25 +154,37 @@
         self.split.keep(configuration.routes)
         if self.servers:
             self.servers[0].limits = configuration.limits
+        self.warm(configuration)
+
+    def warm(self, configuration: routes.Configuration) -> None:
+        """Opens connections to the searchers that this VM will call."""
         used = {
             name
             for route in configuration.routes
-            for name in [*route.shards, *(row.service for row in route.parts)]
+            for name in [
+                *(self.groups.owned(route) if route.shards else ()),
+                *(part.service for part in route.parts),
+            ]
         }
         self.spawn(self.known.warm(sorted(used)))
 
-    def set_vms(self, count: int) -> None:
+    def set_vms(self, count: int, domains: int = 1) -> None:
         """Notes how many VMs share budgets and connections."""
         _log.info("vms-counted", count=count, before=self.known.vms)
-        self.known.set_vms(count)
+        self.known.set_vms(count, domains)
         self.budget.set_vms(count)
 
     def take_vms(self, rows: list[directory.VmRow]) -> None:
         """Takes the list of VMs."""
-        if len(rows) != self.known.vms:
-            self.set_vms(len(rows))
         addresses = [split_address(row["address"]) for row in rows]
         self.peers.addresses = [row for row in addresses if row is not None]
+        vms = [vm_of(row) for row in rows]
+        if vms == self.groups.vms:
+            return
+        self.groups.vms = vms
+        self.set_vms(len(vms), len({vm.failure_domain for vm in vms}))
+        if self.following.table is not None:
+            self.warm(self.following.table.configuration)
 
     def reload(self, options: deployment.Deployment) -> None:
         """Takes changed settings; addresses hold until the next start."""
@@ -247,7 +266,9 @@
         """Runs a request at its searchers."""
         if work.route.shards:
             asked_s = work.request.received_s
-            return await queries.gather(work, self.placement, asked_s)
+            return await queries.gather(
+                work, self.placement, self.groups, asked_s
+            )
         service = self.split.next(work.route)
         return await queries.single(work, service, self.placement)
 
@@ -327,6 +348,12 @@
         )
 
 
+def vm_of(row: directory.VmRow) -> owners.Vm:
+    """Returns a VM from its row in the list."""
+    host = row["address"].rpartition(":")[0]
+    return owners.Vm(row["vm"], row["failure_domain"], host, row["cores"])
+
+
 def split_address(text: str) -> tuple[str, int] | None:
     """Returns host and port; None where a VM announced something else."""
     host, _, port = text.rpartition(":")
@@ -367,6 +394,11 @@
         lambda: dict(gateway.servers[0].counts),
         "Unusual ends of callers' connections",
     )
+    meters.counters(
+        "laurelrock_groups_total",
+        lambda: dict(gateway.groups.counts),
+        "Groups of shards asked of other VMs, and served for them",
+    )
     meters.counter(
         "laurelrock_platform_calls_total",
         lambda: gateway.source.calls,
@@ -405,6 +437,8 @@
     ):
         server = await http_server.open_server(handle, address, routes.Limits())
         gateway.servers.append(server)
+    port = options.exchange_port
+    await gateway.groups.exchange.listen((options.address, port))
     register_metrics(gateway)
     for work in following.open_following(gateway.following):
         gateway.spawn(work)
--- /dev/null
+++ b/laurelrock/gateways/groups.py
@@ -0,0 +1,523 @@
+"""Groups: shards of a query that another VM calls.
+
+Where a searcher takes fewer connections than there are VMs, a query's shards
+are cut in groups (`core.owners`). The VM that has the caller asks one owner a
+group; the owner says at once that it took the group, calls the searchers,
+merges, and sends what is in: everything at once where all parts came, or what
+there is shortly before the objective and the rest as it comes. An owner that
+doesn't take a group is passed over, and told to drop it.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import typing
+
+from laurelrock.adapters import frames
+from laurelrock.adapters import http_server
+from laurelrock.adapters import http_wire
+from laurelrock.adapters import logs
+from laurelrock.core import gathering
+from laurelrock.core import owners
+from laurelrock.core import routes
+from laurelrock.gateways import calls
+from laurelrock.gateways import parts
+from laurelrock.ports import wire
+
+__all__ = ["Group", "Groups", "create_groups"]
+
+#: Time in which an owner says that it took a group, in seconds: some times
+#: what a message needs there and back on a loaded VM.
+TAKEN_S = 0.04
+#: Time before the objective at which an owner sends what is in, in seconds.
+SEND_S = 0.004
+#: First and longest time for which an owner that was silent is passed over,
+#: in seconds.
+PASS_S = 0.5
+MAX_PASS_S = 4.0
+
+_log = logs.get_logger(__name__)
+
+
+class Ask(typing.NamedTuple):
+    """Asks an owner for a group; the sender's number names the group.
+
+    Attributes:
+        number: Unique on the link.
+        request_id: Of the caller's attempt.
+        method: Of the request.
+        target: Of the request.
+        headers: That searchers get.
+        body: Of the request.
+        route: Name, under which latencies count.
+        version: Of the configuration, for logs.
+        services: Of the group, one a shard.
+        attempts: Searchers that each part may reach.
+        top: Records that are sent back at most.
+        aim_s: Time until the first answer is due.
+        left_s: Time until the caller gives up.
+    """
+
+    number: int
+    request_id: bytes
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    route: str
+    version: int
+    services: tuple[str, ...]
+    attempts: int
+    top: int
+    aim_s: float
+    left_s: float
+
+
+class Taken(typing.NamedTuple):
+    """Says that a group is being worked on."""
+
+    number: int
+
+
+class Found(typing.NamedTuple):
+    """Parts that came in since the last one.
+
+    Attributes:
+        number: Of the group.
+        proofs: Of the parts.
+        records: Greatest of their records.
+        left: Parts that may still come.
+        calls: Made so far for the group.
+    """
+
+    number: int
+    proofs: list[bytes]
+    records: bytes
+    left: int
+    calls: int
+
+
+class Drop(typing.NamedTuple):
+    """Says that nobody waits for a group any more."""
+
+    number: int
+
+
+KINDS: dict[int, type] = {1: Ask, 2: Taken, 3: Found, 4: Drop}
+
+
+class Group:
+    """A group that another VM works on.
+
+    Attributes:
+        work: The query.
+        services: Of the group.
+        aim_s: Loop time at which the first answer is due.
+        changed: Called when parts came in or the group ended.
+        tried: Owners asked, by name.
+        owner: Asked now.
+        link: To that owner.
+        number: Of the group on the link.
+        taken: Whether the owner said that it took the group.
+        attempts: Searchers that each part may still reach.
+        proofs: Of the parts that are in.
+        bodies: Their records.
+        left: Parts that may still come.
+        calls: Made for the group, as far as known.
+        timer: Runs out when the owner doesn't take the group.
+    """
+
+    def __init__(
+        self,
+        work: calls.Work,
+        services: tuple[str, ...],
+        aim_s: float,
+        changed: collections.abc.Callable[[], None],
+    ) -> None:
+        self.work = work
+        self.services = services
+        self.aim_s = aim_s
+        self.changed = changed
+        self.tried: set[str] = set()
+        self.owner: owners.Vm | None = None
+        self.link: frames.Link | None = None
+        self.number = 0
+        self.taken = False
+        self.attempts = work.route.attempts
+        self.proofs: list[bytes] = []
+        self.bodies: list[bytes] = []
+        self.left = len(services)
+        self.calls = 0
+        self.timer: asyncio.TimerHandle | None = None
+
+    @property
+    def answered(self) -> int:
+        """Parts that are in."""
+        return len(self.proofs)
+
+    def stop_timer(self) -> None:
+        """Ends the wait for the owner's word."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def end(self) -> None:
+        """Notes that nothing more comes."""
+        self.stop_timer()
+        if self.left:
+            self.left = 0
+            self.changed()
+
+
+class Pass(typing.NamedTuple):
+    """An owner that was silent: until when it is passed over."""
+
+    until_s: float
+    times: int
+
+
+class Groups:
+    """State of the groups of this VM's queries, and of those it works on.
+
+    Attributes:
+        placement: Places the calls of groups that this VM owns.
+        platform: Headers of the calls.
+        me: This VM.
+        port: Of all VMs' exchanges.
+        vms: Listed, this one included.
+        asked: Groups that others work on, by number.
+        serving: Groups that this VM works on, by link and number.
+        passed: Owners that were silent, by name.
+        numbers: Groups asked so far.
+        counts: Events by kind, for the metrics.
+    """
+
+    def __init__(
+        self,
+        placement: parts.Placement,
+        platform: wire.Wire,
+        me: owners.Vm,
+        port: int,
+    ) -> None:
+        self.placement = placement
+        self.platform = platform
+        self.me = me
+        self.port = port
+        self.vms: list[owners.Vm] = []
+        self.asked: dict[int, Group] = {}
+        self.serving: dict[tuple[frames.Link, int], asyncio.Task[None]] = {}
+        self.passed: dict[str, Pass] = {}
+        self.numbers = 0
+        self.counts = {"asked": 0, "silent": 0, "lost": 0, "served": 0}
+        self.exchange = frames.create_exchange(
+            KINDS, self.take, self.link_ended
+        )
+        self.loop = asyncio.get_running_loop()
+
+    def needed(self, route: routes.Route) -> bool:
+        """Tells whether a query's shards are called by owners."""
+        services = self.placement.known.services
+        return bool(self.vms) and not all(
+            owners.fits(
+                services.get(name, routes.Service()).connections, len(self.vms)
+            )
+            for name in route.shards[:1]
+        )
+
+    def owned(self, route: routes.Route) -> list[str]:
+        """Returns the shards that this VM calls for its failure domain."""
+        if not self.needed(route):
+            return list(route.shards)
+        domain = self.me.failure_domain
+        return [
+            name
+            for group in owners.cut(route.shards)
+            if owners.ranked(group[0], self.vms, domain)[0] == self.me
+            for name in group
+        ]
+
+    def split(
+        self, route: routes.Route
+    ) -> tuple[tuple[str, ...], list[tuple[str, ...]]]:
+        """Returns the shards that this VM calls itself, and the groups."""
+        if not self.needed(route):
+            return route.shards, []
+        own: list[str] = []
+        others = []
+        for group in owners.cut(route.shards):
+            if self.first_owner(group, set()) == self.me:
+                own += group
+            else:
+                others.append(group)
+        return tuple(own), others
+
+    def first_owner(
+        self, group: tuple[str, ...], tried: set[str]
+    ) -> owners.Vm | None:
+        """Returns the owner to ask; None where all were."""
+        rows = owners.ranked(group[0], self.vms, self.me.failure_domain)
+        rows = [vm for vm in rows if vm.name not in tried]
+        now_s = self.loop.time()
+        for vm in rows:
+            if vm == self.me or self.passed.get(vm.name, NEVER).until_s < now_s:
+                return vm
+        return rows[0] if rows else None
+
+    # Groups that others work on
+
+    def ask(
+        self,
+        work: calls.Work,
+        services: tuple[str, ...],
+        aim_s: float,
+        changed: collections.abc.Callable[[], None],
+    ) -> Group:
+        """Asks for a group; see `Group`."""
+        group = Group(work, services, aim_s, changed)
+        self.ask_next(group)
+        return group
+
+    def ask_next(self, group: Group) -> None:
+        """Asks the next owner, or ends the group where there is none."""
+        vm = self.first_owner(group.services, group.tried | {self.me.name})
+        if vm is None or group.attempts < 1:
+            group.end()
+            return
+        group.tried.add(vm.name)
+        group.owner = vm
+        self.numbers += 1
+        group.number = self.numbers
+        self.asked[group.number] = group
+        group.link = self.exchange.link((vm.host, self.port))
+        group.link.send(self.question(group))
+        self.counts["asked"] += 1
+        group.timer = self.loop.call_later(TAKEN_S, self.not_taken, group)
+
+    def question(self, group: Group) -> Ask:
+        """Returns the message that asks for a group."""
+        work, now_s = group.work, self.loop.time()
+        return Ask(
+            number=group.number,
+            request_id=work.ticket.request_id,
+            method=work.request.method,
+            target=work.request.target,
+            headers=http_wire.end_to_end(work.request.headers),
+            body=work.request.body,
+            route=work.route.name,
+            version=work.version,
+            services=group.services,
+            attempts=group.attempts,
+            top=work.route.top,
+            aim_s=group.aim_s - now_s - SEND_S,
+            left_s=work.end_s - now_s,
+        )
+
+    def not_taken(self, group: Group) -> None:
+        """Passes over an owner that is silent."""
+        if group.owner is not None:
+            self.pass_over(group.owner.name, "silent")
+        if group.link is not None:
+            group.link.send(Drop(group.number))
+        self.asked.pop(group.number, None)
+        # The owner may have begun: its calls count.
+        group.attempts -= 1
+        self.ask_next(group)
+
+    def pass_over(self, name: str, why: str) -> None:
+        """Notes that an owner didn't answer."""
+        times = self.passed.get(name, NEVER).times
+        pass_s = min(PASS_S * 2**times, MAX_PASS_S)
+        self.passed[name] = Pass(self.loop.time() + pass_s, times + 1)
+        self.counts[why] += 1
+        _log.info("owner-passed", owner=name, reason=why, for_s=pass_s)
+
+    def drop(self, group: Group) -> None:
+        """Ends a group that nobody waits for."""
+        group.stop_timer()
+        if self.asked.pop(group.number, None) is not None and group.link:
+            group.link.send(Drop(group.number))
+
+    # Messages
+
+    def take(self, link: frames.Link, message: typing.Any) -> None:
+        """Takes a message of another VM."""
+        if isinstance(message, Ask):
+            task = self.loop.create_task(self.serve(link, message))
+            self.serving[link, message.number] = task
+        elif isinstance(message, Drop):
+            serving = self.serving.get((link, message.number))
+            if serving is not None:
+                serving.cancel()
+        else:
+            self.take_word(message)
+
+    def take_word(self, message: Taken | Found) -> None:
+        """Takes an owner's word on a group."""
+        group = self.asked.get(message.number)
+        if group is None:
+            return
+        group.stop_timer()
+        if group.owner is not None:
+            self.passed.pop(group.owner.name, None)
+        if isinstance(message, Taken):
+            group.taken = True
+            return
+        group.proofs += message.proofs
+        group.bodies.append(message.records)
+        group.left = message.left
+        group.calls = message.calls
+        if not group.left:
+            del self.asked[message.number]
+        group.changed()
+
+    def link_ended(self, link: frames.Link) -> None:
+        """Ends what went over a link."""
+        for group in [row for row in self.asked.values() if row.link is link]:
+            del self.asked[group.number]
+            group.stop_timer()
+            if group.owner is not None:
+                self.pass_over(group.owner.name, "lost")
+            if group.taken:
+                group.end()
+            else:
+                group.attempts -= link.transport is not None
+                self.ask_next(group)
+        for (of, _), task in list(self.serving.items()):
+            if of is link:
+                task.cancel()
+
+    # Groups that this VM works on
+
+    async def serve(self, link: frames.Link, ask: Ask) -> None:
+        """Works on a group and sends what comes in."""
+        link.send(Taken(ask.number))
+        self.counts["served"] += 1
+        work = self.create_work(ask)
+        serving = Serving(self, link, ask, work)
+        try:
+            await serving.run()
+        finally:
+            serving.abandon()
+            with contextlib.suppress(KeyError):
+                del self.serving[link, ask.number]
+
+    def create_work(self, ask: Ask) -> calls.Work:
+        """Returns the request of a group as calls need it."""
+        now_s = self.loop.time()
+        request = http_server.Request(
+            ask.method, ask.target, ask.headers, ask.body, now_s
+        )
+        ticket = wire.Ticket(ask.request_id, ask.left_s)
+        route = routes.Route(
+            name=ask.route,
+            host="",
+            prefix="",
+            repeatable=True,
+            timeout_s=ask.left_s,
+            objective_s=ask.aim_s,
+            shards=ask.services,
+            attempts=ask.attempts,
+            top=ask.top,
+        )
+        head = self.platform.encode_head(ask.headers, ticket)
+        end_s = now_s + ask.left_s
+        return calls.Work(request, ticket, route, ask.version, head, end_s)
+
+
+class Serving:
+    """A group that this VM works on.
+
+    Attributes:
+        aim_s: Loop time at which what is in is sent.
+        rows: Parts.
+        sent: Parts already sent, by service.
+        changed: Set when a part changed.
+    """
+
+    def __init__(
+        self, groups: Groups, link: frames.Link, ask: Ask, work: calls.Work
+    ) -> None:
+        self.groups = groups
+        self.link = link
+        self.ask = ask
+        self.work = work
+        self.aim_s = work.request.received_s + ask.aim_s
+        self.changed = asyncio.Event()
+        self.rows = [
+            parts.create_part(work, service, self.note)
+            for service in ask.services
+        ]
+        self.sent: set[str] = set()
+
+    def note(self, part: parts.Part) -> None:
+        self.changed.set()
+
+    @property
+    def left(self) -> int:
+        """Parts that may still come."""
+        return sum(1 for row in self.rows if row.state is parts.State.OPEN)
+
+    def abandon(self) -> None:
+        """Ends the calls that nobody waits for."""
+        now_s = self.groups.loop.time()
+        for part in self.rows:
+            part.abandon(now_s)
+
+    async def run(self) -> None:
+        """Calls the searchers and sends what comes in."""
+        placement = self.groups.placement
+        loop = self.groups.loop
+        for part in self.rows:
+            if not placement.start(part):
+                part.reason = "no searcher"
+                part.finish(parts.State.FAILED)
+        typical = placement.known.typical[self.ask.route]
+        look_s = loop.time() + typical.late_s
+        while True:
+            now_s = loop.time()
+            if not self.left or now_s >= self.aim_s:
+                self.send()
+            if not self.left or now_s >= self.work.end_s:
+                return
+            if now_s >= look_s:
+                look_s = parts.look(self.rows, placement, typical, now_s)
+            self.changed.clear()
+            wake_s = min(look_s, self.work.end_s)
+            if now_s < self.aim_s:
+                wake_s = min(wake_s, self.aim_s)
+            timer = loop.call_at(wake_s, self.changed.set)
+            await self.changed.wait()
+            timer.cancel()
+
+    def send(self) -> None:
+        """Sends the parts that came in since the last time."""
+        fresh = [
+            row
+            for row in self.rows
+            if row.answer is not None and row.service not in self.sent
+        ]
+        if not fresh and self.left:
+            return
+        self.sent |= {row.service for row in fresh}
+        answers = [row.answer for row in fresh if row.answer is not None]
+        bodies = [row.reply.body for row in answers if row.reply is not None]
+        self.link.send(
+            Found(
+                self.ask.number,
+                [row.proof for row in answers],
+                gathering.greatest(bodies, self.ask.top),
+                self.left,
+                sum(row.attempts for row in self.rows),
+            )
+        )
+
+
+#: An owner that was never silent.
+NEVER = Pass(0.0, 0)
+
+
+def create_groups(
+    placement: parts.Placement, platform: wire.Wire, me: owners.Vm, port: int
+) -> Groups:
+    """Returns the state without groups; `exchange.listen` opens the port."""
+    return Groups(placement, platform, me, port)
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -14,8 +14,10 @@
 from laurelrock.gateways import calls
 from laurelrock.gateways import upstreams
 
-__all__ = ["Part", "State", "create_part"]
+__all__ = ["Part", "Placement", "State", "create_part", "look"]
 
+#: Least interval between two looks for late calls, in seconds.
+LEAST_LOOK_S = 0.003
 #: Least time left for which another searcher is asked, as a factor of the
 #: typical latency.
 LEAST_LEFT_FACTOR = 0.8
@@ -224,6 +226,25 @@
         return True
 
 
+def look(
+    rows: list[Part],
+    placement: Placement,
+    typical: replicas.Typical,
+    now_s: float,
+) -> float:
+    """Hedges late parts; returns when the next one may be late."""
+    next_s = now_s + typical.late_s
+    for part in rows:
+        if part.state is not State.OPEN or len(part.flights) != 1:
+            continue
+        late_s = part.flights[0].begun_s + typical.late_s
+        if now_s >= late_s:
+            placement.hedge(part)
+        else:
+            next_s = min(next_s, late_s)
+    return max(next_s, now_s + LEAST_LOOK_S)
+
+
 def create_part(
     work: calls.Work,
     service: str,
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -6,14 +6,13 @@
 from laurelrock.adapters import http_client
 from laurelrock.core import gathering
 from laurelrock.core import replicas
+from laurelrock.core import routes
 from laurelrock.gateways import calls
+from laurelrock.gateways import groups
 from laurelrock.gateways import parts
 
 __all__ = ["Outcome", "gather", "single"]
 
-#: Least interval between two looks for late calls, in seconds.
-LEAST_LOOK_S = 0.003
-
 
 class Outcome(typing.NamedTuple):
     """How a request ended.
@@ -43,52 +42,57 @@
     """A request that waits for its parts.
 
     Attributes:
-        rows: Parts.
-        changed: Set when a part changed.
+        rows: Parts that this VM calls.
+        groups: Of shards that other VMs call.
+        changed: Set when a part or a group changed.
     """
 
     def __init__(self, work: calls.Work, services: tuple[str, ...]) -> None:
         self.rows = [
             parts.create_part(work, service, self.note) for service in services
         ]
-        self.left = len(self.rows)
-        self.answered = 0
+        self.groups: list[groups.Group] = []
+        self.open_rows = len(self.rows)
+        self.answered_rows = 0
         self.changed = asyncio.Event()
 
     def note(self, part: parts.Part) -> None:
         """Takes the end of a part."""
-        self.left -= 1
-        self.answered += part.state is parts.State.ANSWERED
+        self.open_rows -= 1
+        self.answered_rows += part.state is parts.State.ANSWERED
         self.changed.set()
 
-    def abandon(self, now_s: float) -> None:
-        """Ends all parts."""
-        for part in self.rows:
-            part.abandon(now_s)
+    @property
+    def left(self) -> int:
+        """Parts that may still come."""
+        return self.open_rows + sum(group.left for group in self.groups)
+
+    @property
+    def answered(self) -> int:
+        """Parts that are in."""
+        return self.answered_rows + sum(row.answered for row in self.groups)
 
     @property
     def attempts(self) -> int:
-        """Searchers that were asked."""
-        return sum(part.attempts for part in self.rows)
+        """Searchers that were asked, as far as known."""
+        own = sum(part.attempts for part in self.rows)
+        return own + sum(group.calls for group in self.groups)
+
+    def abandon(self, now_s: float) -> None:
+        """Ends all parts that this VM calls."""
+        for part in self.rows:
+            part.abandon(now_s)
 
+    def bodies(self) -> tuple[bytes, ...]:
+        """Returns the records that are in."""
+        answers = [part.answer for part in self.rows if part.answer]
+        own = [row.reply.body for row in answers if row.reply]
+        return (*own, *(body for row in self.groups for body in row.bodies))
 
-def look(
-    gathered: Gathering,
-    placement: parts.Placement,
-    typical: replicas.Typical,
-    now_s: float,
-) -> float:
-    """Hedges late parts; returns when the next one may be late."""
-    next_s = now_s + typical.late_s
-    for part in gathered.rows:
-        if part.state is not parts.State.OPEN or len(part.flights) != 1:
-            continue
-        late_s = part.flights[0].begun_s + typical.late_s
-        if now_s >= late_s:
-            placement.hedge(part)
-        else:
-            next_s = min(next_s, late_s)
-    return max(next_s, now_s + LEAST_LOOK_S)
+    def proofs(self) -> tuple[bytes, ...]:
+        """Returns the proofs of the parts that are in."""
+        own = [part.answer.proof for part in self.rows if part.answer]
+        return (*own, *(proof for row in self.groups for proof in row.proofs))
 
 
 async def wait(
@@ -105,7 +109,7 @@
         if gathering.ready(plan, gathered.answered, gathered.left, now_s):
             return
         if now_s >= look_s:
-            look_s = look(gathered, placement, typical, now_s)
+            look_s = parts.look(gathered.rows, placement, typical, now_s)
         gathered.changed.clear()
         wake_s = min(look_s, gathering.wake_s(plan, now_s))
         timer = loop.call_at(wake_s, gathered.changed.set)
@@ -114,59 +118,77 @@
 
 
 async def gather(
-    work: calls.Work, placement: parts.Placement, asked_s: float
+    work: calls.Work,
+    placement: parts.Placement,
+    others: groups.Groups,
+    asked_s: float,
 ) -> Outcome:
     """Runs a query over many shards.
 
     Args:
         work: The query.
         placement: Places its calls.
+        others: VMs that call groups of shards.
         asked_s: Loop time at which the caller first asked.
     """
     route = work.route
-    gathered = Gathering(work, route.shards)
     count = len(route.shards)
-    reachable = sum(1 for part in gathered.rows if placement.candidates(part))
+    reachable = sum(1 for name in route.shards if placement.reachable(name))
     if reachable < route.least_shards:
         reason = f"searchers for {reachable} of {count} shards"
         return Outcome("refused", 503, shards=count, reason=reason)
     plan = gathering.create_plan(
         count, route.least_shards, asked_s, route.objective_s, work.end_s
     )
-    typical = placement.known.typical[route.name]
+    own, away = others.split(route)
+    gathered = Gathering(work, own)
     try:
+        for services in away:
+            group = others.ask(
+                work, services, plan.objective_s, gathered.changed.set
+            )
+            gathered.groups.append(group)
         for part in gathered.rows:
             if not placement.start(part):
                 part.reason = "no searcher"
                 part.finish(parts.State.FAILED)
+        typical = placement.known.typical[route.name]
         await wait(gathered, placement, plan, typical)
     finally:
         gathered.abandon(placement.calls.loop.time())
-    answers = [part.answer for part in gathered.rows if part.answer]
-    if len(answers) < route.least_shards:
+        for group in gathered.groups:
+            others.drop(group)
+    proofs = gathered.proofs()
+    if len(proofs) < route.least_shards:
         late = placement.calls.loop.time() >= work.end_s
-        return query_failure(gathered, route.least_shards, late)
+        return query_failure(gathered, route, late)
     return Outcome(
-        "answered" if len(answers) == count else "partial",
+        "answered" if len(proofs) == count else "partial",
         200,
-        bodies=tuple(row.reply.body for row in answers if row.reply),
-        proofs=tuple(row.proof for row in answers),
+        bodies=gathered.bodies(),
+        proofs=proofs,
         shards=count,
         attempts=gathered.attempts,
     )
 
 
-def query_failure(gathered: Gathering, least: int, late: bool) -> Outcome:
+def query_failure(
+    gathered: Gathering, route: routes.Route, late: bool
+) -> Outcome:
     """Returns the outcome of a query that lacks too many shards."""
-    count = len(gathered.rows)
+    count = len(route.shards)
     reasons = {part.reason or "no answer" for part in gathered.rows}
     reason = (
-        f"{gathered.answered} of {count} shards, {least} needed:"
+        f"{gathered.answered} of {count} shards, {route.least_shards} needed:"
         f" {'; '.join(sorted(reasons)[:3])}"
     )
-    ran = gathered.left > 0 or any(
-        part.may_have_run or part.state is parts.State.ANSWERED
-        for part in gathered.rows
+    ran = (
+        gathered.left > 0
+        or bool(gathered.groups)
+        or any(
+            part.may_have_run or part.state is parts.State.ANSWERED
+            for part in gathered.rows
+        )
     )
     status = 504 if late else 502 if ran else 503
     kind: typing.Literal["late", "failed", "refused"] = "failed"
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -6,6 +6,7 @@
 
 from laurelrock.adapters import http_client
 from laurelrock.adapters import logs
+from laurelrock.core import owners
 from laurelrock.core import registry
 from laurelrock.core import replicas
 from laurelrock.core import routes
@@ -46,7 +47,9 @@
     Attributes:
         failure_domain: Of this VM.
         vms: That call the searchers.
+        domains: Failure domains of those VMs.
         services: Configured, by name.
+        sharded: Names of the services that hold a query's shard.
         by_id: All searchers.
         by_service: The same, by service and id.
         typical: Latencies by kind of call.
@@ -56,6 +59,8 @@
     def __init__(self, failure_domain: str) -> None:
         self.failure_domain = failure_domain
         self.vms = 0
+        self.domains = 1
+        self.sharded: set[str] = set()
         self.services: dict[str, routes.Service] = {}
         self.by_id: dict[str, Upstream] = {}
         self.by_service: dict[str, dict[str, Upstream]] = (
@@ -77,17 +82,26 @@
     def limit(self, service: str) -> int:
         """Returns the connections to one searcher of a service."""
         configured = self.services.get(service, routes.Service())
-        share = configured.connections * CONNECTION_SHARE / max(1, self.vms)
+        callers = max(1, self.vms)
+        if service in self.sharded and not owners.fits(
+            configured.connections, callers
+        ):
+            callers = owners.callers_of(self.domains)
+        share = configured.connections * CONNECTION_SHARE / callers
         return max(1, min(MAX_CONNECTIONS, int(share)))
 
     def configure(self, configuration: routes.Configuration) -> None:
         """Takes the services of a configuration."""
         self.services = configuration.services
-        self.set_vms(self.vms)
+        self.sharded = {
+            name for route in configuration.routes for name in route.shards
+        }
+        self.set_vms(self.vms, self.domains)
 
-    def set_vms(self, count: int) -> None:
+    def set_vms(self, count: int, domains: int) -> None:
         """Notes how many VMs share the searchers' connections."""
         self.vms = count
+        self.domains = domains
         for upstream in self.by_id.values():
             upstream.client.limit = self.limit(upstream.searcher.service)
 
--- a/laurelrock/platform/settings.py
+++ b/laurelrock/platform/settings.py
@@ -77,6 +77,10 @@
     bounds = objects.Fields(fields.row.get("policy_limits") or {})
     store = objects.Fields(fields.row.get("platform"))
     seeds = [str(row) for row in fields.rows("seed_nodes")]
+    limits = objects.Fields(fields.row.get("limits") or {})
+    ports = [row for row in fields.rows("port_range") if isinstance(row, int)]
+    if not ports:
+        raise errors.FieldError("port_range: names no port")
     default = repeats.Rule()
     return deployment.Deployment(
         vm=fields.text("node_name"),
@@ -87,6 +91,9 @@
         readiness=objects.read_address(listen.text("readiness_addr")),
         peers=objects.read_address(listen.text("control")),
         seeds=tuple(objects.read_address(row) for row in seeds),
+        # The first of the ports left to the project.
+        exchange_port=ports[0],
+        cores=limits.number("cpu_share", 1.0) * limits.number("cpu_cores", 1),
         store=objects.read_address(store.text("address")),
         repeats=repeats.Rule(
             bounds.number("retry_budget_ratio", default.fraction),
--- a/laurelrock/platform/store.py
+++ b/laurelrock/platform/store.py
@@ -208,11 +208,17 @@
                 fields = objects.Fields(spec)
                 domain = fields.text("failure_domain")
                 address = fields.text("address")
+                cores = fields.number("cores")
             except errors.FieldError as error:
                 _log.warning("entry-unusable", vm=name, reason=error.message)
                 continue
             rows.append(
-                directory.VmRow(vm=name, failure_domain=domain, address=address)
+                directory.VmRow(
+                    vm=name,
+                    failure_domain=domain,
+                    address=address,
+                    cores=cores,
+                )
             )
         return rows
 
--- a/laurelrock/ports/directory.py
+++ b/laurelrock/ports/directory.py
@@ -27,11 +27,19 @@
 
 
 class VmRow(typing.TypedDict):
-    """What a VM says of itself."""
+    """What a VM says of itself.
+
+    Attributes:
+        vm: Name.
+        failure_domain: Where it runs.
+        address: Where other VMs ask it, `IP:port`.
+        cores: Processor that it has.
+    """
 
     vm: str
     failure_domain: str
     address: str
+    cores: float
 
 
 class Directory(typing.Protocol):
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -68,7 +68,9 @@
     return replicas.create_replica(searcher(name, **fields), now_s)
 
 
-def options(callers, readiness, peers, store) -> deployment.Deployment:
+def options(
+    callers, readiness, peers, store, exchange_port
+) -> deployment.Deployment:
     return deployment.Deployment(
         vm="vm-1",
         address=callers[0],
@@ -78,6 +80,8 @@
         readiness=readiness,
         peers=peers,
         seeds=(),
+        exchange_port=exchange_port,
+        cores=1.0,
         store=store,
         repeats=repeats.Rule(0.2, 58, 10),
         grace_s=6.0,
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -80,7 +80,7 @@
             **fields: Of the gateway's settings.
         """
         self.store = objects.Objects()
-        ports = free_ports(5)
+        ports = free_ports(6)
         runner = await objects.start(self.store, HOST, ports[0])
         self.addAsyncCleanup(runner.cleanup)
         for service, searcher in rows:
@@ -88,8 +88,9 @@
             self.addAsyncCleanup(searcher.stop)
         if document is not None:
             self.store.put("config", "main", document)
-        options = build.options(*[(HOST, port) for port in ports[1:4]],
-                                (HOST, ports[0]))  # fmt: skip
+        options = build.options(
+            *[(HOST, port) for port in ports[1:4]], (HOST, ports[0]), ports[5]
+        )
         options = options._replace(**fields)
         self.source = store.open_store(options.store)
         self.gateway = gateway.Gateway(
@@ -112,6 +113,7 @@
     async def end(self):
         for task in list(self.gateway.tasks):
             task.cancel()
+        self.gateway.groups.exchange.close()
         for server in self.gateway.servers:
             server.stop_listening()
             for connection in list(server.connections):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -26,6 +26,8 @@
         "control": "10.1.0.9:8106",
     },
     "seed_nodes": ["10.2.0.21:8106"],
+    "port_range": [7380, 7395],
+    "limits": {"cpu_share": 0.537, "cpu_cores": 2},
     "policy_limits": {
         "retry_budget_ratio": 0.2,
         "retry_slack": 58,
@@ -78,6 +80,8 @@
         self.assertEqual(found.vm, "vm-1")
         self.assertEqual(found.failure_domain, "a")
         self.assertEqual(found.callers, ("10.1.0.9", 8104))
+        self.assertEqual(found.exchange_port, 7380)
+        self.assertAlmostEqual(found.cores, 1.074)
         self.assertEqual(found.seeds, (("10.2.0.21", 8106),))
         self.assertEqual(found.repeats, (0.2, 58, 10))
 
@@ -85,6 +89,7 @@
         for name, value in (
             ("node_name", None),
             ("zone", 4),
+            ("port_range", []),
             ("listen_addrs", {}),
             ("platform", {"address": "nowhere"}),
             ("policy_limits", {"retry_slack": "many"}),
@@ -258,7 +263,12 @@
         await self.store.read_configuration()
 
     async def test_vms(self):
-        row = {"vm": "vm-1", "failure_domain": "a", "address": "127.0.0.1:1"}
+        row = {
+            "vm": "vm-1",
+            "failure_domain": "a",
+            "address": "127.0.0.1:1",
+            "cores": 1.5,
+        }
         await self.store.announce(row)
         await self.store.announce(row)
         self.fake.put("laurelrock-vms", "bad", {"vm": "bad"})
