Let two VMs a failure domain follow the platform for all

Ruled out: longer polls (they end with each change); a tree over all failure domains (each has to go on when cut off). Change: in fleets of more than 16 VMs two VMs of a failure domain, by rendezvous hashing, poll the platform; the others subscribe to one of them on the exchange, get each change pushed and a heartbeat of 0.4 s with the age of what the source knows, go to the next source after 1.2 s of silence, and poll the platform themselves where that age passes 2 s.

--- a/laurelrock/core/registry.py
+++ b/laurelrock/core/registry.py
@@ -111,6 +111,31 @@
                 effective.append(change)
         return effective
 
+    def accept(
+        self, changes: collections.abc.Iterable[Change], full: bool
+    ) -> list[Change]:
+        """Takes what another VM has in effect; returns what changed.
+
+        Args:
+            changes: Entries, all of them or those that changed.
+            full: Whether entries that are not listed are gone.
+        """
+        rows = {row.id: row for row in changes}
+        if full:
+            gone = [name for name in self.searchers if name not in rows]
+            rows |= {name: Change(name, None) for name in gone}
+        effective = []
+        for change in rows.values():
+            self.missing.pop(change.id, None)
+            if change.searcher == self.searchers.get(change.id):
+                continue
+            if change.searcher is None:
+                del self.searchers[change.id]
+            else:
+                self.searchers[change.id] = change.searcher
+            effective.append(change)
+        return effective
+
     def expire(self, now_s: float) -> list[Change]:
         """Returns the entries that were missing for too long."""
         late = [name for name, end in self.missing.items() if now_s >= end]
--- a/laurelrock/gateways/following.py
+++ b/laurelrock/gateways/following.py
@@ -19,7 +19,7 @@
 from laurelrock.gateways import upstreams
 from laurelrock.ports import directory
 
-__all__ = ["Following", "open_following"]
+__all__ = ["Following"]
 
 #: Longest wait of a poll, in seconds: half of what the platform allows. The
 #: kernel finds out earlier that a connection went silent.
@@ -75,6 +75,9 @@
         listed: Whether the searchers were read once.
         changed: Called with each new configuration.
         vms_changed: Called with the listed VMs.
+        searchers_changed: Called with changes of the searchers.
+        direct: Whether this VM polls the platform itself.
+        started_s: Loop time of the start.
         down: Names of the polls that get no answer.
         fresh_s: Loop time at which the searchers were known for certain last;
             while the poll of searchers is answered, it is the present.
@@ -87,6 +90,9 @@
         known: upstreams.Upstreams,
         changed: collections.abc.Callable[[routes.Configuration], None],
         vms_changed: collections.abc.Callable[[list[directory.VmRow]], None],
+        searchers_changed: collections.abc.Callable[
+            [list[registry.Change]], None
+        ],
     ) -> None:
         self.source = source
         self.me = me
@@ -97,23 +103,46 @@
         self.listed = False
         self.changed = changed
         self.vms_changed = vms_changed
+        self.searchers_changed = searchers_changed
         self.down: set[str] = set()
         self.fresh_s = -math.inf
+        self.direct = False
         self.loop = asyncio.get_running_loop()
+        self.started_s = self.loop.time()
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 for none."""
+        return self.table.configuration.version if self.table else 0
+
+    def platform_answers(self) -> bool:
+        """Tells whether this VM's own polls are answered."""
+        return self.direct and self.listed and SEARCHERS not in self.down
+
+    def subscribed_age_s(self, now_s: float) -> float:
+        """Returns the age of what a source said; from the start at first."""
+        return now_s - max(self.fresh_s, self.started_s)
+
+    def leave_platform(self) -> None:
+        """Notes that this VM's own polls have ended."""
+        if self.platform_answers():
+            self.fresh_s = self.loop.time()
+        self.direct = False
+        self.down.clear()
 
     def age_s(self) -> float:
         """Returns the age of what is known of the searchers."""
-        if self.listed and SEARCHERS not in self.down:
+        if self.platform_answers():
             return 0.0
         return self.loop.time() - self.fresh_s
 
-    def replace(self, rows: list[registry.Change], age_s: float) -> None:
-        """Takes a list of all searchers from another VM."""
-        now_s = self.loop.time()
-        self.apply(self.registry.replace(rows, now_s))
-        self.fresh_s = now_s - age_s
-        self.listed = True
-        self.down.add(SEARCHERS)
+    def accept(
+        self, rows: list[registry.Change], full: bool, age_s: float
+    ) -> None:
+        """Takes entries of searchers from another VM."""
+        self.apply(self.registry.accept(rows, full))
+        self.fresh_s = max(self.fresh_s, self.loop.time() - age_s)
+        self.listed = self.listed or full
 
     def take(self, configuration: routes.Configuration | None) -> None:
         """Puts a configuration in force, unless an equal or newer one is."""
@@ -140,7 +169,9 @@
 
     def apply(self, changes: list[registry.Change]) -> None:
         """Hands changes of the registry to the searchers."""
-        self.known.apply(changes, self.loop.time())
+        if changes:
+            self.known.apply(changes, self.loop.time())
+            self.searchers_changed(changes)
 
     async def read_configuration(self) -> int:
         """Reads the configuration."""
@@ -225,43 +256,58 @@
             self.apply(self.registry.expire(self.loop.time()))
 
     async def count_vms(self) -> None:
-        """Announces this VM and counts all."""
+        """Announces this VM and reads the list of all.
+
+        The list is read before, so that a VM that starts among others knows
+        them at once. One that doesn't poll the platform gets it otherwise.
+        """
         attempt = 0
         announced = False
-        await asyncio.sleep(random.random() / 2)
         while True:
             try:
+                if self.direct:
+                    await self.read_vms()
                 if not announced:
+                    await self.read_vms(first=True)
+                    await asyncio.sleep(random.random() / 4)
                     await self.source.announce(self.me)
                     announced = True
                     await asyncio.sleep(FIRST_VMS_S)
-                rows = await self.source.read_vms()
+                    await self.read_vms()
             except errors.StoreError as error:
                 _log.info("vms-unknown", reason=error.message)
                 await asyncio.sleep(retry.pause_s(attempt, random.random()))
                 attempt += 1
                 continue
             attempt = 0
-            if rows:
-                self.vms_changed(rows)
             await asyncio.sleep(VMS_S)
 
+    async def read_vms(self, first: bool = False) -> None:
+        """Reads the list of VMs.
 
-def open_following(
-    following: Following,
-) -> list[collections.abc.Coroutine[typing.Any, typing.Any, None]]:
-    """Returns the work that keeps the state up to date."""
-    configuration = Link(
-        CONFIGURATION,
-        following.read_configuration,
-        following.watch_configuration,
-    )
-    searchers = Link(
-        SEARCHERS, following.read_searchers, following.watch_searchers
-    )
-    return [
-        following.follow(configuration),
-        following.follow(searchers),
-        following.expire(),
-        following.count_vms(),
-    ]
+        The first list of a process counts only where it names this VM, which
+        then was there before: else the fleet may be starting, and the list
+        names those that were quicker.
+        """
+        rows = await self.source.read_vms()
+        if first and self.me["vm"] not in {row["vm"] for row in rows}:
+            return
+        if rows:
+            self.vms_changed(rows)
+
+    def polls(
+        self,
+    ) -> list[collections.abc.Coroutine[typing.Any, typing.Any, None]]:
+        """Returns the work that follows the platform."""
+        return [
+            self.follow(
+                Link(
+                    CONFIGURATION,
+                    self.read_configuration,
+                    self.watch_configuration,
+                )
+            ),
+            self.follow(
+                Link(SEARCHERS, self.read_searchers, self.watch_searchers)
+            ),
+        ]
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -7,12 +7,14 @@
 import signal
 import typing
 
+from laurelrock.adapters import frames
 from laurelrock.adapters import http_server
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
 from laurelrock.adapters import metrics
 from laurelrock.core import gathering
 from laurelrock.core import owners
+from laurelrock.core import registry
 from laurelrock.core import repeats
 from laurelrock.core import routes
 from laurelrock.gateways import calls
@@ -22,6 +24,7 @@
 from laurelrock.gateways import parts
 from laurelrock.gateways import peers
 from laurelrock.gateways import queries
+from laurelrock.gateways import sharing
 from laurelrock.gateways import upstreams
 from laurelrock.ports import directory
 from laurelrock.ports import wire
@@ -66,6 +69,8 @@
         budget: Of repeats.
         placement: Of calls.
         split: Shares of routes with several services.
+        exchange: Messages between VMs.
+        sharing: Who follows the platform for whom.
         groups: Shards that other VMs call, and that this one calls for them.
         following: Configuration and registry.
         peers: What other VMs know.
@@ -102,8 +107,12 @@
             address=":".join(map(str, options.peers)),
             cores=options.cores,
         )
+        self.exchange = frames.create_exchange(
+            {**groups.KINDS, **sharing.KINDS}, self.take, self.link_ended
+        )
+        port = options.exchange_port
         self.groups = groups.create_groups(
-            self.placement, platform, vm_of(me), options.exchange_port
+            self.placement, platform, self.exchange, vm_of(me), port
         )
         self.following = following.Following(
             source,
@@ -111,12 +120,16 @@
             self.known,
             self.configured,
             self.take_vms,
+            self.searchers_changed,
+        )
+        self.sharing = sharing.create_sharing(
+            self.following, self.exchange, vm_of(me), port, self.set_vms
         )
         self.peers = peers.create_peers(
             self.following,
             options.peers,
             list(options.seeds),
-            self.set_vms,
+            self.count_vms,
         )
         self.servers: list[http_server.Server] = []
         self.counts: collections.Counter[str] = collections.Counter()
@@ -134,12 +147,6 @@
             and not self.cut
         )
 
-    @property
-    def version(self) -> int:
-        """Version of the configuration in force, 0 for none."""
-        table = self.following.table
-        return table.configuration.version if table else 0
-
     def spawn(
         self,
         work: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any],
@@ -155,6 +162,23 @@
         if self.servers:
             self.servers[0].limits = configuration.limits
         self.warm(configuration)
+        self.sharing.configured(configuration)
+
+    def searchers_changed(self, changes: list[registry.Change]) -> None:
+        """Passes changes of the searchers on."""
+        self.sharing.changed(changes)
+
+    def take(self, link: frames.Link, message: typing.Any) -> None:
+        """Takes a message of another VM."""
+        if isinstance(message, sharing.Follow | sharing.State):
+            self.sharing.take(link, message)
+        else:
+            self.groups.take(link, message)
+
+    def link_ended(self, link: frames.Link) -> None:
+        """Notes that a connection to another VM ended."""
+        self.groups.link_ended(link)
+        self.sharing.link_ended(link)
 
     def warm(self, configuration: routes.Configuration) -> None:
         """Opens connections to the searchers that this VM will call."""
@@ -168,21 +192,26 @@
         }
         self.spawn(self.known.warm(sorted(used)))
 
-    def set_vms(self, count: int, domains: int = 1) -> None:
+    def count_vms(self, count: int, domains: int = 1) -> None:
         """Notes how many VMs share budgets and connections."""
         _log.info("vms-counted", count=count, before=self.known.vms)
         self.known.set_vms(count, domains)
         self.budget.set_vms(count)
 
     def take_vms(self, rows: list[directory.VmRow]) -> None:
+        """Takes the list of VMs as the platform has it."""
+        self.set_vms([vm_of(row) for row in rows])
+
+    def set_vms(self, vms: list[owners.Vm]) -> None:
         """Takes the list of VMs."""
-        addresses = [split_address(row["address"]) for row in rows]
-        self.peers.addresses = [row for row in addresses if row is not None]
-        vms = [vm_of(row) for row in rows]
         if vms == self.groups.vms:
             return
         self.groups.vms = vms
-        self.set_vms(len(vms), len({vm.failure_domain for vm in vms}))
+        self.peers.addresses = [
+            (vm.host, self.deployment.peers[1]) for vm in vms
+        ]
+        self.count_vms(len(vms), len({vm.failure_domain for vm in vms}))
+        self.sharing.set_vms(vms)
         if self.following.table is not None:
             self.warm(self.following.table.configuration)
 
@@ -354,12 +383,6 @@
     return owners.Vm(row["vm"], row["failure_domain"], host, row["cores"])
 
 
-def split_address(text: str) -> tuple[str, int] | None:
-    """Returns host and port; None where a VM announced something else."""
-    host, _, port = text.rpartition(":")
-    return (host, int(port)) if host and port.isdecimal() else None
-
-
 def come_back(seconds: float) -> tuple[bytes, bytes]:
     """Returns the header with the time until a caller may come back.
 
@@ -406,7 +429,7 @@
     )
     meters.gauge(
         "laurelrock_configuration_version",
-        lambda: gateway.version,
+        lambda: gateway.following.version,
         "Version of the configuration in force, 0 for none",
     )
     meters.gauge(
@@ -438,10 +461,11 @@
         server = await http_server.open_server(handle, address, routes.Limits())
         gateway.servers.append(server)
     port = options.exchange_port
-    await gateway.groups.exchange.listen((options.address, port))
+    await gateway.exchange.listen((options.address, port))
     register_metrics(gateway)
-    for work in following.open_following(gateway.following):
-        gateway.spawn(work)
+    gateway.spawn(gateway.following.expire())
+    gateway.spawn(gateway.following.count_vms())
+    gateway.spawn(gateway.sharing.run())
     gateway.spawn(gateway.peers.run())
     gateway.spawn(gateway.known.probe())
     gateway.spawn(gateway.watch_reach())
--- a/laurelrock/gateways/groups.py
+++ b/laurelrock/gateways/groups.py
@@ -24,7 +24,7 @@
 from laurelrock.gateways import parts
 from laurelrock.ports import wire
 
-__all__ = ["Group", "Groups", "create_groups"]
+__all__ = ["KINDS", "Group", "Groups", "create_groups"]
 
 #: Time in which an owner says that it took a group, in seconds: some times
 #: what a message needs there and back on a loaded VM.
@@ -182,6 +182,7 @@
     Attributes:
         placement: Places the calls of groups that this VM owns.
         platform: Headers of the calls.
+        exchange: Messages between VMs.
         me: This VM.
         port: Of all VMs' exchanges.
         vms: Listed, this one included.
@@ -196,6 +197,7 @@
         self,
         placement: parts.Placement,
         platform: wire.Wire,
+        exchange: frames.Exchange,
         me: owners.Vm,
         port: int,
     ) -> None:
@@ -209,9 +211,7 @@
         self.passed: dict[str, Pass] = {}
         self.numbers = 0
         self.counts = {"asked": 0, "silent": 0, "lost": 0, "served": 0}
-        self.exchange = frames.create_exchange(
-            KINDS, self.take, self.link_ended
-        )
+        self.exchange = exchange
         self.loop = asyncio.get_running_loop()
 
     def needed(self, route: routes.Route) -> bool:
@@ -517,7 +517,11 @@
 
 
 def create_groups(
-    placement: parts.Placement, platform: wire.Wire, me: owners.Vm, port: int
+    placement: parts.Placement,
+    platform: wire.Wire,
+    exchange: frames.Exchange,
+    me: owners.Vm,
+    port: int,
 ) -> Groups:
-    """Returns the state without groups; `exchange.listen` opens the port."""
-    return Groups(placement, platform, me, port)
+    """Returns the state without groups."""
+    return Groups(placement, platform, exchange, me, port)
--- a/laurelrock/gateways/peers.py
+++ b/laurelrock/gateways/peers.py
@@ -27,9 +27,9 @@
 
 #: Interval at which a refused VM asks, in seconds.
 ASK_S = 0.5
-#: Time without the platform before others are asked, in seconds: a lost
-#: connection alone is mended earlier.
-PATIENCE_S = 0.7
+#: Age of what this VM knows from which others are asked, in seconds: a lost
+#: connection alone is mended earlier, and a source beats more often.
+PATIENCE_S = 1.2
 #: VMs that are asked at a time.
 FANOUT = 2
 #: Longest wait for an answer, in seconds.
@@ -174,7 +174,7 @@
             own_age_ms=None if math.isinf(age_s) else round(age_s * 1000),
         )
         rows = [registry.Change(row.id, row) for row in snapshot.searchers]
-        self.known.replace(rows, snapshot.age_s)
+        self.known.accept(rows, True, snapshot.age_s)
 
 
 def create_peers(
--- /dev/null
+++ b/laurelrock/gateways/sharing.py
@@ -0,0 +1,276 @@
+"""Sharing: few VMs of a large fleet follow the platform for all.
+
+The platform counts each call, and its rates grow more slowly than the fleet.
+In a failure domain two VMs, chosen by rendezvous hashing, follow it; the others
+subscribe to one of these and get each change pushed, and a heartbeat with the
+age of what it knows. A subscriber whose source is silent goes to the next; one
+whose sources are all silent or out of date follows the platform itself. Only
+a VM that follows the platform itself is a source, so that no two VMs can
+believe each other.
+"""
+
+import asyncio
+import typing
+
+from laurelrock.adapters import frames
+from laurelrock.adapters import logs
+from laurelrock.core import owners
+from laurelrock.core import registry
+from laurelrock.core import routes
+from laurelrock.gateways import following
+
+__all__ = ["KINDS", "Follow", "Sharing", "State", "create_sharing"]
+
+#: Largest fleet of which every VM follows the platform itself.
+MAX_DIRECT_VMS = 16
+#: VMs of a failure domain that follow the platform.
+SOURCES = 2
+#: Name under which the sources are ranked.
+KEY = "platform"
+#: Interval of heartbeats and of looking after the subscription, in seconds.
+BEAT_S = 0.4
+#: Silence after which the next source is tried: three heartbeats, in seconds.
+SILENT_S = 1.2
+#: Age of a source's knowledge from which this VM follows the platform itself,
+#: in seconds.
+STALE_S = 2.0
+#: Time after the start from which a VM that knows no other follows the
+#: platform itself, in seconds; a new fleet has announced itself by then.
+ALONE_S = 4.0
+#: Time for which a VM that began to follow the platform goes on, in seconds.
+DIRECT_S = 10.0
+
+_log = logs.get_logger(__name__)
+
+
+class Follow(typing.NamedTuple):
+    """Subscribes to what another VM knows."""
+
+    version: int
+
+
+class State(typing.NamedTuple):
+    """What changed at a source; a heartbeat where nothing did.
+
+    Attributes:
+        configuration: Newer than the last one sent.
+        full: Whether all searchers are listed, not just those that changed.
+        searchers: That are new or changed.
+        gone: Ids of searchers that are gone.
+        vms: Listed, where that changed.
+        age_s: Of what the source knows of the searchers.
+    """
+
+    configuration: routes.Configuration | None
+    full: bool
+    searchers: list[registry.Searcher]
+    gone: list[str]
+    vms: list[owners.Vm] | None
+    age_s: float
+
+
+KINDS: dict[int, type] = {5: Follow, 6: State}
+
+
+class Sharing:
+    """State of the subscriptions of this VM and to it.
+
+    Attributes:
+        known: What is followed.
+        exchange: Messages between VMs.
+        me: This VM.
+        port: Of all VMs' exchanges.
+        vms: Listed.
+        vms_known: Called with the VMs that a source lists.
+        subscribers: Links of VMs that subscribed.
+        direct: Polls of the platform, while this VM makes them.
+        direct_until_s: Loop time until which they go on at least.
+        source: Subscribed to now.
+        link: To the source.
+        heard_s: Loop time of the source's last word.
+        silent: Sources passed over since one last spoke, by name.
+    """
+
+    def __init__(
+        self,
+        known: following.Following,
+        exchange: frames.Exchange,
+        me: owners.Vm,
+        port: int,
+        vms_known: typing.Callable[[list[owners.Vm]], None],
+    ) -> None:
+        self.known = known
+        self.exchange = exchange
+        self.me = me
+        self.port = port
+        self.vms: list[owners.Vm] = []
+        self.vms_known = vms_known
+        self.subscribers: set[frames.Link] = set()
+        self.direct: list[asyncio.Task[None]] = []
+        self.direct_until_s = 0.0
+        self.source: owners.Vm | None = None
+        self.link: frames.Link | None = None
+        self.heard_s = 0.0
+        self.silent: set[str] = set()
+        self.loop = asyncio.get_running_loop()
+
+    def sources(self) -> list[owners.Vm]:
+        """Returns the VMs to subscribe to, the best first."""
+        domain = self.me.failure_domain
+        return owners.ranked(KEY, self.vms, domain)
+
+    def is_source(self) -> bool:
+        """Tells whether this VM follows the platform, also for others."""
+        if not self.vms and not self.subscribers:
+            return self.loop.time() - self.known.started_s > ALONE_S
+        if len(self.vms) <= MAX_DIRECT_VMS or self.subscribers:
+            return True
+        near = [
+            vm
+            for vm in self.sources()
+            if vm.failure_domain == self.me.failure_domain
+        ]
+        return self.me in near[:SOURCES]
+
+    # Following the platform
+
+    def follow_directly(self) -> None:
+        """Begins to poll the platform, or goes on."""
+        self.direct_until_s = self.loop.time() + DIRECT_S
+        if not self.direct:
+            _log.info("follows-platform", subscribers=len(self.subscribers))
+            self.direct = [
+                self.loop.create_task(work) for work in self.known.polls()
+            ]
+            self.known.direct = True
+
+    def stop_following(self) -> None:
+        """Ends the polls of the platform."""
+        for task in self.direct:
+            task.cancel()
+        self.direct = []
+        self.known.leave_platform()
+
+    async def run(self) -> None:
+        """Looks after the subscription, and beats to subscribers."""
+        while True:
+            now_s = self.loop.time()
+            if self.is_source():
+                self.follow_directly()
+                self.unsubscribe()
+            elif self.vms:
+                self.look_after_source(now_s)
+                stale = self.known.subscribed_age_s(now_s) > STALE_S
+                if stale:
+                    self.follow_directly()
+                elif self.direct and now_s > self.direct_until_s:
+                    self.stop_following()
+            self.push(State(None, False, [], [], None, self.known.age_s()))
+            await asyncio.sleep(BEAT_S)
+
+    def look_after_source(self, now_s: float) -> None:
+        """Subscribes, to the next source where the present one is silent."""
+        if self.link is not None and now_s - self.heard_s < SILENT_S:
+            return
+        if self.source is not None:
+            self.silent.add(self.source.name)
+            _log.info("source-silent", source=self.source.name)
+        rows = [vm for vm in self.sources() if vm != self.me]
+        fresh = [vm for vm in rows if vm.name not in self.silent]
+        if not fresh:
+            self.silent.clear()
+        self.subscribe(next(iter(fresh or rows), None), now_s)
+
+    def subscribe(self, source: owners.Vm | None, now_s: float) -> None:
+        """Asks a source for all that it knows and for each change."""
+        self.unsubscribe()
+        if source is None:
+            return
+        self.source = source
+        self.heard_s = now_s
+        self.link = self.exchange.link((source.host, self.port))
+        self.link.send(Follow(self.known.version))
+        _log.info("subscribed", source=source.name)
+
+    def unsubscribe(self) -> None:
+        """Takes no more from the present source."""
+        self.source = None
+        self.link = None
+
+    # Messages
+
+    def take(self, link: frames.Link, message: Follow | State) -> None:
+        """Takes a message of another VM."""
+        if isinstance(message, Follow):
+            self.follow_directly()
+            self.subscribers.add(link)
+            link.send(self.everything(message.version))
+        elif link is self.link:
+            self.take_state(message)
+
+    def take_state(self, state: State) -> None:
+        """Takes what a source says."""
+        now_s = self.loop.time()
+        self.heard_s = now_s
+        self.silent.clear()
+        self.known.take(state.configuration)
+        rows = [registry.Change(row.id, row) for row in state.searchers]
+        rows += [registry.Change(name, None) for name in state.gone]
+        if not self.known.platform_answers():
+            self.known.accept(rows, state.full, state.age_s)
+        if state.vms is not None:
+            self.vms_known(state.vms)
+
+    def link_ended(self, link: frames.Link) -> None:
+        """Notes that a subscriber or the source is gone."""
+        self.subscribers.discard(link)
+        if link is self.link:
+            self.heard_s = 0.0
+
+    # Subscribers
+
+    def everything(self, version: int) -> State:
+        """Returns all that this VM knows, for one that has a version."""
+        table = self.known.table
+        newer = table is not None and table.configuration.version > version
+        return State(
+            table.configuration if table is not None and newer else None,
+            self.known.listed,
+            list(self.known.registry.searchers.values()),
+            [],
+            self.vms or None,
+            self.known.age_s(),
+        )
+
+    def push(self, state: State) -> None:
+        """Sends a change to all subscribers."""
+        for link in self.subscribers:
+            link.send(state)
+
+    def configured(self, configuration: routes.Configuration) -> None:
+        """Passes a new configuration on."""
+        age_s = self.known.age_s()
+        self.push(State(configuration, False, [], [], None, age_s))
+
+    def changed(self, changes: list[registry.Change]) -> None:
+        """Passes changes of the searchers on."""
+        rows = [row.searcher for row in changes if row.searcher is not None]
+        gone = [row.id for row in changes if row.searcher is None]
+        age_s = self.known.age_s()
+        self.push(State(None, False, rows, gone, None, age_s))
+
+    def set_vms(self, vms: list[owners.Vm]) -> None:
+        """Takes the list of VMs and passes it on."""
+        self.vms = vms
+        self.push(State(None, False, [], [], vms, self.known.age_s()))
+
+
+def create_sharing(
+    known: following.Following,
+    exchange: frames.Exchange,
+    me: owners.Vm,
+    port: int,
+    vms_known: typing.Callable[[list[owners.Vm]], None],
+) -> Sharing:
+    """Returns the state before any subscription."""
+    return Sharing(known, exchange, me, port, vms_known)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -113,7 +113,7 @@
     async def end(self):
         for task in list(self.gateway.tasks):
             task.cancel()
-        self.gateway.groups.exchange.close()
+        self.gateway.exchange.close()
         for server in self.gateway.servers:
             server.stop_listening()
             for connection in list(server.connections):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -103,7 +103,7 @@
         self.addAsyncCleanup(spare.stop)
         self.list_searcher("shard-0", spare)
         await self.until(lambda: len(self.gateway.known.by_id) == 5)
-        self.gateway.set_vms(1)
+        self.gateway.count_vms(1)
         for number in range(8):
             answer = await self.ask(gateways.request("/query/a", f"r-{number}"))
             self.assertEqual(answer.headers["x-missing-parts"], "0")
@@ -114,7 +114,7 @@
         self.addAsyncCleanup(spare.stop)
         self.list_searcher("shard-0", spare, zone="b")
         await self.until(lambda: len(self.gateway.known.by_id) == 5)
-        self.gateway.set_vms(1)
+        self.gateway.count_vms(1)
         answer = await self.ask(gateways.request("/query/a"))
         self.assertEqual(answer.headers["x-missing-parts"], "0")
         self.assertEqual(self.gateway.placement.counts["hedge"], 1)
@@ -124,7 +124,7 @@
         moved = {**QUERY, "fanout": SHARDS[:2]}
         document = build.store_configuration(moved, version=9)
         self.store.put("config", "main", document)
-        await self.until(lambda: self.gateway.version == 9)
+        await self.until(lambda: self.gateway.following.version == 9)
         answer = await self.ask(gateways.request("/query/a"))
         self.assertEqual(answer.headers["x-missing-parts"], "0")
         self.assertEqual(len(answer.body), 32)
@@ -150,7 +150,7 @@
         rows = [("files", searcher) for searcher in self.searchers]
         document = build.store_configuration(SINGLE, SAVE)
         await self.start(document, rows)
-        self.gateway.set_vms(1)
+        self.gateway.count_vms(1)
 
     def requests(self):
         return sum(len(row.requests) for row in self.searchers)
@@ -265,7 +265,7 @@
             "config", "main", build.store_configuration(QUERY, version=4)
         )
         await asyncio.sleep(0.5)
-        self.assertEqual(self.gateway.version, 5)
+        self.assertEqual(self.gateway.following.version, 5)
 
     async def test_lost_history_is_read_anew(self):
         await self.start(build.store_configuration(SINGLE, version=5), [])
@@ -276,7 +276,7 @@
         self.store.put(
             "config", "main", build.store_configuration(QUERY, version=6)
         )
-        await self.until(lambda: self.gateway.version == 6)
+        await self.until(lambda: self.gateway.following.version == 6)
 
     async def test_serves_on_without_the_platform(self):
         searcher = await shards.start("s-0", records=b"file")
@@ -329,7 +329,7 @@
         self.addAsyncCleanup(self.end_other, first)
         self.store.faults = objects.Faults(status=503)
         await self.until(lambda: self.gateway.ready, 8.0)
-        self.assertEqual(self.gateway.version, 2)
+        self.assertEqual(self.gateway.following.version, 2)
         answer = await self.ask(gateways.request("/single/a"))
         self.assertEqual(answer.status, 200)
         self.assertIsNot(store, self.store)
