Test fleets of gateways; complete subscriptions that came too early

Cause: a VM that subscribed before its source had listed the searchers got changes only and never became ready, while heartbeats made its knowledge look fresh; one that polled beside a subscription never stopped. Change: a source sends everything once it has it; what a source says counts as fresh only after that; a VM that stops polling subscribes anew, since changes that came meanwhile were left to its polls.

--- a/fakes/objects.py
+++ b/fakes/objects.py
@@ -42,6 +42,7 @@
         oldest: Revision before which the history is gone.
         faults: How it misbehaves now.
         calls: Requests by method and kind.
+        refused_host: Host header of clients that get 503.
     """
 
     def __init__(self) -> None:
@@ -51,6 +52,7 @@
         self.oldest = 0
         self.faults = Faults()
         self.calls: list[tuple[str, str]] = []
+        self.refused_host = ""
         self.changed = asyncio.Event()
 
     def put(self, kind: str, name: str, spec: typing.Any) -> None:
@@ -113,6 +115,8 @@
         self.calls.append((request.method, request.match_info["kind"]))
         faults = self.faults
         await asyncio.sleep(3600 if faults.hang else faults.late_s)
+        if request.host == self.refused_host:
+            return web.json_response({}, status=503)
         if faults.status:
             return web.json_response({}, status=faults.status)
         response = await self.serve(request)
--- a/laurelrock/gateways/following.py
+++ b/laurelrock/gateways/following.py
@@ -141,8 +141,9 @@
     ) -> None:
         """Takes entries of searchers from another VM."""
         self.apply(self.registry.accept(rows, full))
-        self.fresh_s = max(self.fresh_s, self.loop.time() - age_s)
         self.listed = self.listed or full
+        if self.listed:
+            self.fresh_s = max(self.fresh_s, self.loop.time() - age_s)
 
     def take(self, configuration: routes.Configuration | None) -> None:
         """Puts a configuration in force, unless an equal or newer one is."""
--- a/laurelrock/gateways/sharing.py
+++ b/laurelrock/gateways/sharing.py
@@ -82,7 +82,8 @@
         port: Of all VMs' exchanges.
         vms: Listed.
         vms_known: Called with the VMs that a source lists.
-        subscribers: Links of VMs that subscribed.
+        subscribers: Links of VMs that subscribed, and whether each was sent
+            all searchers yet.
         direct: Polls of the platform, while this VM makes them.
         direct_until_s: Loop time until which they go on at least.
         source: Subscribed to now.
@@ -105,7 +106,7 @@
         self.port = port
         self.vms: list[owners.Vm] = []
         self.vms_known = vms_known
-        self.subscribers: set[frames.Link] = set()
+        self.subscribers: dict[frames.Link, bool] = {}
         self.direct: list[asyncio.Task[None]] = []
         self.direct_until_s = 0.0
         self.source: owners.Vm | None = None
@@ -165,6 +166,9 @@
                     self.follow_directly()
                 elif self.direct and now_s > self.direct_until_s:
                     self.stop_following()
+                    # Changes that came meanwhile were left to the polls.
+                    self.subscribe(self.source, now_s)
+            self.complete()
             self.push(State(None, False, [], [], None, self.known.age_s()))
             await asyncio.sleep(BEAT_S)
 
@@ -203,7 +207,7 @@
         """Takes a message of another VM."""
         if isinstance(message, Follow):
             self.follow_directly()
-            self.subscribers.add(link)
+            self.subscribers[link] = self.known.listed
             link.send(self.everything(message.version))
         elif link is self.link:
             self.take_state(message)
@@ -216,14 +220,15 @@
         self.known.take(state.configuration)
         rows = [registry.Change(row.id, row) for row in state.searchers]
         rows += [registry.Change(name, None) for name in state.gone]
-        if not self.known.platform_answers():
-            self.known.accept(rows, state.full, state.age_s)
+        if self.known.platform_answers():
+            rows.clear()
+        self.known.accept(rows, state.full and bool(rows), state.age_s)
         if state.vms is not None:
             self.vms_known(state.vms)
 
     def link_ended(self, link: frames.Link) -> None:
         """Notes that a subscriber or the source is gone."""
-        self.subscribers.discard(link)
+        self.subscribers.pop(link, None)
         if link is self.link:
             self.heard_s = 0.0
 
@@ -242,6 +247,15 @@
             self.known.age_s(),
         )
 
+    def complete(self) -> None:
+        """Sends all searchers to who subscribed before they were listed."""
+        if not self.known.listed:
+            return
+        for link, complete in self.subscribers.items():
+            if not complete:
+                self.subscribers[link] = True
+                link.send(self.everything(0))
+
     def push(self, state: State) -> None:
         """Sends a change to all subscribers."""
         for link in self.subscribers:
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -91,36 +91,69 @@
         options = build.options(
             *[(HOST, port) for port in ports[1:4]], (HOST, ports[0]), ports[5]
         )
-        options = options._replace(**fields)
-        self.source = store.open_store(options.store)
-        self.gateway = gateway.Gateway(
-            options, wire, self.source, exposition.create_metrics()
-        )
-        self.address = options.callers
-        await gateway.open_gateway(self.gateway, ports[4])
         self.metrics_address = (HOST, ports[4])
-        self.addAsyncCleanup(self.end)
+        self.gateway = await self.open(options._replace(**fields), ports[4])
+        self.source = self.gateway.source
+        self.address = self.gateway.deployment.callers
         if document is not None:
             await self.until(lambda: self.gateway.ready)
 
-    def list_searcher(self, service, searcher, **fields):
-        host, port = searcher.address
-        row = build.store_searcher(
-            service=service, address=f"{host}:{port}", **fields
+    async def open(self, options, metrics_port):
+        """Opens a gateway that ends with the test."""
+        source = store.open_store(options.store)
+        opened = gateway.Gateway(
+            options, wire, source, exposition.create_metrics()
         )
-        self.store.put("servers", searcher.name, row)
+        self.addAsyncCleanup(self.end, opened)
+        await gateway.open_gateway(opened, metrics_port)
+        return opened
 
-    async def end(self):
-        for task in list(self.gateway.tasks):
+    async def start_fleet(self, document, rows, hosts):
+        """Starts stand-ins and one gateway at each of some addresses."""
+        self.store = objects.Objects()
+        ports = free_ports(6)
+        runner = await objects.start(self.store, HOST, ports[0])
+        self.addAsyncCleanup(runner.cleanup)
+        for service, searcher in rows:
+            self.list_searcher(service, searcher)
+            self.addAsyncCleanup(searcher.stop)
+        self.store.put("config", "main", document)
+        self.fleet = []
+        for number, host in enumerate(hosts):
+            options = build.options(
+                *[(host, port) for port in ports[1:4]],
+                (HOST, ports[0]),
+                ports[5],
+            )
+            name = f"vm-{number}"
+            options = options._replace(vm=name, failure_domain=f"d{number % 2}")
+            self.fleet.append(await self.open(options, ports[4]))
+        await self.until(
+            lambda: all(
+                row.ready and row.known.vms == len(hosts) for row in self.fleet
+            ),
+            15.0,
+        )
+
+    async def end(self, opened):
+        """Ends a gateway."""
+        for task in [*opened.tasks, *opened.sharing.direct]:
             task.cancel()
-        self.gateway.exchange.close()
-        for server in self.gateway.servers:
+        opened.exchange.close()
+        for server in opened.servers:
             server.stop_listening()
             for connection in list(server.connections):
                 connection.transport.abort()
-        for upstream in self.gateway.known.by_id.values():
+        for upstream in opened.known.by_id.values():
             upstream.client.close()
-        self.source.close()
+        opened.source.close()
+
+    def list_searcher(self, service, searcher, **fields):
+        host, port = searcher.address
+        row = build.store_searcher(
+            service=service, address=f"{host}:{port}", **fields
+        )
+        self.store.put("servers", searcher.name, row)
 
     async def until(self, holds, longest_s=5.0):
         """Waits until a condition holds."""
--- /dev/null
+++ b/tests/test_fleet_gateways.py
@@ -0,0 +1,216 @@
+"""Several gateways among stand-ins: owners of groups, and shared following."""
+
+import asyncio
+import unittest.mock
+
+from fakes import objects
+from fakes import shards
+from laurelrock.core import owners
+from laurelrock.gateways import groups
+from laurelrock.gateways import sharing
+from tests import gateway_builders as build
+from tests import gateways
+
+HOSTS = [f"127.0.0.{10 + n}" for n in range(4)]
+SHARDS = [f"shard-{n}" for n in range(8)]
+QUERY = build.store_query(SHARDS, target_latency_ms=400, top_k=3)
+
+
+def document(version=2, **fields):
+    found = build.store_configuration({**QUERY, **fields}, version=version)
+    for row in found["services"]:
+        # Fewer than four VMs need, so that groups have owners.
+        row["max_connections"] = 8
+    return found
+
+
+class FleetCase(gateways.GatewayCase):
+    async def asyncSetUp(self):
+        patch = unittest.mock.patch.object(owners, "GROUP_SHARDS", 2)
+        self.enterContext(patch)
+
+    async def start(self, script=shards.healthy):
+        self.rows = await gateways.start_shards(8, script)
+        await self.start_fleet(document(), self.rows, HOSTS)
+
+    async def ask_vm(self, number, request_id="r-1", **fields):
+        self.address = self.fleet[number].deployment.callers
+        return await self.ask(
+            gateways.request("/query/a", request_id, **fields)
+        )
+
+    def owner_of(self, key, domain="d0"):
+        vms = self.fleet[0].groups.vms
+        name = owners.ranked(key, vms, domain)[0].name
+        return self.fleet[int(name.removeprefix("vm-"))]
+
+    def asked_by(self, number):
+        """Returns the shards that a VM calls through others."""
+        route = self.fleet[number].following.table.configuration.routes[0]
+        return self.fleet[number].groups.split(route)[1]
+
+
+class GroupsTest(FleetCase):
+    async def test_whole_answer_through_owners(self):
+        await self.start()
+        for number in range(4):
+            answer = await self.ask_vm(number, f"r-{number}")
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.headers["x-missing-parts"], "0")
+            proofs = answer.headers["x-part-stamps"].split(", ")
+            self.assertEqual(len(set(proofs)), 8)
+            expected = b"".join(bytes([n]) * 16 for n in (8, 7, 6))
+            self.assertEqual(answer.body, expected)
+        served = sum(vm.groups.counts["served"] for vm in self.fleet)
+        self.assertGreater(served, 0)
+
+    async def test_each_searcher_is_called_once_a_query(self):
+        await self.start()
+        for number in range(4):
+            await self.ask_vm(number, f"r-{number}")
+        for _, searcher in self.rows:
+            self.assertEqual(len(searcher.requests), 4)
+
+    async def test_owner_that_is_gone_is_passed_over(self):
+        await self.start()
+        number = next(n for n in range(4) if self.asked_by(n))
+        owner = self.owner_of(self.asked_by(number)[0][0], f"d{number % 2}")
+        owner.exchange.close()
+        await self.end(owner)
+        for turn in range(3):
+            answer = await self.ask_vm(number, f"r-{turn}")
+            self.assertEqual(answer.headers["x-missing-parts"], "0")
+
+    async def test_silent_owner_is_passed_over_and_told_to_drop(self):
+        await self.start()
+        number = next(n for n in range(4) if self.asked_by(n))
+        key = self.asked_by(number)[0][0]
+        owner = self.owner_of(key, f"d{number % 2}")
+        seen = []
+        owner.exchange.handle = lambda link, message: seen.append(message)
+        answer = await self.ask_vm(number)
+        self.assertEqual(answer.headers["x-missing-parts"], "0")
+        self.assertGreater(self.fleet[number].groups.counts["silent"], 0)
+        await asyncio.sleep(0.05)
+        self.assertIn(groups.Drop, {type(message) for message in seen})
+
+    async def test_lost_owner_that_had_begun_is_not_asked_twice(self):
+        def hang(searcher, request):
+            return shards.Play(end="hang")
+
+        await self.start(hang)
+        number = next(n for n in range(4) if self.asked_by(n))
+        owner = self.owner_of(self.asked_by(number)[0][0], f"d{number % 2}")
+        asking = asyncio.create_task(self.ask_vm(number, deadline_ms=600))
+        await self.until(lambda: len(owner.groups.serving) > 0)
+        await asyncio.sleep(0.05)
+        owner.exchange.close()
+        answer = await asking
+        self.assertIn(answer.status, (502, 504))
+        for _, searcher in self.rows:
+            self.assertLessEqual(len(searcher.requests), 1)
+
+    async def test_late_parts_come_after_the_first_word(self):
+        def late(searcher, request):
+            play = shards.healthy(searcher, request)
+            slow = 0.5 if searcher.name in ("s-0", "s-2", "s-4") else 0.0
+            return shards.Play(((slow, play.chunks[0][1]),))
+
+        await self.start(late)
+        for number in range(4):
+            answer = await self.ask_vm(number, f"r-{number}")
+            self.assertEqual(answer.status, 200)
+            self.assertLessEqual(int(answer.headers["x-missing-parts"]), 2)
+
+    async def test_caller_that_leaves_ends_the_groups(self):
+        def hang(searcher, request):
+            return shards.Play(end="hang")
+
+        await self.start(hang)
+        number = next(n for n in range(4) if self.asked_by(n))
+        self.address = self.fleet[number].deployment.callers
+        _, writer = await self.connect()
+        writer.write(gateways.request("/query/a"))
+        await self.until(lambda: any(vm.groups.serving for vm in self.fleet))
+        writer.transport.abort()
+        await self.until(
+            lambda: all(searcher.left for _, searcher in self.rows), 0.6
+        )
+        self.assertFalse(any(vm.groups.serving for vm in self.fleet))
+        self.assertFalse(any(vm.groups.asked for vm in self.fleet))
+
+
+class SharingTest(FleetCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for name, value in (("MAX_DIRECT_VMS", 1), ("SOURCES", 1)):
+            self.enterContext(unittest.mock.patch.object(sharing, name, value))
+        self.enterContext(unittest.mock.patch.object(sharing, "DIRECT_S", 0.2))
+
+    def subscribers(self):
+        return [vm for vm in self.fleet if not vm.following.direct]
+
+    async def start_shared(self):
+        await self.start()
+        await self.until(lambda: len(self.subscribers()) == 2)
+
+    def source_of(self, vm):
+        name = vm.sharing.source.name
+        return self.fleet[int(name.removeprefix("vm-"))]
+
+    async def test_changes_reach_subscribers(self):
+        await self.start_shared()
+        self.store.put("config", "main", document(version=7))
+        self.store.delete("servers", "s-0")
+        await self.until(
+            lambda: all(vm.following.version == 7 for vm in self.fleet), 2.0
+        )
+        await self.until(
+            lambda: all(len(vm.known.by_id) == 7 for vm in self.fleet), 2.0
+        )
+
+    async def test_subscribers_do_not_poll_the_platform(self):
+        await self.start_shared()
+        before = [vm.source.calls for vm in self.subscribers()]
+        for version in range(5, 9):
+            self.store.put("config", "main", document(version=version))
+            await asyncio.sleep(0.2)
+        after = [vm.source.calls for vm in self.subscribers()]
+        self.assertEqual(before, after)
+        for vm in self.subscribers():
+            self.assertEqual(vm.following.version, 8)
+
+    async def test_source_that_is_gone(self):
+        await self.start_shared()
+        vm = self.subscribers()[0]
+        gone = self.source_of(vm)
+        await self.end(gone)
+        self.store.put("config", "main", document(version=7))
+        rest = [row for row in self.fleet if row is not gone]
+        await self.until(
+            lambda: all(row.following.version == 7 for row in rest), 3.0
+        )
+
+    async def test_source_that_stands_still(self):
+        await self.start_shared()
+        vm = self.subscribers()[0]
+        source = self.source_of(vm)
+        source.sharing.push = lambda state: None
+        self.store.put("config", "main", document(version=7))
+        await self.until(lambda: vm.following.version == 7, 3.0)
+
+    async def test_sources_that_the_platform_refuses(self):
+        await self.start_shared()
+        vm = self.subscribers()[0]
+        refused = {row.deployment.vm for row in self.fleet if row is not vm}
+        for row in self.fleet:
+            if row.deployment.vm in refused:
+                row.source.host = "refused"
+        self.store.refused_host = "refused"
+        self.store.faults = objects.Faults()
+        self.store.changed.set()
+        self.store.put("config", "main", document(version=7))
+        await self.until(lambda: vm.following.version == 7, 6.0)
+        self.assertTrue(
+            all(row.following.version in (2, 7) for row in self.fleet)
+        )
--- /dev/null
+++ b/tests/test_frames.py
@@ -0,0 +1,102 @@
+"""Contract of the messages between gateways, on real sockets."""
+
+import asyncio
+import typing
+import unittest
+
+from laurelrock.adapters import frames
+from tests import gateways
+
+
+class Word(typing.NamedTuple):
+    number: int
+    text: bytes
+
+
+KINDS: dict[int, type] = {1: Word}
+
+# Bytes of a stranger, and whether the connection survives them.
+STRANGERS = (
+    (b"GET / HTTP/1.1\r\n\r\n", False),
+    (b"\xff\xff\xff\xff\x01", False),
+    ((3).to_bytes(4) + b"\x09ab", True),
+    ((3).to_bytes(4) + b"\x01\xc1\xc1", True),
+    ((4).to_bytes(4) + b"\x01\x92\xa1x", True),
+    (b"\x00\x00", True),
+)
+
+
+class FramesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.seen = []
+        self.ended = []
+        self.address = (gateways.HOST, gateways.free_ports(1)[0])
+        self.server = self.create()
+        await self.server.listen(self.address)
+        self.client = self.create()
+
+    def create(self):
+        exchange = frames.create_exchange(
+            KINDS,
+            lambda link, message: self.seen.append((link, message)),
+            self.ended.append,
+        )
+        self.addCleanup(exchange.close)
+        return exchange
+
+    async def until(self, holds):
+        async with asyncio.timeout(3):
+            while not holds():  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+
+    async def test_both_ends_send(self):
+        link = self.client.link(self.address)
+        for number in range(100):
+            link.send(Word(number, b"x" * number * 100))
+        await self.until(lambda: len(self.seen) == 100)
+        self.assertEqual(
+            [message.number for _, message in self.seen], list(range(100))
+        )
+        back = self.seen[0][0]
+        back.send(Word(7, b"back"))
+        await self.until(lambda: len(self.seen) == 101)
+        self.assertEqual(self.seen[-1], (link, Word(7, b"back")))
+
+    async def test_one_connection_a_peer(self):
+        for _ in range(5):
+            self.client.link(self.address).send(Word(1, b""))
+        await self.until(lambda: len(self.seen) == 5)
+        self.assertEqual(len(self.server.accepted), 1)
+
+    async def test_nobody_listens(self):
+        address = (gateways.HOST, gateways.free_ports(1)[0])
+        link = self.client.link(address)
+        link.send(Word(1, b""))
+        await self.until(lambda: self.ended)
+        self.assertEqual(self.ended, [link])
+        self.assertEqual(self.client.links, {})
+
+    async def test_link_that_ends_is_told_and_opened_anew(self):
+        link = self.client.link(self.address)
+        link.send(Word(1, b""))
+        await self.until(lambda: self.seen)
+        self.seen[0][0].close()
+        await self.until(lambda: len(self.ended) == 2)
+        self.client.link(self.address).send(Word(2, b""))
+        await self.until(lambda: len(self.seen) == 2)
+
+    async def test_strangers(self):
+        for raw, survives in STRANGERS:
+            with self.subTest(raw):
+                reader, writer = await asyncio.open_connection(*self.address)
+                writer.write(raw)
+                try:
+                    async with asyncio.timeout(0.1):
+                        ended = await reader.read() == b""
+                except TimeoutError:
+                    ended = False
+                except ConnectionError:
+                    ended = True
+                self.assertEqual(ended, not survives)
+                writer.transport.abort()
+        self.assertEqual(self.seen, [])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -323,10 +323,9 @@
         await self.start(
             build.store_configuration(SINGLE), [("files", searcher)]
         )
-        first, first_address = self.gateway, self.gateway.deployment.peers
+        first_address = self.gateway.deployment.peers
         store = self.store
         await self.start(None, [], seeds=(first_address,))
-        self.addAsyncCleanup(self.end_other, first)
         self.store.faults = objects.Faults(status=503)
         await self.until(lambda: self.gateway.ready, 8.0)
         self.assertEqual(self.gateway.following.version, 2)
@@ -334,10 +333,6 @@
         self.assertEqual(answer.status, 200)
         self.assertIsNot(store, self.store)
 
-    async def end_other(self, other):
-        for task in list(other.tasks):
-            task.cancel()
-
     async def test_metrics(self):
         await self.start(build.store_configuration(SINGLE), [])
         await self.ask(gateways.request("/single/a"))
