Begin a group only when told to; go through sources one by one

Ruled out: counting the first owner's calls as made (it may hedge); dropping questions after a lag of the loop (the lag of a reader can't be known). Change: an owner answers a question with 'taken' and calls nobody before it is told to begin; only one owner is told so. A subscriber goes through five VMs of its failure domain before it polls the platform itself, each with 1 s to do better.

--- a/laurelrock/core/owners.py
+++ b/laurelrock/core/owners.py
@@ -65,7 +65,10 @@
 
 
 def ranked(
-    key: str, vms: collections.abc.Iterable[Vm], domain: str
+    key: str,
+    vms: collections.abc.Iterable[Vm],
+    domain: str,
+    near_count: int = CALLING_OWNERS,
 ) -> list[Vm]:
     """Orders VMs by their claim on a group, as seen from a failure domain.
 
@@ -73,6 +76,7 @@
         key: Of the group.
         vms: All that are listed.
         domain: Of the VM that asks.
+        near_count: VMs of that domain that are returned at most.
 
     Returns:
         The owner of the domain and its stand-ins, then the owners of the
@@ -85,7 +89,7 @@
     for vm in rows:
         if vm.failure_domain != domain:
             far.setdefault(vm.failure_domain, vm)
-    return [*near[:CALLING_OWNERS], *far.values()]
+    return [*near[:near_count], *far.values()]
 
 
 def _claim(seed: int, vm: Vm) -> float:
--- a/laurelrock/gateways/groups.py
+++ b/laurelrock/gateways/groups.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import typing
 
 from laurelrock.adapters import frames
@@ -74,7 +73,13 @@
 
 
 class Taken(typing.NamedTuple):
-    """Says that a group is being worked on."""
+    """Says that the owner is there and waits to begin."""
+
+    number: int
+
+
+class Begin(typing.NamedTuple):
+    """Tells the owner to begin; no other one is told so."""
 
     number: int
 
@@ -103,7 +108,7 @@
     number: int
 
 
-KINDS: dict[int, type] = {1: Ask, 2: Taken, 3: Found, 4: Drop}
+KINDS: dict[int, type] = {1: Ask, 2: Taken, 3: Found, 4: Drop, 7: Begin}
 
 
 class Group:
@@ -118,13 +123,12 @@
         owner: Asked now.
         link: To that owner.
         number: Of the group on the link.
-        taken: Whether the owner said that it took the group.
-        attempts: Searchers that each part may still reach.
+        begun: Whether the owner was told to begin.
         proofs: Of the parts that are in.
         bodies: Their records.
         left: Parts that may still come.
         calls: Made for the group, as far as known.
-        timer: Runs out when the owner doesn't take the group.
+        timer: Runs out when the owner doesn't say that it is there.
     """
 
     def __init__(
@@ -142,8 +146,7 @@
         self.owner: owners.Vm | None = None
         self.link: frames.Link | None = None
         self.number = 0
-        self.taken = False
-        self.attempts = work.route.attempts
+        self.begun = False
         self.proofs: list[bytes] = []
         self.bodies: list[bytes] = []
         self.left = len(services)
@@ -187,6 +190,8 @@
         port: Of all VMs' exchanges.
         vms: Listed, this one included.
         asked: Groups that others work on, by number.
+        waiting: Groups that this VM was asked for, and when, and that it was
+            not told to begin.
         serving: Groups that this VM works on, by link and number.
         passed: Owners that were silent, by name.
         numbers: Groups asked so far.
@@ -208,6 +213,7 @@
         self.vms: list[owners.Vm] = []
         self.asked: dict[int, Group] = {}
         self.serving: dict[tuple[frames.Link, int], asyncio.Task[None]] = {}
+        self.waiting: dict[tuple[frames.Link, int], tuple[Ask, float]] = {}
         self.passed: dict[str, Pass] = {}
         self.numbers = 0
         self.counts = {"asked": 0, "silent": 0, "lost": 0, "served": 0}
@@ -280,7 +286,7 @@
     def ask_next(self, group: Group) -> None:
         """Asks the next owner, or ends the group where there is none."""
         vm = self.first_owner(group.services, group.tried | {self.me.name})
-        if vm is None or group.attempts < 1:
+        if vm is None:
             group.end()
             return
         group.tried.add(vm.name)
@@ -306,7 +312,7 @@
             route=work.route.name,
             version=work.version,
             services=group.services,
-            attempts=group.attempts,
+            attempts=work.route.attempts,
             top=work.route.top,
             aim_s=group.aim_s - now_s - SEND_S,
             left_s=work.end_s - now_s,
@@ -319,8 +325,6 @@
         if group.link is not None:
             group.link.send(Drop(group.number))
         self.asked.pop(group.number, None)
-        # The owner may have begun: its calls count.
-        group.attempts -= 1
         self.ask_next(group)
 
     def pass_over(self, name: str, why: str) -> None:
@@ -342,15 +346,28 @@
     def take(self, link: frames.Link, message: typing.Any) -> None:
         """Takes a message of another VM."""
         if isinstance(message, Ask):
-            task = self.loop.create_task(self.serve(link, message))
-            self.serving[link, message.number] = task
+            self.waiting[link, message.number] = (message, self.loop.time())
+            link.send(Taken(message.number))
+        elif isinstance(message, Begin):
+            self.begin(link, message.number)
         elif isinstance(message, Drop):
+            self.waiting.pop((link, message.number), None)
             serving = self.serving.get((link, message.number))
             if serving is not None:
                 serving.cancel()
         else:
             self.take_word(message)
 
+    def begin(self, link: frames.Link, number: int) -> None:
+        """Begins to work on a group that was asked for before."""
+        key = (link, number)
+        asked = self.waiting.pop(key, None)
+        if asked is None:
+            return
+        task = self.loop.create_task(self.serve(link, *asked))
+        self.serving[key] = task
+        task.add_done_callback(lambda _: self.serving.pop(key, None))
+
     def take_word(self, message: Taken | Found) -> None:
         """Takes an owner's word on a group."""
         group = self.asked.get(message.number)
@@ -360,7 +377,9 @@
         if group.owner is not None:
             self.passed.pop(group.owner.name, None)
         if isinstance(message, Taken):
-            group.taken = True
+            if not group.begun and group.link is not None:
+                group.begun = True
+                group.link.send(Begin(group.number))
             return
         group.proofs += message.proofs
         group.bodies.append(message.records)
@@ -377,33 +396,29 @@
             group.stop_timer()
             if group.owner is not None:
                 self.pass_over(group.owner.name, "lost")
-            if group.taken:
+            if group.begun:
                 group.end()
             else:
-                group.attempts -= link.transport is not None
                 self.ask_next(group)
+        for key in [row for row in self.waiting if row[0] is link]:
+            del self.waiting[key]
         for (of, _), task in list(self.serving.items()):
             if of is link:
                 task.cancel()
 
     # Groups that this VM works on
 
-    async def serve(self, link: frames.Link, ask: Ask) -> None:
+    async def serve(self, link: frames.Link, ask: Ask, asked_s: float) -> None:
         """Works on a group and sends what comes in."""
-        link.send(Taken(ask.number))
         self.counts["served"] += 1
-        work = self.create_work(ask)
-        serving = Serving(self, link, ask, work)
+        serving = Serving(self, link, ask, self.create_work(ask, asked_s))
         try:
             await serving.run()
         finally:
             serving.abandon()
-            with contextlib.suppress(KeyError):
-                del self.serving[link, ask.number]
 
-    def create_work(self, ask: Ask) -> calls.Work:
-        """Returns the request of a group as calls need it."""
-        now_s = self.loop.time()
+    def create_work(self, ask: Ask, now_s: float) -> calls.Work:
+        """Returns the request of a group, asked for at a loop time."""
         request = http_server.Request(
             ask.method, ask.target, ask.headers, ask.body, now_s
         )
--- a/laurelrock/gateways/sharing.py
+++ b/laurelrock/gateways/sharing.py
@@ -3,10 +3,11 @@
 The platform counts each call, and its rates grow more slowly than the fleet.
 In a failure domain two VMs, chosen by rendezvous hashing, follow it; the others
 subscribe to one of these and get each change pushed, and a heartbeat with the
-age of what it knows. A subscriber whose source is silent goes to the next; one
-whose sources are all silent or out of date follows the platform itself. Only
-a VM that follows the platform itself is a source, so that no two VMs can
-believe each other.
+age of what it knows. A subscriber whose source is silent or out of date goes
+to the next in the ranking; one that went through all of them follows the
+platform itself. A VM that is subscribed to follows the platform, so that no
+two VMs can believe each other; while the platform is down, one more VM a
+failure domain does so every few seconds, not all of them.
 """
 
 import asyncio
@@ -31,9 +32,12 @@
 BEAT_S = 0.4
 #: Silence after which the next source is tried: three heartbeats, in seconds.
 SILENT_S = 1.2
-#: Age of a source's knowledge from which this VM follows the platform itself,
-#: in seconds.
+#: VMs of a failure domain that a subscriber goes through.
+CANDIDATES = 5
+#: Age of a source's knowledge from which the next source is tried, and the
+#: time that a new source has to do better, both in seconds.
 STALE_S = 2.0
+CHANCE_S = 1.0
 #: Time after the start from which a VM that knows no other follows the
 #: platform itself, in seconds; a new fleet has announced itself by then.
 ALONE_S = 4.0
@@ -89,7 +93,8 @@
         source: Subscribed to now.
         link: To the source.
         heard_s: Loop time of the source's last word.
-        silent: Sources passed over since one last spoke, by name.
+        subscribed_s: Loop time of the subscription.
+        useless: Sources passed over since one was of use, by name.
     """
 
     def __init__(
@@ -112,13 +117,14 @@
         self.source: owners.Vm | None = None
         self.link: frames.Link | None = None
         self.heard_s = 0.0
-        self.silent: set[str] = set()
+        self.subscribed_s = 0.0
+        self.useless: set[str] = set()
         self.loop = asyncio.get_running_loop()
 
     def sources(self) -> list[owners.Vm]:
         """Returns the VMs to subscribe to, the best first."""
         domain = self.me.failure_domain
-        return owners.ranked(KEY, self.vms, domain)
+        return owners.ranked(KEY, self.vms, domain, CANDIDATES)
 
     def is_source(self) -> bool:
         """Tells whether this VM follows the platform, also for others."""
@@ -160,9 +166,7 @@
                 self.follow_directly()
                 self.unsubscribe()
             elif self.vms:
-                self.look_after_source(now_s)
-                stale = self.known.subscribed_age_s(now_s) > STALE_S
-                if stale:
+                if not self.look_after_source(now_s):
                     self.follow_directly()
                 elif self.direct and now_s > self.direct_until_s:
                     self.stop_following()
@@ -172,18 +176,28 @@
             self.push(State(None, False, [], [], None, self.known.age_s()))
             await asyncio.sleep(BEAT_S)
 
-    def look_after_source(self, now_s: float) -> None:
-        """Subscribes, to the next source where the present one is silent."""
-        if self.link is not None and now_s - self.heard_s < SILENT_S:
-            return
+    def look_after_source(self, now_s: float) -> bool:
+        """Goes to the next source where the present one is no use.
+
+        Returns:
+            Whether there is a source that was not found useless yet.
+        """
+        stale = (
+            now_s - self.subscribed_s > CHANCE_S
+            and self.known.subscribed_age_s(now_s) > STALE_S
+        )
+        silent = now_s - self.heard_s > SILENT_S
+        if self.link is not None and not stale and not silent:
+            return True
         if self.source is not None:
-            self.silent.add(self.source.name)
-            _log.info("source-silent", source=self.source.name)
+            self.useless.add(self.source.name)
+            _log.info("source-useless", source=self.source.name, silent=silent)
         rows = [vm for vm in self.sources() if vm != self.me]
-        fresh = [vm for vm in rows if vm.name not in self.silent]
+        fresh = [vm for vm in rows if vm.name not in self.useless]
         if not fresh:
-            self.silent.clear()
+            self.useless.clear()
         self.subscribe(next(iter(fresh or rows), None), now_s)
+        return bool(fresh)
 
     def subscribe(self, source: owners.Vm | None, now_s: float) -> None:
         """Asks a source for all that it knows and for each change."""
@@ -191,7 +205,7 @@
         if source is None:
             return
         self.source = source
-        self.heard_s = now_s
+        self.heard_s = self.subscribed_s = now_s
         self.link = self.exchange.link((source.host, self.port))
         self.link.send(Follow(self.known.version))
         _log.info("subscribed", source=source.name)
@@ -216,7 +230,8 @@
         """Takes what a source says."""
         now_s = self.loop.time()
         self.heard_s = now_s
-        self.silent.clear()
+        if state.age_s < STALE_S:
+            self.useless.clear()
         self.known.take(state.configuration)
         rows = [registry.Change(row.id, row) for row in state.searchers]
         rows += [registry.Change(name, None) for name in state.gone]
--- a/tests/test_fleet_gateways.py
+++ b/tests/test_fleet_gateways.py
@@ -94,6 +94,23 @@
         await asyncio.sleep(0.05)
         self.assertIn(groups.Drop, {type(message) for message in seen})
 
+    async def test_owner_that_reads_late_calls_nobody(self):
+        await self.start()
+        number = next(n for n in range(4) if self.asked_by(n))
+        key = self.asked_by(number)[0][0]
+        owner = self.owner_of(key, f"d{number % 2}")
+        handle, held = owner.exchange.handle, []
+        owner.exchange.handle = lambda *row: held.append(row)
+        answer = await self.ask_vm(number)
+        self.assertEqual(answer.headers["x-missing-parts"], "0")
+        self.assertTrue(held)
+        for link, message in held[:1]:
+            # The question is read; that it was dropped is not yet.
+            handle(link, message)
+        await asyncio.sleep(0.1)
+        for _, searcher in self.rows:
+            self.assertEqual(len(searcher.requests), 1)
+
     async def test_lost_owner_that_had_begun_is_not_asked_twice(self):
         def hang(searcher, request):
             return shards.Play(end="hang")
