Decline groups while stopping; name what is missing in each line

Cause: a VM that stops cut the groups that it worked on for others, which then lacked nine shards of a query; and a partial answer's line did not say which shards were missing, nor how old the VM's knowledge was. Change: a VM that stops answers questions with 'declined', so that the asker goes on at once, and waits for the groups in hand. Lines of requests name the missing shards with reasons, the age of configuration and searchers; a second call has a line with its kind, searchers and the budget left. The unused removal of a VM from the list went. VMs that are gone for good stay in the list: open.

--- a/laurelrock/gateways/following.py
+++ b/laurelrock/gateways/following.py
@@ -136,6 +136,11 @@
             return 0.0
         return self.loop.time() - self.fresh_s
 
+    def age_ms(self) -> int | None:
+        """Returns the age of what is known of the searchers, for logs."""
+        age_s = self.age_s()
+        return None if math.isinf(age_s) else round(age_s * 1000)
+
     def accept(
         self, rows: list[registry.Change], full: bool, age_s: float
     ) -> None:
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -31,6 +31,8 @@
 
 __all__ = ["Gateway", "open_gateway", "run"]
 
+#: Missing shards that a request's line names.
+MAX_LOGGED = 8
 #: Where the metrics are read; the platform is told in its deploy file.
 METRICS_PORT = 9464
 METRICS_PATH = b"/metrics"
@@ -353,13 +355,23 @@
             patience_ms=round((work.end_s - work.request.received_s) * 1000),
             shards=outcome.shards,
             included=len(outcome.proofs),
+            missing=outcome.missing[:MAX_LOGGED],
             attempts=outcome.attempts,
             reason=outcome.reason,
+            configured_ms=round(
+                (self.loop.time() - self.following.taken_s) * 1000
+            ),
+            searchers_age_ms=self.following.age_ms(),
         )
 
+    def in_hand(self) -> int:
+        """Returns the connections of callers, and groups for other VMs."""
+        return len(self.servers[0].connections) + len(self.groups.serving)
+
     async def stop(self) -> None:
         """Ends the process without cutting a request."""
         self.stopping_s = begun_s = self.loop.time()
+        self.groups.stopping = True
         _log.info("stopping", in_hand=self.servers[0].busy)
         for server in self.servers:
             server.closing = True
@@ -367,7 +379,7 @@
         await asyncio.sleep(NOTICE_S)
         self.servers[0].stop_listening()
         self.servers[0].close_idle()
-        while self.servers[0].connections and self.loop.time() < end_s:
+        while self.in_hand() and self.loop.time() < end_s:
             await asyncio.sleep(DRAIN_LOOK_S)
             self.servers[0].close_idle()
         _log.info(
--- a/laurelrock/gateways/groups.py
+++ b/laurelrock/gateways/groups.py
@@ -78,6 +78,12 @@
     number: int
 
 
+class Declined(typing.NamedTuple):
+    """Says that the owner takes no more groups, since it stops."""
+
+    number: int
+
+
 class Begin(typing.NamedTuple):
     """Tells the owner to begin; no other one is told so."""
 
@@ -89,13 +95,15 @@
 
     Attributes:
         number: Of the group.
-        proofs: Of the parts.
+        places: Of the parts in the group.
+        proofs: Of the parts, in the same order.
         records: Greatest of their records.
         left: Parts that may still come.
         calls: Made so far for the group.
     """
 
     number: int
+    places: list[int]
     proofs: list[bytes]
     records: bytes
     left: int
@@ -108,7 +116,14 @@
     number: int
 
 
-KINDS: dict[int, type] = {1: Ask, 2: Taken, 3: Found, 4: Drop, 7: Begin}
+KINDS: dict[int, type] = {
+    1: Ask,
+    2: Taken,
+    3: Found,
+    4: Drop,
+    7: Begin,
+    8: Declined,
+}
 
 
 class Group:
@@ -126,6 +141,7 @@
         begun: Whether the owner was told to begin.
         proofs: Of the parts that are in.
         bodies: Their records.
+        missing: Services whose parts are not in.
         left: Parts that may still come.
         calls: Made for the group, as far as known.
         timer: Runs out when the owner doesn't say that it is there.
@@ -149,6 +165,7 @@
         self.begun = False
         self.proofs: list[bytes] = []
         self.bodies: list[bytes] = []
+        self.missing = set(services)
         self.left = len(services)
         self.calls = 0
         self.timer: asyncio.TimerHandle | None = None
@@ -195,6 +212,7 @@
         serving: Groups that this VM works on, by link and number.
         passed: Owners that were silent, by name.
         numbers: Groups asked so far.
+        stopping: Whether this VM takes no more groups.
         counts: Events by kind, for the metrics.
     """
 
@@ -216,7 +234,14 @@
         self.waiting: dict[tuple[frames.Link, int], tuple[Ask, float]] = {}
         self.passed: dict[str, Pass] = {}
         self.numbers = 0
-        self.counts = {"asked": 0, "silent": 0, "lost": 0, "served": 0}
+        self.stopping = False
+        self.counts = {
+            "asked": 0,
+            "declined": 0,
+            "lost": 0,
+            "served": 0,
+            "silent": 0,
+        }
         self.exchange = exchange
         self.loop = asyncio.get_running_loop()
 
@@ -346,8 +371,7 @@
     def take(self, link: frames.Link, message: typing.Any) -> None:
         """Takes a message of another VM."""
         if isinstance(message, Ask):
-            self.waiting[link, message.number] = (message, self.loop.time())
-            link.send(Taken(message.number))
+            self.take_question(link, message)
         elif isinstance(message, Begin):
             self.begin(link, message.number)
         elif isinstance(message, Drop):
@@ -358,6 +382,14 @@
         else:
             self.take_word(message)
 
+    def take_question(self, link: frames.Link, ask: Ask) -> None:
+        """Says whether this VM takes a group."""
+        if self.stopping:
+            link.send(Declined(ask.number))
+            return
+        self.waiting[link, ask.number] = (ask, self.loop.time())
+        link.send(Taken(ask.number))
+
     def begin(self, link: frames.Link, number: int) -> None:
         """Begins to work on a group that was asked for before."""
         key = (link, number)
@@ -368,7 +400,7 @@
         self.serving[key] = task
         task.add_done_callback(lambda _: self.serving.pop(key, None))
 
-    def take_word(self, message: Taken | Found) -> None:
+    def take_word(self, message: Taken | Declined | Found) -> None:
         """Takes an owner's word on a group."""
         group = self.asked.get(message.number)
         if group is None:
@@ -376,12 +408,19 @@
         group.stop_timer()
         if group.owner is not None:
             self.passed.pop(group.owner.name, None)
+        if isinstance(message, Declined):
+            if group.owner is not None:
+                self.pass_over(group.owner.name, "declined")
+            del self.asked[message.number]
+            self.ask_next(group)
+            return
         if isinstance(message, Taken):
             if not group.begun and group.link is not None:
                 group.begun = True
                 group.link.send(Begin(group.number))
             return
         group.proofs += message.proofs
+        group.missing -= {group.services[n] for n in message.places}
         group.bodies.append(message.records)
         group.left = message.left
         group.calls = message.calls
@@ -519,6 +558,7 @@
         self.link.send(
             Found(
                 self.ask.number,
+                [self.rows.index(row) for row in fresh],
                 [row.proof for row in answers],
                 gathering.greatest(bodies, self.ask.top),
                 self.left,
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -176,9 +176,9 @@
         if end.fate is calls.Fate.UNSENT:
             part.attempts -= 1
             self.budget.give_back(part.service, self.calls.loop.time())
-        self.retry(part, end)
+        self.retry(part, flight, end)
 
-    def retry(self, part: Part, end: calls.Ended) -> None:
+    def retry(self, part: Part, flight: calls.Flight, end: calls.Ended) -> None:
         """Asks another searcher after a failure, or ends the part."""
         route = part.work.route
         allowed = route.repeatable or not part.may_have_run
@@ -187,6 +187,7 @@
             "call-failed",
             request=part.work.ticket.request_id.decode("latin-1"),
             service=part.service,
+            searcher=flight.upstream.searcher.id,
             fate=end.fate.value,
             reason=end.reason,
             attempts=part.attempts,
@@ -222,7 +223,18 @@
             self.counts["no-budget"] += 1
             return False
         self.counts[kind] += 1
-        self.call(part, self.pick(part, rows))
+        chosen = self.pick(part, rows)
+        _log.info(
+            "call-repeated",
+            request=part.work.ticket.request_id.decode("latin-1"),
+            service=part.service,
+            kind=kind,
+            searcher=chosen.searcher.id,
+            before=sorted(part.tried),
+            late_ms=round(typical.late_s * 1000, 1),
+            budget_left=round(self.budget.left(part.service, now_s), 1),
+        )
+        self.call(part, chosen)
         return True
 
 
--- a/laurelrock/gateways/peers.py
+++ b/laurelrock/gateways/peers.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import collections.abc
-import math
 import random
 import typing
 
@@ -163,15 +162,15 @@
         self.known.take(snapshot.configuration)
         if not self.known.known.vms and snapshot.vms:
             self.vms_known(snapshot.vms)
-        age_s = self.known.age_s()
-        if snapshot.age_s + FRESHER_S >= age_s:
+        own_age_ms = self.known.age_ms()
+        if snapshot.age_s + FRESHER_S >= self.known.age_s():
             return
         self.taken += 1
         _log.info(
             "searchers-from-peer",
             searchers=len(snapshot.searchers),
             age_ms=round(snapshot.age_s * 1000),
-            own_age_ms=None if math.isinf(age_s) else round(age_s * 1000),
+            own_age_ms=own_age_ms,
         )
         rows = [registry.Change(row.id, row) for row in snapshot.searchers]
         self.known.accept(rows, True, snapshot.age_s)
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -25,6 +25,7 @@
         proofs: Of the same parts.
         shards: Asked by a query.
         attempts: Calls made.
+        missing: Shards that are not in a query's answer.
         reason: Of a failure, for logs.
     """
 
@@ -35,6 +36,7 @@
     proofs: tuple[bytes, ...] = ()
     shards: int = 0
     attempts: int = 0
+    missing: tuple[str, ...] = ()
     reason: str = ""
 
 
@@ -83,6 +85,16 @@
         for part in self.rows:
             part.abandon(now_s)
 
+    def missing(self) -> tuple[str, ...]:
+        """Returns the shards that are not in, with the reason if known."""
+        own = [
+            f"{part.service}: {part.reason or 'no answer yet'}"
+            for part in self.rows
+            if part.answer is None
+        ]
+        away = (name for row in self.groups for name in sorted(row.missing))
+        return (*own, *away)
+
     def bodies(self) -> tuple[bytes, ...]:
         """Returns the records that are in."""
         answers = [part.answer for part in self.rows if part.answer]
@@ -169,6 +181,7 @@
         proofs=proofs,
         shards=count,
         attempts=gathered.attempts,
+        missing=gathered.missing(),
     )
 
 
@@ -197,7 +210,12 @@
     elif not ran:
         kind = "refused"
     return Outcome(
-        kind, status, shards=count, attempts=gathered.attempts, reason=reason
+        kind,
+        status,
+        shards=count,
+        attempts=gathered.attempts,
+        missing=gathered.missing(),
+        reason=reason,
     )
 
 
--- a/laurelrock/platform/store.py
+++ b/laurelrock/platform/store.py
@@ -195,10 +195,6 @@
         if status == 409:
             await self.request("PUT", f"/api/objects/{VMS}/{name}", document)
 
-    async def withdraw(self, vm: str) -> None:
-        """Implements `Directory`."""
-        await self.request("DELETE", f"/api/objects/{VMS}/{vm}")
-
     async def read_vms(self) -> list[directory.VmRow]:
         """Implements `Directory`."""
         page = await self.list_all(VMS, stale=True)
--- a/laurelrock/ports/directory.py
+++ b/laurelrock/ports/directory.py
@@ -68,9 +68,6 @@
     async def announce(self, row: VmRow) -> None:
         """Lists this VM."""
 
-    async def withdraw(self, vm: str) -> None:
-        """Removes this VM from the list."""
-
     async def read_vms(self) -> list[VmRow]:
         """Returns the listed VMs; the list may be some seconds old."""
 
--- a/tests/test_fleet_gateways.py
+++ b/tests/test_fleet_gateways.py
@@ -94,6 +94,17 @@
         await asyncio.sleep(0.05)
         self.assertIn(groups.Drop, {type(message) for message in seen})
 
+    async def test_owner_that_stops_declines_and_cuts_nothing(self):
+        await self.start()
+        number = next(n for n in range(4) if self.asked_by(n))
+        owner = self.owner_of(self.asked_by(number)[0][0], f"d{number % 2}")
+        owner.groups.stopping = True
+        answer = await self.ask_vm(number)
+        self.assertEqual(answer.headers["x-missing-parts"], "0")
+        counts = self.fleet[number].groups.counts
+        self.assertGreater(counts["declined"], 0)
+        self.assertEqual(counts["silent"], 0)
+
     async def test_owner_that_reads_late_calls_nobody(self):
         await self.start()
         number = next(n for n in range(4) if self.asked_by(n))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -273,5 +273,3 @@
         await self.store.announce(row)
         self.fake.put("laurelrock-vms", "bad", {"vm": "bad"})
         self.assertEqual(await self.store.read_vms(), [row])
-        await self.store.withdraw("vm-1")
-        self.assertEqual(await self.store.read_vms(), [])
