--- a/laurelrock/adapters/frames.py
+++ b/laurelrock/adapters/frames.py
@@ -109,7 +109,7 @@
     def close(self) -> None:
         """Ends the connection."""
         if self.transport is not None:
-            self.transport.abort()
+            http_wire.reset(self.transport)
 
 
 class Exchange:
--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -77,7 +77,7 @@
     def withdraw(self) -> None:
         """Ends the call; one that was sent loses its connection."""
         if self.connection is not None and not self.future.done():
-            self.connection.transport.abort()
+            http_wire.reset(self.connection.transport)
         self.future.cancel()
 
 
@@ -165,7 +165,7 @@
     def drop_idle(self) -> None:
         """Closes the idle connections, which may be silent."""
         for connection in self.idle:
-            connection.transport.abort()
+            http_wire.reset(connection.transport)
         self.idle.clear()
 
     def open_for_waiting(self) -> None:
@@ -364,7 +364,7 @@
         """Ends the call without an answer."""
         call, self.call = self.call, None
         if not self.transport.is_closing():
-            self.transport.abort()
+            http_wire.reset(self.transport)
         if call is not None and not call.future.done():
             call.future.set_exception(error)
 
--- a/laurelrock/adapters/http_wire.py
+++ b/laurelrock/adapters/http_wire.py
@@ -7,6 +7,7 @@
 import collections.abc
 import http
 import socket
+import struct
 
 __all__ = [
     "Headers",
@@ -15,6 +16,7 @@
     "end_to_end",
     "fault_of",
     "keep_alive",
+    "reset",
     "tune",
     "value_of",
 ]
@@ -63,6 +65,19 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def reset(transport: asyncio.Transport) -> None:
+    """Ends a connection with a reset, so that bytes on their way are lost.
+
+    A plain close leaves them to the kernel, which delivers them even seconds
+    later, when a link that was cut works again.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    transport.abort()
+
+
 def value_of(headers: Headers, name: bytes) -> bytes | None:
     """Returns the first value of a header."""
     for key, value in headers:
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -74,6 +74,10 @@
             self.state = state
             self.changed(self)
 
+    def why(self) -> str:
+        """Returns why there is no answer, for logs."""
+        return self.reason or f"no answer from {', '.join(sorted(self.tried))}"
+
     def abandon(self, now_s: float) -> None:
         """Ends the part; nobody waits for it any more."""
         if self.state is State.OPEN:
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -88,7 +88,7 @@
     def missing(self) -> tuple[str, ...]:
         """Returns the shards that are not in, with the reason if known."""
         own = [
-            f"{part.service}: {part.reason or 'no answer yet'}"
+            f"{part.service}: {part.why()}"
             for part in self.rows
             if part.answer is None
         ]
@@ -190,7 +190,7 @@
 ) -> Outcome:
     """Returns the outcome of a query that lacks too many shards."""
     count = len(route.shards)
-    reasons = {part.reason or "no answer" for part in gathered.rows}
+    reasons = {part.why() for part in gathered.rows if part.answer is None}
     reason = (
         f"{gathered.answered} of {count} shards, {route.least_shards} needed:"
         f" {'; '.join(sorted(reasons)[:3])}"
@@ -245,7 +245,7 @@
         return Outcome(
             "failed", status, reply, attempts=part.attempts, reason=part.reason
         )
-    reason = part.reason or "no answer"
+    reason = part.why()
     attempts = part.attempts
     if not ran:
         return Outcome("refused", 503, attempts=attempts, reason=reason)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -201,6 +201,26 @@
         reply = await self.result(second)
         self.assertEqual(reply.body, b"good")
 
+    async def test_withdrawn_call_resets_its_connection(self):
+        ends = []
+
+        async def listen(reader, writer):
+            await reader.read(100)
+            try:
+                ends.append(await reader.read(100))
+            except ConnectionResetError as error:
+                ends.append(type(error))
+
+        server = await asyncio.start_server(listen, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = server.sockets[0].getsockname()
+        client = http_client.open_client(address, 1)
+        call = self.call(client, b"POST", b"once")
+        await asyncio.sleep(0.05)
+        call.withdraw()
+        await asyncio.sleep(0.05)
+        self.assertEqual(ends, [ConnectionResetError])
+
     async def test_call_withdrawn_before_it_was_sent_is_never_sent(self):
         slow = sends(good, wait_s=0.05)
         client = await self.open(lambda _, r: slow(r))
