--- a/laurelrock/core/repeats.py
+++ b/laurelrock/core/repeats.py
@@ -92,6 +92,13 @@
         self._at(service, now_s)[2] += 1
         return True
 
+    def forget(self, now_s: float) -> None:
+        """Drops the services that had nothing in the last window."""
+        oldest = self._step(now_s) - STEPS
+        for service, usage in list(self.usage.items()):
+            if not usage.steps or usage.steps[-1][0] < oldest:
+                del self.usage[service]
+
     def give_back(self, service: str, now_s: float) -> None:
         """Notes that a call never left this VM."""
         counts = self._at(service, now_s)
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -161,6 +161,7 @@
     def configured(self, configuration: routes.Configuration) -> None:
         """Takes a new configuration's limits and searchers."""
         self.split.keep(configuration.routes)
+        self.budget.forget(self.loop.time())
         if self.servers:
             self.servers[0].limits = configuration.limits
         self.warm(configuration)
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -96,6 +96,9 @@
         self.sharded = {
             name for route in configuration.routes for name in route.shards
         }
+        names = {route.name for route in configuration.routes}
+        for name in [row for row in self.typical if row not in names]:
+            del self.typical[name]
         self.set_vms(self.vms, self.domains)
 
     def set_vms(self, count: int, domains: int) -> None:
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -54,6 +54,13 @@
         self.assertFalse(budget.take("s", 9.9))
         self.assertTrue(budget.take("s", 11.1))
 
+    def test_forgets_only_what_is_older_than_the_window(self):
+        budget = repeats.create_budget(RULE)
+        budget.request("old", 0.0)
+        budget.request("new", 8.0)
+        budget.forget(12.0)
+        self.assertEqual(list(budget.usage), ["new"])
+
     def test_call_that_never_left_is_given_back(self):
         budget = repeats.create_budget(RULE)
         budget.set_vms(9)
