--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -21,9 +21,11 @@
 from laurelrock.gateways import deployment
 from laurelrock.gateways import following
 from laurelrock.gateways import groups
+from laurelrock.gateways import instruments
 from laurelrock.gateways import parts
 from laurelrock.gateways import peers
 from laurelrock.gateways import queries
+from laurelrock.gateways import questions
 from laurelrock.gateways import sharing
 from laurelrock.gateways import upstreams
 from laurelrock.ports import directory
@@ -110,7 +112,7 @@
             cores=options.cores,
         )
         self.exchange = frames.create_exchange(
-            {**groups.KINDS, **sharing.KINDS}, self.take, self.link_ended
+            {**questions.KINDS, **sharing.KINDS}, self.take, self.link_ended
         )
         port = options.exchange_port
         self.groups = groups.create_groups(
@@ -406,59 +408,6 @@
     return b"retry-after", b"%.2f" % spread_s
 
 
-def register_metrics(gateway: Gateway) -> None:
-    """Registers what is read when the metrics are."""
-    meters = gateway.metrics
-    known = gateway.known
-    meters.counters(
-        "laurelrock_answers_total",
-        lambda: dict(gateway.counts),
-        "Answers to callers by outcome",
-    )
-    meters.counters(
-        "laurelrock_calls_total",
-        lambda: dict(gateway.calls.counts),
-        "Calls to searchers by their end",
-    )
-    meters.counters(
-        "laurelrock_placements_total",
-        lambda: dict(gateway.placement.counts),
-        "Calls by why they were made, and repeats without a budget",
-    )
-    meters.counters(
-        "laurelrock_connections_total",
-        lambda: dict(gateway.servers[0].counts),
-        "Unusual ends of callers' connections",
-    )
-    meters.counters(
-        "laurelrock_groups_total",
-        lambda: dict(gateway.groups.counts),
-        "Groups of shards asked of other VMs, and served for them",
-    )
-    meters.counter(
-        "laurelrock_platform_calls_total",
-        lambda: gateway.source.calls,
-        "Requests to the platform",
-    )
-    meters.gauge(
-        "laurelrock_configuration_version",
-        lambda: gateway.following.version,
-        "Version of the configuration in force, 0 for none",
-    )
-    meters.gauge(
-        "laurelrock_ready", lambda: gateway.ready, "1 while callers may come"
-    )
-    meters.gauge(
-        "laurelrock_searchers", lambda: len(known.by_id), "Searchers known"
-    )
-    meters.gauge(
-        "laurelrock_searchers_ejected",
-        lambda: sum(1 for row in known.by_id.values() if row.replica.ejections),
-        "Searchers that fell silent",
-    )
-    meters.gauge("laurelrock_vms", lambda: known.vms, "VMs that are listed")
-
-
 async def open_gateway(
     gateway: Gateway, metrics_port: int = METRICS_PORT
 ) -> None:
@@ -475,7 +424,7 @@
         gateway.servers.append(server)
     port = options.exchange_port
     await gateway.exchange.listen((options.address, port))
-    register_metrics(gateway)
+    instruments.register(gateway)
     gateway.spawn(gateway.following.expire())
     gateway.spawn(gateway.following.count_vms())
     gateway.spawn(gateway.sharing.run())
--- a/laurelrock/gateways/groups.py
+++ b/laurelrock/gateways/groups.py
@@ -13,17 +13,17 @@
 import typing
 
 from laurelrock.adapters import frames
-from laurelrock.adapters import http_server
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
-from laurelrock.core import gathering
 from laurelrock.core import owners
 from laurelrock.core import routes
 from laurelrock.gateways import calls
 from laurelrock.gateways import parts
+from laurelrock.gateways import questions
+from laurelrock.gateways import serving
 from laurelrock.ports import wire
 
-__all__ = ["KINDS", "Group", "Groups", "create_groups"]
+__all__ = ["Group", "Groups", "create_groups"]
 
 #: Time in which an owner says that it took a group, in seconds: some times
 #: what a message needs there and back on a loaded VM.
@@ -38,101 +38,6 @@
 _log = logs.get_logger(__name__)
 
 
-class Ask(typing.NamedTuple):
-    """Asks an owner for a group; the sender's number names the group.
-
-    Attributes:
-        number: Unique on the link.
-        request_id: Of the caller's attempt.
-        method: Of the request.
-        target: Of the request.
-        headers: That searchers get.
-        body: Of the request.
-        route: Name, under which latencies count.
-        version: Of the configuration, for logs.
-        services: Of the group, one a shard.
-        attempts: Searchers that each part may reach.
-        top: Records that are sent back at most.
-        aim_s: Time until the first answer is due.
-        left_s: Time until the caller gives up.
-    """
-
-    number: int
-    request_id: bytes
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-    route: str
-    version: int
-    services: tuple[str, ...]
-    attempts: int
-    top: int
-    aim_s: float
-    left_s: float
-
-
-class Taken(typing.NamedTuple):
-    """Says that the owner is there and waits to begin."""
-
-    number: int
-
-
-class Declined(typing.NamedTuple):
-    """Says that the owner takes no more groups, since it stops."""
-
-    number: int
-
-
-class Begin(typing.NamedTuple):
-    """Tells the owner to begin; no other one is told so."""
-
-    number: int
-
-
-class Found(typing.NamedTuple):
-    """Parts that came in since the last one.
-
-    Attributes:
-        number: Of the group.
-        places: Of the parts in the group.
-        proofs: Of the parts, in the same order.
-        records: Greatest of their records.
-        left: Parts that may still come.
-        calls: Made so far for the group.
-    """
-
-    number: int
-    places: list[int]
-    proofs: list[bytes]
-    records: bytes
-    left: int
-    calls: int
-
-
-class Drop(typing.NamedTuple):
-    """Says that nobody waits for a group any more."""
-
-    number: int
-
-
-class Link(typing.Protocol):
-    """Way to a VM."""
-
-    def send(self, message: typing.Any) -> None:
-        """Queues a message."""
-
-
-KINDS: dict[int, type] = {
-    1: Ask,
-    2: Taken,
-    3: Found,
-    4: Drop,
-    7: Begin,
-    8: Declined,
-}
-
-
 class Group:
     """A group that another VM works on.
 
@@ -167,7 +72,7 @@
         self.changed = changed
         self.tried: set[str] = set()
         self.owner: owners.Vm | None = None
-        self.link: Link | None = None
+        self.link: questions.Link | None = None
         self.number = 0
         self.begun = False
         self.proofs: list[bytes] = []
@@ -238,8 +143,10 @@
         self.port = port
         self.vms: list[owners.Vm] = []
         self.asked: dict[int, Group] = {}
-        self.serving: dict[tuple[Link, int], asyncio.Task[None]] = {}
-        self.waiting: dict[tuple[Link, int], tuple[Ask, float]] = {}
+        self.serving: dict[tuple[questions.Link, int], asyncio.Task[None]] = {}
+        self.waiting: dict[
+            tuple[questions.Link, int], tuple[questions.Ask, float]
+        ] = {}
         self.passed: dict[str, Pass] = {}
         self.numbers = 0
         self.stopping = False
@@ -337,10 +244,10 @@
         self.counts["asked"] += 1
         group.timer = self.loop.call_later(TAKEN_S, self.not_taken, group)
 
-    def question(self, group: Group) -> Ask:
+    def question(self, group: Group) -> questions.Ask:
         """Returns the message that asks for a group."""
         work, now_s = group.work, self.loop.time()
-        return Ask(
+        return questions.Ask(
             number=group.number,
             request_id=work.ticket.request_id,
             method=work.request.method,
@@ -361,7 +268,7 @@
         if group.owner is not None:
             self.pass_over(group.owner.name, "silent")
         if group.link is not None:
-            group.link.send(Drop(group.number))
+            group.link.send(questions.Drop(group.number))
         self.asked.pop(group.number, None)
         self.ask_next(group)
 
@@ -377,33 +284,33 @@
         """Ends a group that nobody waits for."""
         group.stop_timer()
         if self.asked.pop(group.number, None) is not None and group.link:
-            group.link.send(Drop(group.number))
+            group.link.send(questions.Drop(group.number))
 
     # Messages
 
-    def take(self, link: Link, message: typing.Any) -> None:
+    def take(self, link: questions.Link, message: typing.Any) -> None:
         """Takes a message of another VM."""
-        if isinstance(message, Ask):
+        if isinstance(message, questions.Ask):
             self.take_question(link, message)
-        elif isinstance(message, Begin):
+        elif isinstance(message, questions.Begin):
             self.begin(link, message.number)
-        elif isinstance(message, Drop):
+        elif isinstance(message, questions.Drop):
             self.waiting.pop((link, message.number), None)
-            serving = self.serving.get((link, message.number))
-            if serving is not None:
-                serving.cancel()
+            task = self.serving.get((link, message.number))
+            if task is not None:
+                task.cancel()
         else:
             self.take_word(message)
 
-    def take_question(self, link: Link, ask: Ask) -> None:
+    def take_question(self, link: questions.Link, ask: questions.Ask) -> None:
         """Says whether this VM takes a group."""
         if self.stopping:
-            link.send(Declined(ask.number))
+            link.send(questions.Declined(ask.number))
             return
         self.waiting[link, ask.number] = (ask, self.loop.time())
-        link.send(Taken(ask.number))
+        link.send(questions.Taken(ask.number))
 
-    def begin(self, link: Link, number: int) -> None:
+    def begin(self, link: questions.Link, number: int) -> None:
         """Begins to work on a group that was asked for before."""
         key = (link, number)
         asked = self.waiting.pop(key, None)
@@ -413,7 +320,9 @@
         self.serving[key] = task
         task.add_done_callback(lambda _: self.serving.pop(key, None))
 
-    def take_word(self, message: Taken | Declined | Found) -> None:
+    def take_word(
+        self, message: questions.Taken | questions.Declined | questions.Found
+    ) -> None:
         """Takes an owner's word on a group."""
         group = self.asked.get(message.number)
         if group is None:
@@ -421,16 +330,16 @@
         group.stop_timer()
         if group.owner is not None:
             self.passed.pop(group.owner.name, None)
-        if isinstance(message, Declined):
+        if isinstance(message, questions.Declined):
             if group.owner is not None:
                 self.pass_over(group.owner.name, "declined")
             del self.asked[message.number]
             self.ask_next(group)
             return
-        if isinstance(message, Taken):
+        if isinstance(message, questions.Taken):
             if not group.begun and group.link is not None:
                 group.begun = True
-                group.link.send(Begin(group.number))
+                group.link.send(questions.Begin(group.number))
             return
         group.proofs += message.proofs
         group.missing -= {group.services[n] for n in message.places}
@@ -441,7 +350,7 @@
             del self.asked[message.number]
         group.changed()
 
-    def link_ended(self, link: Link) -> None:
+    def link_ended(self, link: questions.Link) -> None:
         """Ends what went over a link."""
         for group in [row for row in self.asked.values() if row.link is link]:
             del self.asked[group.number]
@@ -460,35 +369,18 @@
 
     # Groups that this VM works on
 
-    async def serve(self, link: Link, ask: Ask, asked_s: float) -> None:
+    async def serve(
+        self, link: questions.Link, ask: questions.Ask, asked_s: float
+    ) -> None:
         """Works on a group and sends what comes in."""
         self.counts["served"] += 1
-        serving = Serving(self, link, ask, self.create_work(ask, asked_s))
+        work = serving.create_serving(
+            self.placement, self.platform, link, ask, asked_s
+        )
         try:
-            await serving.run()
+            await work.run()
         finally:
-            serving.abandon()
-
-    def create_work(self, ask: Ask, now_s: float) -> calls.Work:
-        """Returns the request of a group, asked for at a loop time."""
-        request = http_server.Request(
-            ask.method, ask.target, ask.headers, ask.body, now_s
-        )
-        ticket = wire.Ticket(ask.request_id, ask.left_s)
-        route = routes.Route(
-            name=ask.route,
-            host="",
-            prefix="",
-            repeatable=True,
-            timeout_s=ask.left_s,
-            objective_s=ask.aim_s,
-            shards=ask.services,
-            attempts=ask.attempts,
-            top=ask.top,
-        )
-        head = self.platform.encode_head(ask.headers, ticket)
-        end_s = now_s + ask.left_s
-        return calls.Work(request, ticket, route, ask.version, head, end_s)
+            work.abandon()
 
 
 class Loopback:
@@ -502,95 +394,6 @@
         self.groups.loop.call_soon(self.groups.take, self, message)
 
 
-class Serving:
-    """A group that this VM works on.
-
-    Attributes:
-        aim_s: Loop time at which what is in is sent.
-        rows: Parts.
-        sent: Parts already sent, by service.
-        changed: Set when a part changed.
-    """
-
-    def __init__(
-        self, groups: Groups, link: Link, ask: Ask, work: calls.Work
-    ) -> None:
-        self.groups = groups
-        self.link = link
-        self.ask = ask
-        self.work = work
-        self.aim_s = work.request.received_s + ask.aim_s
-        self.changed = asyncio.Event()
-        self.rows = [
-            parts.create_part(work, service, self.note)
-            for service in ask.services
-        ]
-        self.sent: set[str] = set()
-
-    def note(self, part: parts.Part) -> None:
-        self.changed.set()
-
-    @property
-    def left(self) -> int:
-        """Parts that may still come."""
-        return sum(1 for row in self.rows if row.state is parts.State.OPEN)
-
-    def abandon(self) -> None:
-        """Ends the calls that nobody waits for."""
-        now_s = self.groups.loop.time()
-        for part in self.rows:
-            part.abandon(now_s)
-
-    async def run(self) -> None:
-        """Calls the searchers and sends what comes in."""
-        placement = self.groups.placement
-        loop = self.groups.loop
-        for part in self.rows:
-            if not placement.start(part):
-                part.reason = "no searcher"
-                part.finish(parts.State.FAILED)
-        typical = placement.known.typical[self.ask.route]
-        look_s = loop.time() + typical.late_s
-        while True:
-            now_s = loop.time()
-            if not self.left or now_s >= self.aim_s:
-                self.send()
-            if not self.left or now_s >= self.work.end_s:
-                return
-            if now_s >= look_s:
-                look_s = parts.look(self.rows, placement, typical, now_s)
-            self.changed.clear()
-            wake_s = min(look_s, self.work.end_s)
-            if now_s < self.aim_s:
-                wake_s = min(wake_s, self.aim_s)
-            timer = loop.call_at(wake_s, self.changed.set)
-            await self.changed.wait()
-            timer.cancel()
-
-    def send(self) -> None:
-        """Sends the parts that came in since the last time."""
-        fresh = [
-            row
-            for row in self.rows
-            if row.answer is not None and row.service not in self.sent
-        ]
-        if not fresh and self.left:
-            return
-        self.sent |= {row.service for row in fresh}
-        answers = [row.answer for row in fresh if row.answer is not None]
-        bodies = [row.reply.body for row in answers if row.reply is not None]
-        self.link.send(
-            Found(
-                self.ask.number,
-                [self.rows.index(row) for row in fresh],
-                [row.proof for row in answers],
-                gathering.greatest(bodies, self.ask.top),
-                self.left,
-                sum(row.attempts for row in self.rows),
-            )
-        )
-
-
 #: An owner that was never silent.
 NEVER = Pass(0.0, 0)
 
--- /dev/null
+++ b/laurelrock/gateways/instruments.py
@@ -0,0 +1,61 @@
+"""Instruments: what is read of a gateway when its metrics are."""
+
+import typing
+
+if typing.TYPE_CHECKING:
+    from laurelrock.gateways import gateway as gateways
+
+__all__ = ["register"]
+
+
+def register(gateway: "gateways.Gateway") -> None:
+    """Registers what is read when the metrics are."""
+    meters = gateway.metrics
+    known = gateway.known
+    meters.counters(
+        "laurelrock_answers_total",
+        lambda: dict(gateway.counts),
+        "Answers to callers by outcome",
+    )
+    meters.counters(
+        "laurelrock_calls_total",
+        lambda: dict(gateway.calls.counts),
+        "Calls to searchers by their end",
+    )
+    meters.counters(
+        "laurelrock_placements_total",
+        lambda: dict(gateway.placement.counts),
+        "Calls by why they were made, and repeats without a budget",
+    )
+    meters.counters(
+        "laurelrock_connections_total",
+        lambda: dict(gateway.servers[0].counts),
+        "Unusual ends of callers' connections",
+    )
+    meters.counters(
+        "laurelrock_groups_total",
+        lambda: dict(gateway.groups.counts),
+        "Groups of shards asked of other VMs, and served for them",
+    )
+    meters.counter(
+        "laurelrock_platform_calls_total",
+        lambda: gateway.source.calls,
+        "Requests to the platform",
+    )
+    meters.gauge(
+        "laurelrock_configuration_version",
+        lambda: gateway.following.version,
+        "Version of the configuration in force, 0 for none",
+    )
+    meters.gauge(
+        "laurelrock_ready", lambda: gateway.ready, "1 while callers may come"
+    )
+    meters.gauge(
+        "laurelrock_searchers", lambda: len(known.by_id), "Searchers known"
+    )
+    meters.gauge(
+        "laurelrock_searchers_ejected",
+        lambda: sum(1 for row in known.by_id.values() if row.replica.ejections),
+        "Searchers that fell silent",
+    )
+    meters.gauge("laurelrock_vms", lambda: known.vms, "VMs that are listed")
--- /dev/null
+++ b/laurelrock/gateways/questions.py
@@ -0,0 +1,109 @@
+"""Messages about groups of shards, between the VMs that serve callers."""
+
+import typing
+
+__all__ = [
+    "KINDS",
+    "Ask",
+    "Begin",
+    "Declined",
+    "Drop",
+    "Found",
+    "Link",
+    "Taken",
+]
+
+
+class Ask(typing.NamedTuple):
+    """Asks an owner for a group; the sender's number names the group.
+
+    Attributes:
+        number: Unique on the link.
+        request_id: Of the caller's attempt.
+        method: Of the request.
+        target: Of the request.
+        headers: That searchers get.
+        body: Of the request.
+        route: Name, under which latencies count.
+        version: Of the configuration, for logs.
+        services: Of the group, one a shard.
+        attempts: Searchers that each part may reach.
+        top: Records that are sent back at most.
+        aim_s: Time until the first answer is due.
+        left_s: Time until the caller gives up.
+    """
+
+    number: int
+    request_id: bytes
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    route: str
+    version: int
+    services: tuple[str, ...]
+    attempts: int
+    top: int
+    aim_s: float
+    left_s: float
+
+
+class Taken(typing.NamedTuple):
+    """Says that the owner is there and waits to begin."""
+
+    number: int
+
+
+class Declined(typing.NamedTuple):
+    """Says that the owner takes no more groups, since it stops."""
+
+    number: int
+
+
+class Begin(typing.NamedTuple):
+    """Tells the owner to begin; no other one is told so."""
+
+    number: int
+
+
+class Found(typing.NamedTuple):
+    """Parts that came in since the last one.
+
+    Attributes:
+        number: Of the group.
+        places: Of the parts in the group.
+        proofs: Of the parts, in the same order.
+        records: Greatest of their records.
+        left: Parts that may still come.
+        calls: Made so far for the group.
+    """
+
+    number: int
+    places: list[int]
+    proofs: list[bytes]
+    records: bytes
+    left: int
+    calls: int
+
+
+class Drop(typing.NamedTuple):
+    """Says that nobody waits for a group any more."""
+
+    number: int
+
+
+class Link(typing.Protocol):
+    """Way to a VM."""
+
+    def send(self, message: typing.Any) -> None:
+        """Queues a message."""
+
+
+KINDS: dict[int, type] = {
+    1: Ask,
+    2: Taken,
+    3: Found,
+    4: Drop,
+    7: Begin,
+    8: Declined,
+}
--- a/tests/test_fleet_gateways.py
+++ b/tests/test_fleet_gateways.py
@@ -8,6 +8,7 @@
 from laurelrock.core import owners
 from laurelrock.gateways import calls
 from laurelrock.gateways import groups
+from laurelrock.gateways import questions
 from laurelrock.gateways import sharing
 from tests import gateway_builders as build
 from tests import gateways
@@ -101,7 +102,7 @@
         self.assertEqual(answer.headers["x-missing-parts"], "0")
         self.assertGreater(self.fleet[number].groups.counts["silent"], 0)
         await asyncio.sleep(0.05)
-        self.assertIn(groups.Drop, {type(message) for message in seen})
+        self.assertIn(questions.Drop, {type(message) for message in seen})
 
     async def test_owner_that_stops_declines_and_cuts_nothing(self):
         await self.start()
