--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -84,13 +84,7 @@
             rows: Searchers as (service, `fakes.shards.Searcher`).
             **fields: Of the gateway's settings.
         """
-        self.store = objects.Objects()
-        ports = free_ports(6)
-        runner = await objects.start(self.store, HOST, ports[0])
-        self.addAsyncCleanup(runner.cleanup)
-        for service, searcher in rows:
-            self.list_searcher(service, searcher)
-            self.addAsyncCleanup(searcher.stop)
+        ports = await self.start_platform(rows)
         if document is not None:
             self.store.put("config", "main", document)
         options = build.options(
@@ -104,6 +98,21 @@
         if document is not None:
             await self.until(lambda: self.gateway.ready)
 
+    async def start_platform(self, rows):
+        """Starts a store that lists searchers.
+
+        Returns:
+            Its port, and five free ones.
+        """
+        self.store = objects.Objects()
+        ports = free_ports(6)
+        runner = await objects.start(self.store, HOST, ports[0])
+        self.addAsyncCleanup(runner.cleanup)
+        for service, searcher in rows:
+            self.list_searcher(service, searcher)
+            self.addAsyncCleanup(searcher.stop)
+        return ports
+
     def list_vm(self, name, domain, host, port):
         """Lists a VM as one that was there before."""
         row = {
@@ -126,13 +135,7 @@
 
     async def start_fleet(self, document, rows, hosts):
         """Starts stand-ins and one gateway at each of some addresses."""
-        self.store = objects.Objects()
-        ports = free_ports(6)
-        runner = await objects.start(self.store, HOST, ports[0])
-        self.addAsyncCleanup(runner.cleanup)
-        for service, searcher in rows:
-            self.list_searcher(service, searcher)
-            self.addAsyncCleanup(searcher.stop)
+        ports = await self.start_platform(rows)
         self.store.put("config", "main", document)
         for number, host in enumerate(hosts):
             self.list_vm(f"vm-{number}", f"d{number % 2}", host, ports[3])
