Begin loops again that fail; answer for handlers that do

Cause: read as a newcomer: an exception that nobody foresaw would have ended a poll of the platform for good, with no more configurations, and would have left a caller without an answer until its deadline. Ruled out: ending the process (all its callers would be cut). Change: each background loop is logged and begun again; a handler that fails is logged and answered 500 at once.

--- a/laurelrock/adapters/http_server.py
+++ b/laurelrock/adapters/http_server.py
@@ -229,7 +229,13 @@
 
     async def run(self, request: Request, keep: bool) -> None:
         """Answers one request."""
-        answer = await self.server.handle(request)
+        try:
+            answer = await self.server.handle(request)
+        except Exception as error:
+            # Whatever it is, the caller gets a final answer now.
+            _log.error("handler-failed", reason=repr(error), exc_info=True)
+            self.server.counts["handler-failed"] += 1
+            answer = Answer(500, [], close=True)
         self.task = None
         if self.transport.is_closing():
             return
--- a/laurelrock/gateways/following.py
+++ b/laurelrock/gateways/following.py
@@ -19,7 +19,7 @@
 from laurelrock.gateways import upstreams
 from laurelrock.ports import directory
 
-__all__ = ["Following"]
+__all__ = ["Following", "Loop", "keep_up"]
 
 #: Longest wait of a poll, in seconds: half of what the platform allows. The
 #: kernel finds out earlier that a connection went silent.
@@ -38,12 +38,29 @@
 #: of a new deployment have announced themselves by then.
 FIRST_VMS_S = 1.5
 
+#: Wait before a loop that failed is begun again, in seconds.
+AGAIN_S = 0.5
 #: Names of the polls.
 CONFIGURATION, SEARCHERS = "configuration", "searchers"
 
 _log = logs.get_logger(__name__)
 
 
+Loop = collections.abc.Callable[
+    [], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+async def keep_up(work: Loop) -> None:
+    """Runs a loop for ever; one that fails is told of and begun again."""
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            _log.error("loop-failed", reason=repr(error), exc_info=True)
+        await asyncio.sleep(AGAIN_S)
+
+
 class Link(typing.NamedTuple):
     """What a poll does.
 
@@ -301,19 +318,13 @@
         if rows:
             self.vms_changed(rows)
 
-    def polls(
-        self,
-    ) -> list[collections.abc.Coroutine[typing.Any, typing.Any, None]]:
-        """Returns the work that follows the platform."""
+    def polls(self) -> list[Loop]:
+        """Returns the loops that follow the platform."""
+        configuration = Link(
+            CONFIGURATION, self.read_configuration, self.watch_configuration
+        )
+        searchers = Link(SEARCHERS, self.read_searchers, self.watch_searchers)
         return [
-            self.follow(
-                Link(
-                    CONFIGURATION,
-                    self.read_configuration,
-                    self.watch_configuration,
-                )
-            ),
-            self.follow(
-                Link(SEARCHERS, self.read_searchers, self.watch_searchers)
-            ),
+            lambda: self.follow(configuration),
+            lambda: self.follow(searchers),
         ]
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -56,6 +56,8 @@
 #: Time for a refused caller where the VM knows no configuration, in seconds.
 NO_ROUTES_S = 0.5
 
+Loop = following.Loop
+
 _log = logs.get_logger(__name__)
 
 
@@ -160,6 +162,10 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def keep_up(self, work: Loop) -> None:
+        """Runs a loop in the background, and again where it fails."""
+        self.spawn(following.keep_up(work))
+
     def configured(self, configuration: routes.Configuration) -> None:
         """Takes a new configuration's limits and searchers."""
         self.split.keep(configuration.routes)
@@ -425,12 +431,15 @@
     port = options.exchange_port
     await gateway.exchange.listen((options.address, port))
     instruments.register(gateway)
-    gateway.spawn(gateway.following.expire())
-    gateway.spawn(gateway.following.count_vms())
-    gateway.spawn(gateway.sharing.run())
-    gateway.spawn(gateway.peers.run())
-    gateway.spawn(gateway.known.probe())
-    gateway.spawn(gateway.watch_reach())
+    for work in (
+        gateway.following.expire,
+        gateway.following.count_vms,
+        gateway.sharing.run,
+        gateway.peers.run,
+        gateway.known.probe,
+        gateway.watch_reach,
+    ):
+        gateway.keep_up(work)
 
 
 async def run(
@@ -466,7 +475,7 @@
 
     gateway.loop.add_signal_handler(signal.SIGHUP, look)
     await open_gateway(gateway)
-    gateway.spawn(look_often())
+    gateway.keep_up(look_often)
     _log.info("started", callers=options.callers, domain=options.failure_domain)
     await stop.wait()
     await gateway.stop()
--- a/laurelrock/gateways/sharing.py
+++ b/laurelrock/gateways/sharing.py
@@ -147,7 +147,8 @@
         if not self.direct:
             _log.info("follows-platform", subscribers=len(self.subscribers))
             self.direct = [
-                self.loop.create_task(work) for work in self.known.polls()
+                self.loop.create_task(following.keep_up(work))
+                for work in self.known.polls()
             ]
             self.known.direct = True
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -267,6 +267,24 @@
         await asyncio.sleep(0.5)
         self.assertEqual(self.gateway.following.version, 5)
 
+    async def test_poll_that_fails_is_begun_again(self):
+        await self.start(build.store_configuration(SINGLE, version=5), [])
+        take, failures = self.gateway.following.take, []
+
+        def fail(configuration):
+            failures.append(configuration)
+            if len(failures) == 1:
+                raise KeyError("unforeseen")
+            take(configuration)
+
+        self.gateway.following.take = fail
+        self.store.put(
+            "config", "main", build.store_configuration(QUERY, version=6)
+        )
+        await self.until(lambda: self.gateway.following.version == 6)
+        events = [row["event"] for row in self.lines]
+        self.assertIn("loop-failed", events)
+
     async def test_lost_history_is_read_anew(self):
         await self.start(build.store_configuration(SINGLE, version=5), [])
         self.store.faults = objects.Faults(status=410)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -134,6 +134,17 @@
                 self.assertEqual(found, (row.statuses, row.ends))
                 self.assertEqual([r.body for r in self.seen], row.bodies)
 
+    async def test_handler_that_fails_is_answered_at_once(self):
+        async def fail(request):
+            raise KeyError("unforeseen")
+
+        self.server.handle = fail
+        reader, writer = await self.connect()
+        writer.write(GET + b"\r\n")
+        async with asyncio.timeout(1):
+            self.assertEqual(await self.read(reader), 500)
+        self.assertEqual(self.server.counts["handler-failed"], 1)
+
     async def test_bytes_one_by_one(self):
         reader, writer = await self.connect()
         for byte in POST + b"Content-Length: 3\r\n\r\nabc":
