Keep log lines in tests whatever other tests set up

The order of the modules decides. Ruled out: load (the same order fails each time; alone both pass). Change: the modules' loggers are replaced by one that keeps the lines.

--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -5,18 +5,31 @@
 import socket
 import typing
 import unittest
-
-import structlog.testing
+import unittest.mock
 
 from fakes import objects
 from fakes import shards
 from laurelrock.adapters import exposition
+from laurelrock.adapters import frames
+from laurelrock.adapters import http_server
+from laurelrock.gateways import calls
+from laurelrock.gateways import following
 from laurelrock.gateways import gateway
+from laurelrock.gateways import groups
+from laurelrock.gateways import parts
+from laurelrock.gateways import peers
+from laurelrock.gateways import sharing
+from laurelrock.gateways import upstreams
 from laurelrock.platform import store
 from laurelrock.platform import wire
 from tests import gateway_builders as build
 
 HOST = "127.0.0.1"
+#: Modules whose log lines are kept.
+LOGGING = (
+    *(frames, http_server, calls, following, gateway, groups),
+    *(parts, peers, sharing, upstreams, store),
+)
 
 
 class Answer(typing.NamedTuple):
@@ -64,12 +77,30 @@
     return Answer(int(lines[0].split()[1]), headers, body)
 
 
+class Recorder:
+    """Logger that keeps its lines."""
+
+    def __init__(self, lines):
+        self.lines = lines
+
+    def info(self, event, **fields):
+        self.lines.append({"event": event, **fields})
+
+    warning = error = info
+
+
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
     """Runs a gateway; `searchers` and `routes` say among what."""
 
     def setUp(self):
-        #: Log lines of the test.
-        self.lines = self.enterContext(structlog.testing.capture_logs())
+        #: Log lines of the test. The modules' loggers are replaced, since
+        #: one that another test used keeps the processors of that test.
+        self.lines = []
+        recorder = Recorder(self.lines)
+        for module in LOGGING:
+            self.enterContext(
+                unittest.mock.patch.object(module, "_log", recorder)
+            )
 
     async def asyncSetUp(self):
         # The debug mode of the test case's loop makes each step many times
