Lend extra calls within a failure domain of a large fleet

Each of 85 VMs had 1.5 extra calls in 10 s of an allowance of 210, and used none of what the others left. Ruled out: attempts (two are allowed), missing searchers (four). Change: where an equal part is below three calls, the allowance belongs to the first VM of a service in each failure domain (0.35 over all domains) and to its stand-in (0.15). For shards these are the owners that make the calls; for single requests the others borrow from the first, one message there and back. Lines of failed calls say what hindered a repeat. The gateway's ports and signals moved to a module of their own. Tests: test_lending (failed call repeated in a fleet of 40, the allowance over all, a silent lender, a late word), parts of the allowance, and the fleet's random histories with lending.

--- a/laurelrock/core/repeats.py
+++ b/laurelrock/core/repeats.py
@@ -2,14 +2,18 @@
 
 A service may get, in any window, a fraction of its requests and a fixed
 allowance as extra calls, summed over all VMs. Each VM uses the fraction of
-its own requests and its part of the allowance, so that no message is needed:
-the parts add up to the whole whichever VMs can talk.
+its own requests and its part of the allowance; the parts add up to the whole
+whichever VMs can talk. In a small fleet the parts are equal. In a large one
+that would leave each VM less than it needs when one of its requests fails,
+so most of the allowance belongs to one VM a failure domain and service, which
+lends from it or makes the service's calls itself.
 """
 
 import collections
+import collections.abc
 import typing
 
-__all__ = ["Budget", "Rule", "create_budget"]
+__all__ = ["Budget", "Rule", "create_budget", "is_concentrated", "part_of"]
 
 #: Steps in which a window slides.
 STEPS = 10
@@ -17,6 +21,13 @@
 #: their steps at different moments, and processes that began anew and have
 #: forgotten what they used.
 SAFETY = 0.6
+#: Parts of the allowance, summed over all failure domains, of the first VM of
+#: a service in each and of its stand-in. They are used twice in a window in
+#: which every service changes hands.
+RANK_PARTS = (0.35, 0.15)
+#: Extra calls that an equal part of the allowance must hold; below, it is
+#: concentrated. A VM then repeats a failed call and two of its neighbours'.
+LEAST_PART = 3.0
 
 
 class Rule(typing.NamedTuple):
@@ -59,12 +70,15 @@
     Attributes:
         rule: For all VMs together.
         vms: That share the allowance; while none is known, there is none.
+        part: Returns the part of the allowance that this VM has for a
+            service; None where the parts are equal.
         usage: By service.
     """
 
     def __init__(self, rule: Rule) -> None:
         self.rule = rule
         self.vms = 0
+        self.part: collections.abc.Callable[[str], float] | None = None
         self.usage: dict[str, Usage] = {}
 
     def set_vms(self, count: int) -> None:
@@ -80,10 +94,12 @@
         step = self._step(now_s)
         usage = self.usage.get(service)
         requests, extras = usage.totals(step) if usage else (0, 0)
-        allowed = self.rule.fraction * requests
-        if self.vms:
-            allowed += self.rule.allowance / self.vms
-        return SAFETY * allowed - extras
+        allowed = SAFETY * self.rule.fraction * requests
+        if self.part is not None:
+            allowed += self.rule.allowance * self.part(service)
+        elif self.vms:
+            allowed += SAFETY * self.rule.allowance / self.vms
+        return allowed - extras
 
     def take(self, service: str, now_s: float) -> bool:
         """Takes one extra call; False where none is left."""
@@ -114,6 +130,24 @@
         return usage.at(self._step(now_s))
 
 
+def is_concentrated(rule: Rule, vms: int) -> bool:
+    """Tells whether equal parts of the allowance would be of no use."""
+    return SAFETY * rule.allowance < vms * LEAST_PART
+
+
+def part_of(rank: int | None, domains: int) -> float:
+    """Returns the part of the allowance of one VM for one service.
+
+    Args:
+        rank: Of the VM among those of its failure domain, 0 first; None
+            beyond those that are ranked.
+        domains: Failure domains with VMs.
+    """
+    if rank is None or rank >= len(RANK_PARTS):
+        return 0.0
+    return RANK_PARTS[rank] / max(1, domains)
+
+
 def create_budget(rule: Rule) -> Budget:
     """Returns an unused budget."""
     return Budget(rule)
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -4,7 +4,6 @@
 import collections
 import collections.abc
 import random
-import signal
 import typing
 
 from laurelrock.adapters import frames
@@ -21,7 +20,7 @@
 from laurelrock.gateways import deployment
 from laurelrock.gateways import following
 from laurelrock.gateways import groups
-from laurelrock.gateways import instruments
+from laurelrock.gateways import lending
 from laurelrock.gateways import parts
 from laurelrock.gateways import peers
 from laurelrock.gateways import queries
@@ -31,12 +30,10 @@
 from laurelrock.ports import directory
 from laurelrock.ports import wire
 
-__all__ = ["Gateway", "open_gateway", "run"]
+__all__ = ["Gateway"]
 
 #: Missing shards that a request's line names.
 MAX_LOGGED = 8
-#: Where the metrics are read; the platform is told in its deploy file.
-METRICS_PORT = 9464
 METRICS_PATH = b"/metrics"
 #: Time for which a process that stops takes new connections, in seconds: the
 #: balancer asks once a second and needs two misses.
@@ -47,9 +44,6 @@
 DRAIN_LOOK_S = 0.05
 #: Interval at which a cut from other failure domains is looked for, in seconds.
 REACH_S = 0.2
-#: Interval at which the settings are looked at, in seconds; they may change
-#: without a signal.
-SETTINGS_S = 1.0
 #: Time until a refused caller may come back, in seconds: searchers are back,
 #: or another VM has the route, in about this time.
 COME_BACK_S = 0.3
@@ -73,6 +67,7 @@
         known: Searchers.
         calls: In flight.
         budget: Of repeats.
+        lending: Of extra calls between VMs.
         placement: Of calls.
         split: Shares of routes with several services.
         exchange: Messages between VMs.
@@ -105,18 +100,20 @@
         self.known = upstreams.create_upstreams(options.failure_domain)
         self.calls = calls.create_calls(platform, self.known)
         self.budget = repeats.create_budget(options.repeats)
-        self.placement = parts.Placement(self.calls, self.known, self.budget)
         self.split = routes.Split()
-        me = directory.VmRow(
-            vm=options.vm,
-            failure_domain=options.failure_domain,
-            address=":".join(map(str, options.peers)),
-            cores=options.cores,
-        )
+        me = row_of(options)
         self.exchange = frames.create_exchange(
-            {**questions.KINDS, **sharing.KINDS}, self.take, self.link_ended
+            {**questions.KINDS, **sharing.KINDS, **lending.KINDS},
+            self.take,
+            self.link_ended,
         )
         port = options.exchange_port
+        self.lending = lending.create_lending(
+            self.budget, self.exchange, vm_of(me), port
+        )
+        self.placement = parts.Placement(
+            self.calls, self.known, self.budget, self.lending.borrow
+        )
         self.groups = groups.create_groups(
             self.placement, platform, self.exchange, vm_of(me), port
         )
@@ -170,6 +167,7 @@
         """Takes a new configuration's limits and searchers."""
         self.split.keep(configuration.routes)
         self.budget.forget(self.loop.time())
+        self.lending.set_groups(self.groups.called_by_owners(configuration))
         if self.servers:
             self.servers[0].limits = configuration.limits
         self.warm(configuration)
@@ -183,6 +181,8 @@
         """Takes a message of another VM."""
         if isinstance(message, sharing.Follow | sharing.State):
             self.sharing.take(link, message)
+        elif isinstance(message, lending.Borrow | lending.Lent):
+            self.lending.take(link, message)
         else:
             self.groups.take(link, message)
 
@@ -221,6 +221,10 @@
         self.peers.addresses = [
             (vm.host, self.deployment.peers[1]) for vm in vms
         ]
+        self.lending.set_vms(vms)
+        if self.following.table is not None:
+            configuration = self.following.table.configuration
+            self.lending.set_groups(self.groups.called_by_owners(configuration))
         self.count_vms(len(vms), len({vm.failure_domain for vm in vms}))
         self.sharing.set_vms(vms)
         if self.following.table is not None:
@@ -403,6 +407,16 @@
         )
 
 
+def row_of(options: deployment.Deployment) -> directory.VmRow:
+    """Returns this VM's row in the list."""
+    return directory.VmRow(
+        vm=options.vm,
+        failure_domain=options.failure_domain,
+        address=":".join(map(str, options.peers)),
+        cores=options.cores,
+    )
+
+
 def vm_of(row: directory.VmRow) -> owners.Vm:
     """Returns a VM from its row in the list."""
     host = row["address"].rpartition(":")[0]
@@ -417,72 +431,3 @@
     """
     spread_s = seconds * (0.75 + random.random() / 2)
     return b"retry-after", b"%.2f" % spread_s
-
-
-async def open_gateway(
-    gateway: Gateway, metrics_port: int = METRICS_PORT
-) -> None:
-    """Opens the ports and begins to follow the platform."""
-    options = gateway.deployment
-    metrics_address = (options.address, metrics_port)
-    for handle, address in (
-        (gateway.answer, options.callers),
-        (gateway.answer_readiness, options.readiness),
-        (gateway.peers.answer, options.peers),
-        (gateway.answer_metrics, metrics_address),
-    ):
-        server = await http_server.open_server(handle, address, routes.Limits())
-        gateway.servers.append(server)
-    port = options.exchange_port
-    await gateway.exchange.listen((options.address, port))
-    instruments.register(gateway)
-    for work in (
-        gateway.following.expire,
-        gateway.following.count_vms,
-        gateway.sharing.run,
-        gateway.peers.run,
-        gateway.known.probe,
-        gateway.watch_reach,
-    ):
-        gateway.keep_up(work)
-
-
-async def run(
-    options: deployment.Deployment,
-    platform: wire.Wire,
-    source: directory.Directory,
-    meters: metrics.Metrics,
-    reload: collections.abc.Callable[[], deployment.Deployment | None],
-) -> None:
-    """Runs a gateway until SIGTERM.
-
-    Args:
-        options: Checked settings.
-        platform: Headers of callers and searchers.
-        source: The platform's store.
-        meters: Metrics of this process.
-        reload: Returns the settings where they changed, else None.
-    """
-    gateway = Gateway(options, platform, source, meters)
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gateway.loop.add_signal_handler(number, stop.set)
-
-    def look() -> None:
-        changed = reload()
-        if changed is not None:
-            gateway.reload(changed)
-
-    async def look_often() -> None:
-        while True:
-            await asyncio.sleep(SETTINGS_S)
-            look()
-
-    gateway.loop.add_signal_handler(signal.SIGHUP, look)
-    await open_gateway(gateway)
-    gateway.keep_up(look_often)
-    _log.info("started", callers=options.callers, domain=options.failure_domain)
-    await stop.wait()
-    await gateway.stop()
-    for task in list(gateway.tasks):
-        task.cancel()
--- a/laurelrock/gateways/groups.py
+++ b/laurelrock/gateways/groups.py
@@ -183,6 +183,17 @@
             for name in group
         ]
 
+    def called_by_owners(
+        self, configuration: routes.Configuration
+    ) -> list[tuple[str, ...]]:
+        """Returns the groups of all routes that owners call."""
+        return [
+            group
+            for route in configuration.routes
+            if route.shards and self.needed(route)
+            for group in owners.cut(route.shards)
+        ]
+
     def split(
         self, route: routes.Route
     ) -> tuple[tuple[str, ...], list[tuple[str, ...]]]:
--- a/laurelrock/gateways/instruments.py
+++ b/laurelrock/gateways/instruments.py
@@ -37,6 +37,11 @@
         lambda: dict(gateway.groups.counts),
         "Groups of shards asked of other VMs, and served for them",
     )
+    meters.counters(
+        "laurelrock_borrowed_total",
+        lambda: dict(gateway.lending.counts),
+        "Extra calls asked of another VM, by its word",
+    )
     meters.counter(
         "laurelrock_platform_calls_total",
         lambda: gateway.source.calls,
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -47,6 +47,8 @@
         attempts: Calls that may have reached a searcher.
         may_have_run: Whether a call that failed may have been run.
         reason: Of the last failure, for logs.
+        borrowed: Whether another VM was asked for an extra call.
+        borrowing: Whether its word is still to come.
         changed: Called when the state changes.
     """
 
@@ -66,6 +68,8 @@
         self.attempts = 0
         self.may_have_run = False
         self.reason = ""
+        self.borrowed = False
+        self.borrowing = False
         self.changed = changed
 
     def finish(self, state: State) -> None:
@@ -87,6 +91,11 @@
         self.flights.clear()
 
 
+Borrow = collections.abc.Callable[
+    [str, collections.abc.Callable[[bool], None]], bool
+]
+
+
 class Placement:
     """What places the calls of parts.
 
@@ -94,6 +103,8 @@
         calls: In flight.
         known: Searchers.
         budget: Of repeats.
+        borrow: Asks another VM for an extra call of a service; returns
+            whether there is one to ask.
         counts: Decisions by kind, for the metrics.
     """
 
@@ -102,10 +113,12 @@
         flying: calls.Calls,
         known: upstreams.Upstreams,
         budget: repeats.Budget,
+        borrow: Borrow,
     ) -> None:
         self.calls = flying
         self.known = known
         self.budget = budget
+        self.borrow = borrow
         self.counts = {"first": 0, "retry": 0, "hedge": 0, "no-budget": 0}
 
     def candidates(self, part: Part) -> list[upstreams.Upstream]:
@@ -185,8 +198,9 @@
     def retry(self, part: Part, flight: calls.Flight, end: calls.Ended) -> None:
         """Asks another searcher after a failure, or ends the part."""
         route = part.work.route
-        allowed = route.repeatable or not part.may_have_run
-        again = allowed and self.again(part, "retry")
+        hindrance = "not repeatable"
+        if route.repeatable or not part.may_have_run:
+            hindrance = self.again(part, "retry")
         _log.info(
             "call-failed",
             request=part.work.ticket.request_id.decode("latin-1"),
@@ -195,37 +209,87 @@
             fate=end.fate.value,
             reason=end.reason,
             attempts=part.attempts,
-            again=again,
+            hindrance=hindrance,
         )
-        if not again and not part.flights:
+        self.finish_idle(part)
+
+    def finish_idle(self, part: Part) -> None:
+        """Ends a part for which nothing is under way."""
+        if not part.flights and not part.borrowing:
             part.finish(State.FAILED)
 
-    def hedge(self, part: Part) -> bool:
+    def hedge(self, part: Part) -> None:
         """Asks another searcher beside one that is late."""
-        return part.work.route.repeatable and self.again(part, "hedge")
+        if part.work.route.repeatable and not part.borrowing:
+            self.again(part, "hedge")
 
-    def again(self, part: Part, kind: str) -> bool:
-        """Asks one more searcher, if that is allowed and worth it."""
+    def again(self, part: Part, kind: str) -> str:
+        """Asks one more searcher, if that is allowed and worth it.
+
+        Returns:
+            What hinders it, for logs; empty where one was asked.
+        """
         now_s = self.calls.loop.time()
-        typical = self.known.typical[part.work.route.name]
-        left_s = part.work.end_s - now_s
+        hindrance = self.hindrance(part, now_s)
+        if hindrance:
+            return hindrance
+        rows = self.others(part, kind)
+        if not rows:
+            return "no searcher"
+        if self.budget.take(part.service, now_s):
+            self.repeat(part, kind, rows)
+            return ""
+        self.counts["no-budget"] += 1
+        if part.borrowed:
+            return "no budget"
+
+        def done(granted: bool) -> None:
+            self.borrowed(part, kind, granted)
+
+        part.borrowed = True
+        part.borrowing = self.borrow(part.service, done)
+        return "asks for budget" if part.borrowing else "no budget"
+
+    def hindrance(self, part: Part, now_s: float) -> str:
+        """Returns why no more searcher may be asked; empty where one may."""
         if part.attempts >= part.work.route.attempts:
-            return False
-        if left_s < typical.mean_s * LEAST_LEFT_FACTOR:
-            return False
+            return "attempts"
+        typical = self.known.typical[part.work.route.name]
+        if part.work.end_s - now_s < typical.mean_s * LEAST_LEFT_FACTOR:
+            return "no time"
+        return ""
+
+    def others(self, part: Part, kind: str) -> list[upstreams.Upstream]:
+        """Returns the searchers that a part may ask besides."""
         rows = self.candidates(part)
-        if kind == "hedge":
-            rows = [
-                row
-                for row in rows
-                if not row.replica.stalled(typical, now_s)
-                and not row.replica.ejections
-            ]
-        if not rows:
-            return False
-        if not self.budget.take(part.service, now_s):
-            self.counts["no-budget"] += 1
-            return False
+        if kind != "hedge":
+            return rows
+        typical = self.known.typical[part.work.route.name]
+        now_s = self.calls.loop.time()
+        return [
+            row
+            for row in rows
+            if not row.replica.stalled(typical, now_s)
+            and not row.replica.ejections
+        ]
+
+    def borrowed(self, part: Part, kind: str, granted: bool) -> None:
+        """Takes the word of the VM that was asked for an extra call."""
+        part.borrowing = False
+        if part.state is not State.OPEN:
+            return
+        rows = self.others(part, kind)
+        now_s = self.calls.loop.time()
+        if granted and rows and not self.hindrance(part, now_s):
+            self.repeat(part, kind, rows)
+        self.finish_idle(part)
+
+    def repeat(
+        self, part: Part, kind: str, rows: list[upstreams.Upstream]
+    ) -> None:
+        """Asks the best of some searchers, beyond the first call."""
+        typical = self.known.typical[part.work.route.name]
+        now_s = self.calls.loop.time()
         self.counts[kind] += 1
         chosen = self.pick(part, rows)
         _log.info(
@@ -239,7 +303,6 @@
             budget_left=round(self.budget.left(part.service, now_s), 1),
         )
         self.call(part, chosen)
-        return True
 
 
 def look(
--- /dev/null
+++ b/laurelrock/gateways/running.py
@@ -0,0 +1,94 @@
+"""Running: a gateway's ports, background work and signals."""
+
+import asyncio
+import collections.abc
+import signal
+
+from laurelrock.adapters import http_server
+from laurelrock.adapters import logs
+from laurelrock.adapters import metrics
+from laurelrock.core import routes
+from laurelrock.gateways import deployment
+from laurelrock.gateways import gateway
+from laurelrock.gateways import instruments
+from laurelrock.ports import directory
+from laurelrock.ports import wire
+
+__all__ = ["open_gateway", "run"]
+
+#: Where the metrics are read; the platform is told in its deploy file.
+METRICS_PORT = 9464
+#: Interval at which the settings are looked at, in seconds; they may change
+#: without a signal.
+SETTINGS_S = 1.0
+
+_log = logs.get_logger(__name__)
+
+
+async def open_gateway(
+    opened: gateway.Gateway, metrics_port: int = METRICS_PORT
+) -> None:
+    """Opens the ports and begins to follow the platform."""
+    options = opened.deployment
+    metrics_address = (options.address, metrics_port)
+    for handle, address in (
+        (opened.answer, options.callers),
+        (opened.answer_readiness, options.readiness),
+        (opened.peers.answer, options.peers),
+        (opened.answer_metrics, metrics_address),
+    ):
+        server = await http_server.open_server(handle, address, routes.Limits())
+        opened.servers.append(server)
+    port = options.exchange_port
+    await opened.exchange.listen((options.address, port))
+    instruments.register(opened)
+    for work in (
+        opened.following.expire,
+        opened.following.count_vms,
+        opened.sharing.run,
+        opened.peers.run,
+        opened.known.probe,
+        opened.watch_reach,
+    ):
+        opened.keep_up(work)
+
+
+async def run(
+    options: deployment.Deployment,
+    platform: wire.Wire,
+    source: directory.Directory,
+    meters: metrics.Metrics,
+    reload: collections.abc.Callable[[], deployment.Deployment | None],
+) -> None:
+    """Runs a gateway until SIGTERM.
+
+    Args:
+        options: Checked settings.
+        platform: Headers of callers and searchers.
+        source: The platform's store.
+        meters: Metrics of this process.
+        reload: Returns the settings where they changed, else None.
+    """
+    opened = gateway.Gateway(options, platform, source, meters)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        opened.loop.add_signal_handler(number, stop.set)
+
+    def look() -> None:
+        changed = reload()
+        if changed is not None:
+            opened.reload(changed)
+
+    async def look_often() -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_S)
+            look()
+
+    opened.loop.add_signal_handler(signal.SIGHUP, look)
+    await open_gateway(opened)
+    opened.keep_up(look_often)
+    _log.info("started", callers=options.callers, domain=options.failure_domain)
+    await stop.wait()
+    await opened.stop()
+    for task in list(opened.tasks):
+        task.cancel()
--- a/laurelrock/platform/process.py
+++ b/laurelrock/platform/process.py
@@ -8,7 +8,7 @@
 from laurelrock.adapters import exposition
 from laurelrock.adapters import logs
 from laurelrock.gateways import deployment
-from laurelrock.gateways import gateway
+from laurelrock.gateways import running
 from laurelrock.platform import settings
 from laurelrock.platform import store
 from laurelrock.platform import wire
@@ -42,6 +42,6 @@
     source = store.open_store(options.store)
     meters = exposition.create_metrics()
     try:
-        await gateway.run(options, wire, source, meters, reload)
+        await running.run(options, wire, source, meters, reload)
     finally:
         sink.flush()
--- a/tests/gateway_worlds.py
+++ b/tests/gateway_worlds.py
@@ -19,6 +19,7 @@
 from laurelrock.core import routes
 from laurelrock.gateways import calls
 from laurelrock.gateways import groups
+from laurelrock.gateways import lending
 from laurelrock.gateways import parts
 from laurelrock.gateways import queries
 from laurelrock.gateways import upstreams
@@ -172,7 +173,7 @@
 
     def deliver(self, message: typing.Any) -> None:
         if not self.ended:
-            self.far.groups.take(self.back, message)
+            self.far.take(self.back, message)
 
     def cut(self) -> None:
         """Ends both ends; what is on the way is lost."""
@@ -193,12 +194,22 @@
         self.calls = calls.create_calls(platform_wire, self.known)
         self.budget = repeats.create_budget(world.rule)
         self.budget.set_vms(vms)
-        self.placement = parts.Placement(self.calls, self.known, self.budget)
+        self.lending = lending.create_lending(self.budget, self, me, PORT)
+        self.placement = parts.Placement(
+            self.calls, self.known, self.budget, self.lending.borrow
+        )
         self.groups = groups.create_groups(
             self.placement, platform_wire, self, me, PORT
         )
         self.links: dict[str, Link] = {}
 
+    def take(self, link: Link, message: typing.Any) -> None:
+        """Takes a message of another VM."""
+        if isinstance(message, lending.Borrow | lending.Lent):
+            self.lending.take(link, message)
+        else:
+            self.groups.take(link, message)
+
     def link(self, address: tuple[str, int]) -> Link:
         """Returns the connection to another VM; see `frames.Exchange`."""
         host = address[0]
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -16,8 +16,10 @@
 from laurelrock.gateways import following
 from laurelrock.gateways import gateway
 from laurelrock.gateways import groups
+from laurelrock.gateways import lending
 from laurelrock.gateways import parts
 from laurelrock.gateways import peers
+from laurelrock.gateways import running
 from laurelrock.gateways import sharing
 from laurelrock.gateways import upstreams
 from laurelrock.platform import store
@@ -27,7 +29,7 @@
 HOST = "127.0.0.1"
 #: Modules whose log lines are kept.
 LOGGING = (
-    *(frames, http_server, calls, following, gateway, groups),
+    *(frames, http_server, calls, following, gateway, groups, lending),
     *(parts, peers, sharing, upstreams, store),
 )
 
@@ -172,7 +174,7 @@
             options, wire, source, exposition.create_metrics()
         )
         self.addAsyncCleanup(self.end, opened)
-        await gateway.open_gateway(opened, metrics_port)
+        await running.open_gateway(opened, metrics_port)
         return opened
 
     async def start_fleet(self, document, rows, hosts):
--- /dev/null
+++ b/tests/test_lending.py
@@ -0,0 +1,104 @@
+"""Tests of extra calls that one VM lets another one make."""
+
+import asyncio
+import collections
+import unittest
+
+from laurelrock.core import repeats
+from tests import gateway_builders as build
+from tests import gateway_worlds as worlds
+from tests import gateways
+from tests import virtual
+
+ROUTE = build.single_route(attempts=3)
+CONFIGURATION = build.configuration(ROUTE)
+RULE = repeats.Rule(0.0, 60, 10)
+VMS = 40
+
+
+def create_world(behaviours, delays=(0.001,)):
+    """Returns a fleet that knows three searchers of one service."""
+    world = worlds.World(CONFIGURATION, behaviours, delays, rule=RULE)
+    for number in range(VMS):
+        node = world.add_node(number, "ab"[number % 2], VMS)
+        for n in range(3):
+            world.change(node, f"files-{n}", "live")
+    everyone = [node.me for node in world.nodes]
+    for node in world.nodes:
+        node.lending.set_vms(everyone)
+    return world
+
+
+def borrowers(world):
+    """Returns the nodes that have no part of their own."""
+    return [node for node in world.nodes if not node.lending.part("files")]
+
+
+async def ask(world, node, count=1):
+    """Runs requests one after the other; returns how they ended."""
+    ended = []
+    for number in range(count):
+        request_id = b"%b-%d" % (node.me.name.encode(), number)
+        ended.append(await node.run(ROUTE, request_id, 1.0))
+    return ended
+
+
+class LendingTest(unittest.TestCase):
+    def setUp(self):
+        self.enterContext(gateways.keep_lines(collections.deque(maxlen=1)))
+
+    def play(self, behaviours, history, **fields):
+        async def run():
+            world = create_world(behaviours, **fields)
+            return world, await history(world)
+
+        return virtual.run(run())
+
+    def test_failed_call_is_repeated_in_a_large_fleet(self):
+        kinds = ("error", "answer")
+        rows = [worlds.Behaviour(kind, 0.01) for kind in kinds]
+
+        async def history(world):
+            return await ask(world, borrowers(world)[0], 3)
+
+        world, ended = self.play(rows, history)
+        self.assertEqual([row.kind for row in ended], ["answered"] * 3)
+        self.assertEqual(borrowers(world)[0].lending.counts["lent"], 3)
+
+    def test_allowance_holds_over_all_vms(self):
+        rows = [worlds.Behaviour("error", 0.01)]
+
+        async def history(world):
+            await asyncio.gather(*[ask(world, n, 4) for n in world.nodes])
+
+        world, _ = self.play(rows, history)
+        extras = len(world.arrivals) - 4 * VMS
+        self.assertLessEqual(extras, RULE.allowance)
+        self.assertGreaterEqual(extras, 0.3 * RULE.allowance)
+
+    def test_silent_lender_fails_the_request_soon(self):
+        rows = [worlds.Behaviour("error", 0.01)]
+
+        async def history(world):
+            loop = asyncio.get_running_loop()
+            begun_s = loop.time()
+            ended = await ask(world, borrowers(world)[0])
+            return ended, loop.time() - begun_s
+
+        world, (ended, took_s) = self.play(rows, history, delays=(5.0,))
+        self.assertEqual(ended[0].kind, "failed")
+        self.assertLess(took_s, 0.1)
+        self.assertEqual(borrowers(world)[0].lending.counts["silent"], 1)
+
+    def test_word_that_comes_after_the_end_starts_nothing(self):
+        rows = [worlds.Behaviour("error", 0.01)]
+
+        async def history(world):
+            node = borrowers(world)[0]
+            task = asyncio.create_task(ask(world, node))
+            await asyncio.sleep(0.015)
+            task.cancel()
+            await asyncio.sleep(1.0)
+
+        world, _ = self.play(rows, history, delays=(0.01,))
+        self.assertEqual(len(world.arrivals), 1)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -36,6 +36,8 @@
 READ = build.single_route()
 SAVE = build.single_route(name="save", repeatable=False)
 RULE = repeats.Rule(0.2, 10, 10)
+#: Concentrated over four VMs: each has fewer than it needs.
+FLEET_RULE = repeats.Rule(0.2, 18, 10)
 
 BEHAVIOURS = strategies.lists(
     strategies.builds(
@@ -160,17 +162,17 @@
 
 async def play_fleet(behaviours, rows, delays, cuts, views) -> tuple:
     """Plays a history over four VMs that call shards for each other."""
-    configuration = build.configuration(MANY)
+    configuration = build.configuration(MANY, READ, SAVE)
     services = {
         # Too few connections for all VMs to call each searcher.
         name: service._replace(connections=6)
         for name, service in configuration.services.items()
     }
     configuration = configuration._replace(services=services)
-    world = worlds.World(configuration, behaviours, delays, rule=RULE)
+    world = worlds.World(configuration, behaviours, delays, rule=FLEET_RULE)
     for number in range(4):
         node = world.add_node(number, "ab"[number % 2], 4)
-        for service in MANY_SHARDS:
+        for service in (*MANY_SHARDS, "files"):
             for n in range(2):
                 world.change(node, f"{service}-{n}", "live")
     everyone = [node.me for node in world.nodes]
@@ -178,6 +180,8 @@
         # Each VM may know others that the rest does not.
         node.groups.vms = [vm for vm in everyone if vm == node.me or view]
         node.known.set_vms(4, 2)
+        node.lending.set_vms(everyone)
+        node.lending.set_groups(node.groups.called_by_owners(configuration))
 
     async def cut():
         for pause_s, one, other in cuts:
@@ -284,7 +288,7 @@
                 (extras if known else requests).append(arrival.at_s)
                 first.add(arrival.request_id)
             # All steps of a history lie within two windows.
-            limit = RULE.fraction * len(requests) + RULE.allowance
+            limit = world.rule.fraction * len(requests) + world.rule.allowance
             self.assertLessEqual(len(extras), limit)
 
 
@@ -319,7 +323,7 @@
     @BOUNDED
     @hypothesis.given(
         BEHAVIOURS,
-        steps(MANY, vms=4),
+        steps(MANY, READ, SAVE, vms=4),
         DELAYS,
         CUTS,
         strategies.lists(strategies.booleans(), min_size=4, max_size=4),
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -70,6 +70,23 @@
         self.assertTrue(budget.take("s", 0.0))
         self.assertFalse(budget.take("s", 0.0))
 
+    def test_parts_of_a_large_fleet(self):
+        rule = RULE._replace(allowance=200)
+        self.assertFalse(repeats.is_concentrated(rule, 9))
+        self.assertTrue(repeats.is_concentrated(rule, 85))
+        for domains in (1, 3, 5):
+            parts = [repeats.part_of(rank, domains) for rank in (0, 1, 2, None)]
+            # All first and second VMs, twice in a window.
+            self.assertLessEqual(2 * domains * sum(parts), 1.0 + 1e-9)
+            self.assertEqual(parts[2:], [0.0, 0.0])
+
+    def test_part_is_of_the_whole_allowance(self):
+        budget = repeats.create_budget(RULE._replace(allowance=200))
+        budget.set_vms(85)
+        budget.part = lambda service: 0.1 if service == "owned" else 0.0
+        self.assertFalse(budget.take("other", 0.0))
+        self.assertEqual(sum(budget.take("owned", 0.0) for _ in range(99)), 20)
+
     @hypothesis.settings(
         max_examples=120, deadline=None, derandomize=True, database=None
     )
