Refuse a query at once that would come too late behind others

Change: calls ahead of a new one over calls that end in a second tell how long a shard takes (Little's law); a query whose needed shards take longer than 0.7 of its objective is refused at once, with that time to come back. Only where this VM calls all shards itself; with fewer than four calls ahead nothing is concluded. Tests: replay of 0.75 to twice the limit in virtual time; goodput stays at 0.9 of its peak.

--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -88,7 +88,6 @@
         limit_s: Loop time at which it is ended.
         ended: Told of the end, unless nobody waits.
         over: Whether it was ended for taking too long.
-        over: Whether it was ended for taking too long.
     """
 
     def __init__(
@@ -224,6 +223,8 @@
         """Updates what is known of the searcher."""
         replica = flight.upstream.replica
         now_s = self.loop.time()
+        if ended.fate in (Fate.ANSWERED, Fate.ERRED):
+            self.upstreams.paces[replica.searcher.service].note(now_s)
         if ended.fate is Fate.ANSWERED:
             sent_s = flight.call.began_s or flight.begun_s
             typical = self.upstreams.typical[flight.kind]
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -335,7 +335,7 @@
             return http_server.Answer(200, headers, body)
         headers = self.platform.refused(work.ticket)
         if outcome.status == 503:
-            headers.append(come_back(COME_BACK_S))
+            headers.append(come_back(outcome.back_s or COME_BACK_S))
         return http_server.Answer(outcome.status, headers)
 
     def refuse(
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -5,6 +5,7 @@
 
 from laurelrock.adapters import http_client
 from laurelrock.core import gathering
+from laurelrock.core import pace
 from laurelrock.core import replicas
 from laurelrock.core import routes
 from laurelrock.gateways import calls
@@ -13,6 +14,10 @@
 
 __all__ = ["Outcome", "gather", "single"]
 
+#: Longest time after which a caller may come back that was refused for the
+#: crowd, in seconds; calls then have ended or failed.
+MAX_BACK_S = 1.0
+
 
 class Outcome(typing.NamedTuple):
     """How a request ended.
@@ -27,6 +32,7 @@
         attempts: Calls made.
         missing: Shards that are not in a query's answer.
         reason: Of a failure, for logs.
+        back_s: Time until a refused caller may come back; 0 for the usual.
     """
 
     kind: typing.Literal["answered", "partial", "refused", "failed", "late"]
@@ -38,6 +44,7 @@
     attempts: int = 0
     missing: tuple[str, ...] = ()
     reason: str = ""
+    back_s: float = 0.0
 
 
 class Gathering:
@@ -160,6 +167,10 @@
         work.end_s,
     )
     own, away = others.split(route)
+    if not away:
+        outcome = too_crowded(route, placement)
+        if outcome is not None:
+            return outcome
     gathered = Gathering(work, own)
     try:
         for services in away:
@@ -192,6 +203,24 @@
     )
 
 
+def too_crowded(
+    route: routes.Route, placement: parts.Placement
+) -> Outcome | None:
+    """Refuses a query that would wait behind too many others, or None."""
+    now_s = placement.calls.loop.time()
+    rows = [placement.known.crowd(name, now_s) for name in route.shards]
+    wait_s = pace.expected_s(rows, route.least_shards)
+    if pace.in_time(wait_s, route.objective_s):
+        return None
+    return Outcome(
+        "refused",
+        503,
+        shards=len(route.shards),
+        reason=f"a call takes {wait_s * 1000:.0f} ms",
+        back_s=min(wait_s, MAX_BACK_S),
+    )
+
+
 def query_failure(
     gathered: Gathering, route: routes.Route, late: bool
 ) -> Outcome:
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -7,6 +7,7 @@
 from laurelrock.adapters import http_client
 from laurelrock.adapters import logs
 from laurelrock.core import owners
+from laurelrock.core import pace
 from laurelrock.core import registry
 from laurelrock.core import replicas
 from laurelrock.core import routes
@@ -53,6 +54,7 @@
         by_id: All searchers.
         by_service: The same, by service and id.
         typical: Latencies by kind of call.
+        paces: Rates at which calls end, by service.
         opened: Connections opened to searchers that are gone.
     """
 
@@ -69,6 +71,9 @@
         self.typical: dict[str, replicas.Typical] = collections.defaultdict(
             replicas.Typical
         )
+        self.paces: dict[str, pace.Pace] = collections.defaultdict(
+            pace.create_pace
+        )
         self.opened = 0
 
     def near(self, replica: replicas.Replica) -> bool:
@@ -79,6 +84,11 @@
         """Returns the searchers of a service."""
         return self.by_service.get(service, {}).values()
 
+    def crowd(self, service: str, now_s: float) -> pace.Crowd:
+        """Returns the calls ahead of a new one at a service."""
+        ahead = sum(len(row.replica.flights) for row in self.of(service))
+        return pace.Crowd(ahead, self.paces[service].per_s(now_s))
+
     def limit(self, service: str) -> int:
         """Returns the connections to one searcher of a service."""
         configured = self.services.get(service, routes.Service())
@@ -99,6 +109,8 @@
         names = {route.name for route in configuration.routes}
         for name in [row for row in self.typical if row not in names]:
             del self.typical[name]
+        for name in [row for row in self.paces if row not in self.services]:
+            del self.paces[name]
         self.set_vms(self.vms, self.domains)
 
     def set_vms(self, count: int, domains: int) -> None:
--- a/tests/gateway_worlds.py
+++ b/tests/gateway_worlds.py
@@ -255,6 +255,7 @@
         delays: Of messages between VMs, in seconds.
         arrivals: Calls as searchers saw them.
         changes: Of searchers.
+        client: Class of the searchers' clients.
         nodes: Gateways.
     """
 
@@ -271,6 +272,7 @@
         self.delays = itertools.cycle(delays)
         self.rule = rule
         self.numbers = itertools.count(1)
+        self.client = Client
         self.arrivals: list[Arrival] = []
         self.changes: list[Change] = []
         self.nodes: list[Node] = []
@@ -297,7 +299,7 @@
         with unittest.mock.patch.object(
             http_client,
             "open_client",
-            lambda address, limit: Client(self, service, searcher),
+            lambda address, limit: self.client(self, service, searcher),
         ):
             node.known.apply([registry.Change(searcher, row)], now_s)
 
--- /dev/null
+++ b/tests/test_pace.py
@@ -0,0 +1,143 @@
+"""Tests of the rate at which calls end, and of queries that come too late."""
+
+import asyncio
+import collections
+import math
+import unittest
+
+from laurelrock.core import pace
+from tests import gateway_builders as build
+from tests import gateway_worlds as worlds
+from tests import gateways
+from tests import virtual
+
+SHARDS = tuple(f"shard-{n}" for n in range(20))
+ROUTE = build.query_route(SHARDS, objective_s=0.1, least_share=0.9)
+
+# Calls ahead and calls that end in a second, by shard; the time expected of
+# 11 shards.
+CROWDS = (
+    ([], 0.0),
+    # Few calls: whatever their pace.
+    ([pace.Crowd(3, 1.0)] * 20, 0.0),
+    ([pace.Crowd(8, 100.0)] * 20, 0.08),
+    # Some shards are dark.
+    ([pace.Crowd(50, 0.0)] * 9 + [pace.Crowd(4, 100.0)] * 11, 0.04),
+    ([pace.Crowd(50, 0.0)] * 20, math.inf),
+)
+
+
+class PaceTest(unittest.TestCase):
+    def test_steady_rate(self):
+        rate = pace.create_pace()
+        for n in range(400):
+            rate.note(n / 100)
+        self.assertAlmostEqual(rate.per_s(4.0), 100.0, delta=5.0)
+
+    def test_forgets(self):
+        rate = pace.create_pace()
+        self.assertEqual(rate.per_s(0.0), 0.0)
+        rate.note(1.0)
+        self.assertLess(rate.per_s(1.0 + 10 * pace.WINDOW_S), 0.001)
+
+    def test_expected(self):
+        for rows, expected in CROWDS:
+            with self.subTest(rows=rows[:1]):
+                self.assertAlmostEqual(pace.expected_s(rows, 11), expected)
+
+
+class Queue(worlds.Client):
+    """Searcher with two slots and a queue; calls take 20 ms.
+
+    It drops a waiting call whose connection was reset.
+    """
+
+    def __init__(self, world, service, searcher):
+        super().__init__(world, service, searcher)
+        self.waiting = collections.deque()
+        self.running = 0
+
+    def call(self, encode, accept, bodiless=False):
+        loop = asyncio.get_running_loop()
+        call = worlds.Call(loop.create_future())
+        call.sent = True
+        call.began_s = loop.time()
+        self.waiting.append((call, encode))
+        self.run_next()
+        return call
+
+    def run_next(self):
+        while self.waiting and self.running < 2:
+            call, encode = self.waiting.popleft()
+            if call.future.done():
+                continue
+            self.running += 1
+            began_s = call.began_s
+            self.send(call, encode, "answer", 0.02)
+            call.began_s = began_s
+            asyncio.get_running_loop().call_later(0.02, self.end)
+
+    def end(self):
+        self.running -= 1
+        self.run_next()
+
+
+async def play(per_s, seconds):
+    """Plays queries at a steady rate; returns outcomes with their times."""
+    world = worlds.World(
+        build.configuration(ROUTE), [worlds.Behaviour("answer", 0.0)]
+    )
+    world.client = Queue
+    node = world.add_node(0, "a", 1)
+    for name in SHARDS:
+        for n in range(2):
+            world.change(node, f"{name}-{n}", "live")
+    loop = asyncio.get_running_loop()
+
+    async def one(number):
+        begun_s = loop.time()
+        outcome = await node.run(ROUTE, b"r-%d" % number, 1.0)
+        return outcome, loop.time() - begun_s
+
+    tasks = []
+    for number in range(int(per_s * seconds)):
+        tasks.append(asyncio.create_task(one(number)))
+        await asyncio.sleep(1 / per_s)
+    return await asyncio.gather(*tasks)
+
+
+class OverloadTest(unittest.TestCase):
+    """Two searchers of two slots take 200 calls a second at each shard."""
+
+    def setUp(self):
+        self.enterContext(gateways.keep_lines(collections.deque(maxlen=1)))
+
+    def good(self, per_s):
+        """Returns the whole answers in time, a second."""
+        rows = virtual.run(play(per_s, 4.0))
+        whole = [
+            took_s
+            for outcome, took_s in rows
+            if outcome.kind in ("answered", "partial") and took_s <= 0.1
+        ]
+        return len(whole) / 4.0
+
+    def test_nothing_is_refused_below_the_limit(self):
+        rows = virtual.run(play(150, 4.0))
+        kinds = {outcome.kind for outcome, _ in rows}
+        self.assertEqual(kinds, {"answered"})
+
+    def test_goodput_stays_when_the_load_is_twice_the_limit(self):
+        peak = max(self.good(per_s) for per_s in (150, 190))
+        for per_s in (300, 400):
+            with self.subTest(per_s=per_s):
+                self.assertGreaterEqual(self.good(per_s), 0.9 * peak)
+
+    def test_refusals_are_at_once_and_tell_when_to_come_back(self):
+        rows = virtual.run(play(400, 4.0))
+        refused = [row for row in rows if row[0].kind == "refused"]
+        self.assertGreater(len(refused), 100)
+        for outcome, took_s in refused:
+            self.assertEqual(took_s, 0.0)
+            self.assertGreater(outcome.back_s, 0.04)
+            self.assertEqual(outcome.attempts, 0)
