--- a/laurelrock/core/pace.py
+++ b/laurelrock/core/pace.py
@@ -17,7 +17,7 @@
 WINDOW_S = 0.5
 #: Calls ahead at one shard below which nothing is concluded; a few calls and
 #: one slow searcher look alike.
-LEAST_AHEAD = 4
+LEAST_AHEAD = 3
 #: Part of the objective that the slowest call needed may be expected to take.
 #: The expectation is a mean, and an answer has a way to go.
 CALL_FRACTION = 0.7
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -156,16 +156,7 @@
     if reachable < route.least_shards:
         reason = f"searchers for {reachable} of {count} shards"
         return Outcome("refused", 503, shards=count, reason=reason)
-    request = work.request
-    sending_s = gathering.sending_s(count, route.top, link_bytes_per_s)
-    plan = gathering.create_plan(
-        count,
-        route.least_shards,
-        request.asked_s,
-        route.objective_s,
-        request.back_s + sending_s,
-        work.end_s,
-    )
+    plan = plan_of(work, link_bytes_per_s)
     own, away = others.split(route)
     if not away:
         outcome = too_crowded(route, placement)
@@ -203,6 +194,21 @@
     )
 
 
+def plan_of(work: calls.Work, link_bytes_per_s: float) -> gathering.Plan:
+    """Returns when a query is answered."""
+    route, request = work.route, work.request
+    count = len(route.shards)
+    sending_s = gathering.sending_s(count, route.top, link_bytes_per_s)
+    return gathering.create_plan(
+        count,
+        route.least_shards,
+        request.asked_s,
+        route.objective_s,
+        request.back_s + sending_s,
+        work.end_s,
+    )
+
+
 def too_crowded(
     route: routes.Route, placement: parts.Placement
 ) -> Outcome | None:
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -3,10 +3,10 @@
 import asyncio
 import contextlib
 import socket
-import typing
 import unittest
 import unittest.mock
 
+from fakes import callers
 from fakes import objects
 from fakes import shards
 from laurelrock.adapters import exposition
@@ -34,14 +34,6 @@
 )
 
 
-class Answer(typing.NamedTuple):
-    """What a caller got."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
 def free_ports(count: int) -> list[int]:
     """Returns ports that nobody uses now."""
     with contextlib.ExitStack() as stack:
@@ -54,29 +46,8 @@
 def request(
     target: str, request_id: str = "r-1", deadline_ms: int = 1000, **fields
 ) -> bytes:
-    """Returns the bytes of a caller's request."""
-    method = fields.get("method", "GET")
-    body = fields.get("body", b"")
-    lines = [
-        f"{method} {target} HTTP/1.1",
-        f"Host: {build.HOST}",
-        f"X-Request-Id: {request_id}",
-        f"X-Deadline-Ms: {deadline_ms}",
-        *fields.get("headers", ()),
-    ]
-    if body:
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
-async def read_answer(reader: asyncio.StreamReader) -> Answer:
-    """Reads one answer with a length."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    pairs = [line.split(": ", 1) for line in lines[1:] if line]
-    headers = {name.lower(): value for name, value in pairs}
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return Answer(int(lines[0].split()[1]), headers, body)
+    """Returns the bytes of a caller's request; see `callers.encode`."""
+    return callers.encode(build.HOST, target, request_id, deadline_ms, **fields)
 
 
 class Recorder:
@@ -231,12 +202,12 @@
         self.addCleanup(writer.transport.abort)
         return reader, writer
 
-    async def ask(self, raw: bytes) -> Answer:
+    async def ask(self, raw: bytes) -> callers.Answer:
         """Sends one request on a connection of its own."""
         reader, writer = await self.connect()
         writer.write(raw)
         async with asyncio.timeout(5):
-            return await read_answer(reader)
+            return await callers.read_answer(reader)
 
 
 async def start_shards(count, script=shards.healthy, **fields):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from fakes import callers
 from fakes import objects
 from fakes import shards
 from laurelrock.gateways import following
@@ -340,7 +341,7 @@
         await asyncio.sleep(0.05)
         self.assertFalse(self.gateway.ready)
         writer.write(gateways.request("/single/a"))
-        answer = await gateways.read_answer(reader)
+        answer = await callers.read_answer(reader)
         self.assertEqual(answer.status, 200)
         self.assertEqual(answer.headers["connection"], "close")
         late_answer = await self.ask(gateways.request("/single/a", "r-2"))
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -19,7 +19,7 @@
 CROWDS = (
     ([], 0.0),
     # Few calls: whatever their pace.
-    ([pace.Crowd(3, 1.0)] * 20, 0.0),
+    ([pace.Crowd(pace.LEAST_AHEAD - 1, 1.0)] * 20, 0.0),
     ([pace.Crowd(8, 100.0)] * 20, 0.08),
     # Some shards are dark.
     ([pace.Crowd(50, 0.0)] * 9 + [pace.Crowd(4, 100.0)] * 11, 0.04),
