Follow the platform within 3 s of its return

The logs show three faults of the product. A poll whose history is gone read the configuration's own revision, older than the history, and asked again for ever, six times a second. A call that waited for a connection which failed to open hung while another connection was busy with a poll. Polls that fail pause up to 2 s, and one hung call besides is more than 3 s. Ruled out: an older version taken; the store down (others read it). Change: the configuration is read by a list, which tells the store's revision; a connection that fails ends the call that waits longest; polls pause 0.6 s at most.

--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -190,8 +190,9 @@
                 )
         except (OSError, TimeoutError) as error:
             self.opening -= 1
-            if not self.connections:
-                self.fail_waiting(repr(error))
+            # The other connections may be busy for long.
+            most = 1 if self.connections else len(self.waiting)
+            self.fail_waiting(repr(error), most)
             return
         self.opening -= 1
         self.opened += 1
@@ -201,12 +202,13 @@
         self.connections.add(connection)
         self.release(connection)
 
-    def fail_waiting(self, reason: str) -> None:
-        """Ends the calls that wait for a connection."""
-        while self.waiting:
+    def fail_waiting(self, reason: str, most: int) -> None:
+        """Ends the calls that wait longest for a connection."""
+        while self.waiting and most:
             call = self.waiting.popleft()
             if not call.future.done():
                 call.future.set_exception(errors.ConnectError(reason))
+                most -= 1
 
     def release(self, connection: "Connection") -> None:
         """Takes back a connection after its call."""
@@ -229,7 +231,7 @@
     def close(self) -> None:
         """Ends idle connections and waiting calls; calls sent go on."""
         self.closed = True
-        self.fail_waiting("the client is closed")
+        self.fail_waiting("the client is closed", len(self.waiting))
         for connection in self.idle:
             connection.transport.close()
         self.idle.clear()
--- a/laurelrock/gateways/following.py
+++ b/laurelrock/gateways/following.py
@@ -39,6 +39,9 @@
 #: of a new deployment have announced themselves by then.
 FIRST_VMS_S = 1.5
 
+#: Longest pause between two polls that fail, in seconds: with a call that
+#: hangs it lies within the 3 s in which a configuration is in force.
+MAX_PAUSE_S = 0.6
 #: Wait before a loop that failed is begun again, in seconds.
 AGAIN_S = 0.5
 #: Names of the polls.
@@ -242,7 +245,9 @@
             except errors.StoreError as error:
                 self.lost(link, error)
                 revision = None
-                await asyncio.sleep(retry.pause_s(attempt, random.random()))
+                await asyncio.sleep(
+                    retry.pause_s(attempt, random.random(), MAX_PAUSE_S)
+                )
                 attempt += 1
             else:
                 attempt = 0
--- a/laurelrock/platform/store.py
+++ b/laurelrock/platform/store.py
@@ -131,15 +131,14 @@
 
     async def read_configuration(self) -> directory.Configured:
         """Implements `Directory`."""
-        status, found = await self.request(
-            "GET", f"/api/objects/{CONFIGURATION}/{NEWEST}"
-        )
-        if status == 404:
+        # A list tells the store's present revision. The object's own may be
+        # older than the history that the store still has.
+        page = await self.list_all(CONFIGURATION)
+        spec = dict(page.rows).get(NEWEST)
+        if spec is None:
             return directory.Configured(None, 0)
-        fields = objects.Fields(found)
-        meta = objects.Fields(fields.row.get("meta"))
-        configuration = objects.read_configuration(fields.row.get("spec"))
-        return directory.Configured(configuration, meta.whole("revision"))
+        configuration = objects.read_configuration(spec)
+        return directory.Configured(configuration, page.revision)
 
     async def watch_configuration(
         self, revision: int, wait_s: float
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -280,6 +280,19 @@
         )
         await self.until(lambda: self.gateway.following.version == 6, 8.0)
 
+    async def test_history_older_than_the_configuration_is_no_matter(self):
+        await self.start(build.store_configuration(SINGLE, version=5), [])
+        for _ in range(3):
+            self.store.put("other", "row", {})
+        self.store.forget()
+        self.store.forget_watchers()
+        before = len(self.store.calls)
+        self.store.put("other", "row", {})
+        await asyncio.sleep(following.WAIT_S + store.TIMEOUT_S + 1.5)
+        self.assertLess(len(self.store.calls) - before, 16)
+        lost = [row for row in self.lines if row["event"] == "history-lost"]
+        self.assertLess(len(lost), 4)
+
     async def test_poll_that_fails_is_begun_again(self):
         await self.start(build.store_configuration(SINGLE, version=5), [])
         take, failures = self.gateway.following.take, []
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -186,6 +186,19 @@
         await asyncio.gather(*[self.result(call) for call in calls])
         self.assertEqual(self.searcher.connections, 2)
 
+    async def test_call_whose_connection_fails_ends_beside_a_busy_one(self):
+        client = await self.open(lambda *_: shards.Play((), "hang"), 2)
+        busy = self.call(client)
+        while not busy.sent:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        client.address = ("127.0.0.1", 1)
+        late = self.call(client)
+        with self.assertRaises(errors.ConnectError):
+            async with asyncio.timeout(1.0):
+                await late.future
+        self.assertFalse(busy.future.done())
+        busy.withdraw()
+
     async def test_withdrawn_call_frees_its_place(self):
         client = await self.open(
             lambda _, r: (
