Say in refusals what the VM knew, and test each outcome's line

Cause: the line of a request without a route told neither the configuration's version nor the ages of what decided it. Change: it does; a test asserts the line of ten ends with id, inputs, ages and outcome.

--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -348,12 +348,23 @@
             request=ticket.request_id.decode("latin-1"),
             status=status,
             reason=reason,
+            **self.beliefs(),
         )
         headers = self.platform.refused(ticket)
         if back_s:
             headers.append(come_back(back_s))
         return http_server.Answer(status, headers)
 
+    def beliefs(self) -> dict[str, int | None]:
+        """Returns what decisions rest on, and its age, for logs."""
+        known = self.following
+        age_s = self.loop.time() - known.taken_s
+        return {
+            "version": known.version,
+            "configured_ms": round(age_s * 1000) if known.table else None,
+            "searchers_age_ms": known.age_ms(),
+        }
+
     def note(self, work: calls.Work, outcome: queries.Outcome) -> None:
         """Counts and logs the end of a request."""
         self.counts[outcome.kind] += 1
@@ -363,7 +374,6 @@
             "request",
             request=work.ticket.request_id.decode("latin-1"),
             route=work.route.name,
-            version=work.version,
             outcome=outcome.kind,
             status=outcome.status,
             ms=round(elapsed_s * 1000, 1),
@@ -376,10 +386,7 @@
             missing=outcome.missing[:MAX_LOGGED],
             attempts=outcome.attempts,
             reason=outcome.reason,
-            configured_ms=round(
-                (self.loop.time() - self.following.taken_s) * 1000
-            ),
-            searchers_age_ms=self.following.age_ms(),
+            **{**self.beliefs(), "version": work.version},
         )
 
     def in_hand(self) -> int:
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,156 @@
+"""Tests that each outcome of a request is explained by its log lines."""
+
+import asyncio
+import typing
+
+from fakes import shards
+from tests import gateway_builders as build
+from tests import gateways
+
+SHARDS = ("shard-0", "shard-1", "shard-2", "shard-3")
+DOCUMENT = build.store_configuration(
+    build.store_query(SHARDS, target_latency_ms=150),
+    build.store_single(timeout_ms=300),
+)
+#: Inputs of a decision and their ages, in the line of each request.
+FIELDS = frozenset(
+    {
+        *("request", "route", "version", "outcome", "status", "ms"),
+        *("before_ms", "patience_ms", "shards", "included", "missing"),
+        *("attempts", "reason", "configured_ms", "searchers_age_ms"),
+    }
+)
+
+
+def mute(searcher, request):
+    return shards.Play((), "hang")
+
+
+def failing(searcher, request):
+    proof = f"X-Server-Stamp: {searcher.name}.{request.id}"
+    status = "500 Internal Server Error"
+    return shards.Play(((0, shards.answer(request, status, b"", proof)),))
+
+
+def full(searcher, request):
+    status = "503 Service Unavailable"
+    answer = shards.answer(request, status, b"", "X-Not-Executed: 1")
+    return shards.Play(((0, answer),))
+
+
+class Row(typing.NamedTuple):
+    """One kind of end.
+
+    Attributes:
+        outcome: In the line.
+        status: Of the answer.
+        target: Of the request.
+        script: Of the searcher of `files`, or of the last shard.
+        reason: Part of the line's reason.
+        missing: Part of the line's missing shards.
+        before: Another line of the request.
+    """
+
+    outcome: str
+    status: int
+    target: str
+    script: typing.Any = shards.healthy
+    reason: str = ""
+    missing: str = ""
+    before: str = ""
+
+
+ROWS = (
+    Row("answered", 200, "/query/a"),
+    Row("partial", 200, "/query/a", mute, missing="shard-3: no answer from"),
+    Row("partial", 200, "/query/a", failing, "", "500", "call-failed"),
+    Row("answered", 200, "/single/a"),
+    Row("late", 504, "/single/a", mute, "no answer from"),
+    Row("failed", 500, "/single/a", failing, "500", before="call-failed"),
+    Row("refused", 503, "/single/a", full, "503", before="call-failed"),
+)
+
+
+class ExplainingTest(gateways.GatewayCase):
+    async def start_with(self, script):
+        """Starts a gateway; one searcher of each kind has a script."""
+        rows = await gateways.start_shards(len(SHARDS) - 1)
+        for service in (SHARDS[-1], "files"):
+            searcher = await shards.start(f"s-{service}", script, b"x" * 16)
+            rows.append((service, searcher))
+        await self.start(DOCUMENT, rows)
+
+    def line_of(self, request_id):
+        """Returns the line of a request's end; there is just one."""
+        (line,) = [
+            line
+            for line in self.lines
+            if line["event"] in ("request", "request-refused")
+            and line.get("request") == request_id
+        ]
+        return line
+
+    async def check(self, row):
+        await self.start_with(row.script)
+        self.lines.clear()
+        answer = await self.ask(gateways.request(row.target, "r-9"))
+        self.assertEqual(answer.status, row.status)
+        line = self.line_of("r-9")
+        self.assertLessEqual(FIELDS, set(line))
+        self.assertEqual(line["outcome"], row.outcome)
+        self.assertEqual(line["status"], row.status)
+        self.assertEqual(line["version"], 2)
+        self.assertIn(row.reason, line["reason"])
+        self.assertIn(row.missing, " ".join(line["missing"]))
+        self.assertGreaterEqual(line["configured_ms"], 0)
+        self.assertEqual(line["searchers_age_ms"], 0)
+        if row.before:
+            events = {
+                other["event"]
+                for other in self.lines
+                if other.get("request") == "r-9"
+            }
+            self.assertIn(row.before, events)
+
+    async def test_caller_that_leaves(self):
+        await self.start_with(mute)
+        _, writer = await self.connect()
+        writer.write(gateways.request("/single/a", "r-9"))
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        await self.until(
+            lambda: any(row.get("request") == "r-9" for row in self.lines)
+        )
+        line = self.line_of("r-9")
+        self.assertEqual(line["reason"], "caller left")
+        self.assertLessEqual(FIELDS, set(line))
+
+    async def test_no_route(self):
+        await self.start_with(shards.healthy)
+        answer = await self.ask(gateways.request("/other/a", "r-9"))
+        self.assertEqual(answer.status, 404)
+        line = self.line_of("r-9")
+        self.assertIn("no route for", line["reason"])
+        self.assertEqual(line["version"], 2)
+        self.assertGreaterEqual(line["configured_ms"], 0)
+
+    async def test_no_configuration(self):
+        await self.start(None, [])
+        answer = await self.ask(gateways.request("/single/a", "r-9"))
+        self.assertEqual(answer.status, 503)
+        line = self.line_of("r-9")
+        self.assertEqual(line["reason"], "no configuration")
+        self.assertEqual(line["version"], 0)
+
+
+def add(row: Row, number: int) -> None:
+    """Adds the test of one row."""
+
+    async def test(self):
+        await self.check(row)
+
+    setattr(ExplainingTest, f"test_row_{number}_{row.outcome}", test)
+
+
+for index, table_row in enumerate(ROWS):
+    add(table_row, index)
