--- a/bench/soak.py
+++ b/bench/soak.py
@@ -463,7 +463,9 @@
     options = parser.parse_args(argv[1:])
     seeds = list(range(options.seed, options.seed + options.seeds))
     shapes = options.scenario or ["direct", "owners"]
-    return asyncio.run(run_all(seeds, shapes, options.lanes, options.minutes))
+    # Processes are ended however this one is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    return asyncio.run(run_all(seeds, shapes, options.lane, options.minutes))
 
 
 if __name__ == "__main__":
