--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SHELL = /bin/bash
 .SHELLFLAGS = -o pipefail -c
 
-.PHONY: demo test faults bench bench-long bench-control report lint format binary clean
+.PHONY: demo test faults soak bench bench-long bench-control report lint format binary clean
 
 $(VENV)/.installed: requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +21,9 @@
 faults: $(VENV)/.installed
 	$(RUN) -m bench.faults
 
+soak: $(VENV)/.installed
+	$(RUN) -m bench.soak --seed $$(date +%s) --seeds 1000 --minutes 5
+
 bench: $(VENV)/.installed
 	mkdir -p reports
 	$(RUN) -m bench.policy | tee reports/policy.jsonl
