Free the connection of a call that was given up

A time limit around a call's future cancels the future, and a call that is withdrawn then kept its connection. Each forgotten poll cost one of the four connections to the store for good; after four the VM waits for the store for ever. Ruled out: the store stand-in (it answered others, and got no such call). Change: a call that is withdrawn resets its connection while that has the call. Test: three calls given up leave no connection; one was left before.

--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -76,7 +76,8 @@
 
     def withdraw(self) -> None:
         """Ends the call; one that was sent loses its connection."""
-        if self.connection is not None and not self.future.done():
+        # The future may be cancelled already, by a time limit around it.
+        if self.connection is not None and self.connection.call is self:
             http_wire.reset(self.connection.transport)
         self.future.cancel()
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -234,6 +234,19 @@
         await asyncio.sleep(0.05)
         self.assertEqual(ends, [ConnectionResetError])
 
+    async def test_call_that_was_given_up_frees_its_connection(self):
+        client = await self.open(lambda *_: shards.Play(end="hang"))
+        for _ in range(3):
+            call = self.call(client)
+            with self.assertRaises(TimeoutError):
+                # Cancels the future before the call is withdrawn.
+                async with asyncio.timeout(0.05):
+                    await call.future
+            call.withdraw()
+            await asyncio.sleep(0.02)
+            self.assertEqual(len(client.connections), 0)
+        self.assertEqual(len(self.searcher.requests), 3)
+
     async def test_call_withdrawn_before_it_was_sent_is_never_sent(self):
         slow = sends(good, wait_s=0.05)
         client = await self.open(lambda _, r: slow(r))
