Compress long messages between gateways, and encode a broadcast once

Two VMs a failure domain send the configuration, 155 kB, to some thirteen subscribers each: 2 MB on links from 10.5 Mbit/s, encoded thirteen times. Ruled out: the store (the first VM has it at 23.65 s), decoding (4 ms). Change: bodies from 4 kB on are compressed (155 kB to 19 kB in 1 ms), a broadcast is encoded once. Tests: long messages, short ones, frames that unfold beyond the limit, strangers that claim compression, one encoding.

--- a/laurelrock/adapters/frames.py
+++ b/laurelrock/adapters/frames.py
@@ -1,13 +1,15 @@
 """Frames: typed messages between gateways on kept connections.
 
 A frame is its length (four bytes), its kind (one byte) and the msgpack array
-of its fields. Both ends of a connection send when they like. ZeroMQ costs
-0.35 ms a message and its answer on these VMs, and 4 MB.
+of its fields, compressed where that is long. Both ends of a connection send
+when they like. ZeroMQ costs 0.35 ms a message and its answer on these VMs, and
+4 MB.
 """
 
 import asyncio
 import collections.abc
 import typing
+import zlib
 
 import msgspec
 
@@ -21,6 +23,13 @@
 MAX_FRAME = 4_194_304
 #: Bytes of a frame's length.
 HEADER = 4
+#: Bytes from which a body is compressed. A configuration of 1,750 routes has
+#: 155 kB, and 19 kB compressed; that takes 1 ms, and its way on a link of 10
+#: Mbit/s 120 ms.
+COMPRESSED_BYTES = 4096
+COMPRESSION_LEVEL = 1
+#: Bit of the kind that says so.
+COMPRESSED = 0x80
 #: Longest time that a connection may take to open, in seconds.
 CONNECT_S = 0.3
 #: Bytes that may wait for a peer that doesn't read; it is given up beyond.
@@ -79,23 +88,25 @@
 
     def take(self, kind: int, body: bytes) -> None:
         """Decodes one frame and hands it on."""
-        of = self.exchange.kinds.get(kind)
+        of = self.exchange.kinds.get(kind & ~COMPRESSED)
         if of is None:
             _log.warning("frame-unknown", kind=kind)
             return
         try:
+            if kind & COMPRESSED:
+                body = zlib.decompressobj().decompress(body, MAX_FRAME)
             message: Message = msgspec.msgpack.decode(body, type=of)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, zlib.error) as error:
             _log.warning("frame-unreadable", kind=kind, reason=str(error))
             return
         self.exchange.handle(self, message)
 
     def send(self, message: Message) -> None:
         """Queues a message; one to a link that ended is dropped."""
-        kind = self.exchange.numbers[type(message)]
-        body = msgspec.msgpack.encode(message)
-        size = len(body) + 1
-        frame = size.to_bytes(HEADER) + bytes((kind,)) + body
+        self.send_frame(self.exchange.encode(message))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Queues an encoded message."""
         if self.transport is None:
             self.waiting.append(frame)
             return
@@ -141,6 +152,25 @@
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
 
+    def encode(self, message: Message) -> bytes:
+        """Returns the frame of a message."""
+        kind = self.numbers[type(message)]
+        body = msgspec.msgpack.encode(message)
+        if len(body) >= COMPRESSED_BYTES:
+            kind |= COMPRESSED
+            body = zlib.compress(body, COMPRESSION_LEVEL)
+        size = len(body) + 1
+        return size.to_bytes(HEADER) + bytes((kind,)) + body
+
+    def broadcast(
+        self, links: collections.abc.Iterable[Link], message: Message
+    ) -> None:
+        """Queues one message at several links; it is encoded once."""
+        frame = b""
+        for link in links:
+            frame = frame or self.encode(message)
+            link.send_frame(frame)
+
     async def listen(self, address: Address) -> None:
         """Opens the port."""
         self.listener = await self.loop.create_server(
@@ -189,8 +219,8 @@
     """Returns an exchange without connections.
 
     Raises:
-        SettingsError: A kind doesn't fit its byte.
+        SettingsError: A kind doesn't fit its bits.
     """
-    if not all(0 <= number < 256 for number in kinds):
-        raise errors.SettingsError(f"kinds {sorted(kinds)} do not fit a byte")
+    if not all(0 <= number < COMPRESSED for number in kinds):
+        raise errors.SettingsError(f"kinds {sorted(kinds)} do not fit 7 bits")
     return Exchange(kinds, handle, ended)
--- a/laurelrock/gateways/sharing.py
+++ b/laurelrock/gateways/sharing.py
@@ -274,8 +274,7 @@
 
     def push(self, state: State) -> None:
         """Sends a change to all subscribers."""
-        for link in self.subscribers:
-            link.send(state)
+        self.exchange.broadcast(self.subscribers, state)
 
     def configured(self, configuration: routes.Configuration) -> None:
         """Passes a new configuration on."""
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 import unittest
+import unittest.mock
 
 from laurelrock.adapters import frames
 from tests import gateways
@@ -23,6 +24,9 @@
     ((3).to_bytes(4) + b"\x01\xc1\xc1", True),
     ((4).to_bytes(4) + b"\x01\x92\xa1x", True),
     (b"\x00\x00", True),
+    # Said to be compressed, and is not; an unknown kind that is.
+    ((4).to_bytes(4) + b"\x81abc", True),
+    ((4).to_bytes(4) + b"\x89abc", True),
 )
 
 
@@ -62,6 +66,35 @@
         await self.until(lambda: len(self.seen) == 101)
         self.assertEqual(self.seen[-1], (link, Word(7, b"back")))
 
+    async def test_long_messages_are_compressed(self):
+        text = b"".join(b"/route-%d/ " % n for n in range(10_000))
+        frame = self.client.encode(Word(1, text))
+        self.assertLess(len(frame), len(text) / 3)
+        self.client.link(self.address).send(Word(1, text))
+        await self.until(lambda: self.seen)
+        self.assertEqual(self.seen[0][1], Word(1, text))
+
+    async def test_short_messages_are_not(self):
+        self.assertIn(b"y" * 100, self.client.encode(Word(1, b"y" * 100)))
+
+    async def test_frame_that_unfolds_beyond_the_limit_is_dropped(self):
+        text = b"\0" * (2 * frames.MAX_FRAME)
+        link = self.client.link(self.address)
+        link.send(Word(1, text))
+        link.send(Word(2, b""))
+        await self.until(lambda: self.seen)
+        self.assertEqual(self.seen[0][1].number, 2)
+
+    async def test_broadcast_encodes_once(self):
+        links = [self.client.link(self.address) for _ in range(3)]
+        with unittest.mock.patch.object(
+            self.client, "encode", wraps=self.client.encode
+        ) as encode:
+            self.client.broadcast(links, Word(7, b""))
+            self.client.broadcast([], Word(8, b""))
+        await self.until(lambda: len(self.seen) == 3)
+        self.assertEqual(encode.call_count, 1)
+
     async def test_one_connection_a_peer(self):
         for _ in range(5):
             self.client.link(self.address).send(Word(1, b""))
