--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -132,6 +132,29 @@
         self.assertEqual(answer.headers["x-missing-parts"], "0")
         self.assertEqual(len(answer.body), 32)
 
+    async def test_configuration_that_changes_under_a_query(self):
+        def slow(searcher, request):
+            (play,) = shards.healthy(searcher, request).chunks
+            return shards.Play(((0.6, play[1]),))
+
+        await self.start_with(slow, slow, target_latency_ms=5000)
+        asked = asyncio.create_task(self.ask(gateways.request("/query/a")))
+        await self.until(lambda: self.requests() == 4)
+        moved = {**QUERY, "fanout": SHARDS[1:3]}
+        document = build.store_configuration(moved, version=9)
+        self.store.put("config", "main", document)
+        await self.until(lambda: self.gateway.following.version == 9)
+        self.assertFalse(asked.done())
+        # Each answer is of the shards of one configuration.
+        answer = await asked
+        self.assertEqual(answer.headers["x-missing-parts"], "0")
+        self.assertEqual(len(answer.headers["x-part-stamps"].split(", ")), 4)
+        (line,) = [row for row in self.lines if row["event"] == "request"]
+        self.assertEqual((line["version"], line["shards"]), (2, 4))
+        answer = await self.ask(gateways.request("/query/b", "r-2"))
+        self.assertEqual(answer.headers["x-missing-parts"], "0")
+        self.assertEqual(len(answer.headers["x-part-stamps"].split(", ")), 2)
+
     async def test_caller_that_leaves_ends_its_calls(self):
         await self.start_with(hang, hang, hang, hang)
         _, writer = await self.connect()
