--- a/laurelrock/gateways/lending.py
+++ b/laurelrock/gateways/lending.py
@@ -64,6 +64,7 @@
         domains: Failure domains of those VMs.
         keys: Names under which services are ranked, where that is not the
             service's own; a shard goes with its group.
+        ranks: VMs of this failure domain that have a part, by such a name.
         asked: Questions without an answer, by number.
         numbers: Questions so far.
         counts: Answers by kind, for the metrics.
