--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,15 +1,14 @@
 """Soak: gateway processes under random faults, checked from outside.
 
 Usage: `python -m bench.soak [--seed N] [--seeds N] [--minutes M]
-[--scenario NAME] [--lane N]`. Prints one JSON object a seed and one in all;
-keeps the logs of a seed that failed; exits 1 on a violation. Several processes
-can run side by side, each with a lane of its own.
+[--scenario NAME] [--lane N] [--regressions]`. Prints one JSON object a case and
+one in all; keeps the logs of a case that failed; exits 1 on a violation.
+Several processes can run side by side, each with a lane of its own.
 """
 
 import argparse
 import asyncio
 import collections
-import collections.abc
 import pathlib
 import random
 import shutil
@@ -22,377 +21,73 @@
 from bench import faults
 from bench import fleet
 from bench import promises
-from fakes import callers
-from fakes import link
-from fakes import objects
+from bench import trouble
 
-__all__ = ["SHAPES", "Soak", "main", "run_seed"]
+__all__ = ["REGRESSIONS", "SHAPES", "Case", "main", "run_case"]
 
-#: Load before the first fault, with faults, and after the last one begins, in
-#: seconds.
-BEFORE_S, FAULTS_S, AFTER_S = 1.0, 10.0, 9.0
-#: Faults of one seed.
-LEAST_FAULTS, MOST_FAULTS = 4, 9
-#: Callers a VM, and the mean pause of each between two requests, in seconds.
-CALLERS, PAUSE_S = 4, 0.05
-#: Interval at which the balancer asks for readiness, in seconds.
-BALANCER_S = 0.5
-#: Longest time that a process may take to end, in seconds.
-STOP_S = 8.0
 #: Violations that are printed of each promise.
 MAX_PRINTED = 3
-#: Seeds that failed once, with a line on the cause; played before new ones.
-REGRESSIONS: dict[int, str] = {}
-
 SHAPES = {
     "direct": fleet.Shape(vms=4, shards=6),
     "owners": fleet.Shape(vms=5, shards=18, connections=6, allowance=200),
     "shared": fleet.Shape(vms=18, shards=9, connections=16, allowance=200),
 }
-#: How much more often than others a fault is drawn: those that only one or two
-#: promises are about.
-WEIGHTS = {"stop": 4, "drain": 3, "storm": 2, "reshard": 2, "kill": 2}
-MANNERS = ("slow", "failing", "full", "mute", "resetting", "cut")
 
 
-class Soak:
-    """State of one seed.
+class Case(typing.NamedTuple):
+    """What is played.
 
     Attributes:
-        running: The fleet.
-        chosen: Source of all that is drawn.
-        records: Of the callers.
-        spans: Faults.
-        drained: Searchers that were told to drain.
-        ready: VMs that the balancer sends callers to.
-        stopped: Whether the load has ended.
+        seed: Of all that is drawn.
+        shape: Name of the fleet's shape.
+        faults: Instead of drawn ones.
     """
 
-    def __init__(self, running: fleet.Fleet, chosen: random.Random) -> None:
-        self.running = running
-        self.chosen = chosen
-        self.records: list[promises.Record] = []
-        self.spans: list[promises.Span] = []
-        self.drained: dict[str, float] = {}
-        self.ready = set(running.vms)
-        self.busy: set[str] = set()
-        self.stopped = False
-        self.requests = 0
-        self.loop = asyncio.get_running_loop()
-
-    # Callers
-
-    async def balance(self) -> None:
-        """Asks the VMs whether they are ready; two misses take one out."""
-        misses = dict.fromkeys(self.running.vms, 0)
-        while True:
-            for name, vm in self.running.vms.items():
-                ready = await self.running.is_ready(vm)
-                misses[name] = 0 if ready else misses[name] + 1
-                if ready:
-                    self.ready.add(name)
-                elif misses[name] >= 2:
-                    self.ready.discard(name)
-            await asyncio.sleep(BALANCER_S)
-
-    async def call(self, number: int) -> None:
-        """Makes requests, on one connection while it lives."""
-        chosen = random.Random(number)
-        caller, vm = None, None
-        while not self.stopped:
-            await asyncio.sleep(chosen.random() * 2 * PAUSE_S)
-            if caller is None or caller.writer is None:
-                names = sorted(self.ready) or sorted(self.running.vms)
-                vm = self.running.vms[chosen.choice(names)]
-                caller = callers.Caller(vm.callers)
-            assert vm is not None
-            self.records.append(await self.ask(chosen, caller, vm))
-
-    async def ask(
-        self, chosen: random.Random, caller: callers.Caller, vm: fleet.Vm
-    ) -> promises.Record:
-        """Makes one request."""
-        self.requests += 1
-        request_id = f"r{self.requests}"
-        kind = chosen.choices(
-            ("query", "read", "save", "version"), (5, 3, 2, 2)
-        )[0]
-        newest = max(self.running.versions)
-        version = max(1, newest - chosen.randrange(2))
-        path = f"v{version}" if kind == "version" else kind
-        patience_s = chosen.choice((0.3, 1.0, 1.0))
-        leaves = chosen.random() < 0.03
-        raw = callers.encode(
-            fleet.HOST, f"/{path}/x", request_id, int(patience_s * 1000)
-        )
-        fresh = caller.writer is None
-        sent_s, start = self.loop.time(), vm.starts
-        answer = callers.Answer(0, {}, b"")
-        try:
-            wait_s = 0.01 if leaves else patience_s + 1.0
-            answer = await caller.ask(raw, wait_s)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            caller.close()
-        return promises.Record(
-            *(kind, request_id, vm.name, start, sent_s, self.loop.time()),
-            *(patience_s, *answer, version),
-            left=leaves and not answer.status,
-            fresh=fresh,
-        )
-
-    # Faults
-
-    def note(
-        self, name: str, vm: str, begun_s: float, planned: bool = False
-    ) -> None:
-        """Notes a fault that ends now."""
-        ended_s = self.loop.time()
-        self.spans.append(promises.Span(name, vm, begun_s, ended_s, planned))
-
-    def pick_vm(self) -> fleet.Vm | None:
-        """Returns a VM that no other fault of its process concerns."""
-        names = sorted(set(self.running.vms) - self.busy)
-        return self.running.vms[self.chosen.choice(names)] if names else None
-
-    def pick_searcher(self) -> fleet.Server:
-        names = sorted(self.running.servers)
-        return self.running.servers[self.chosen.choice(names)]
-
-    async def signal_vm(
-        self, name: str, work: collections.abc.Callable[..., typing.Any]
-    ) -> None:
-        """Does something to the process of a VM."""
-        vm = self.pick_vm()
-        if vm is None:
-            return
-        self.busy.add(vm.name)
-        begun_s = self.loop.time()
-        try:
-            await work(vm)
-        finally:
-            self.busy.discard(vm.name)
-            self.note(name, vm.name, begun_s, planned=name == "stop")
-
-    async def restart(self, vm: fleet.Vm) -> None:
-        """Starts a VM's process and waits until it is ready."""
-        self.running.start_vm(vm)
-        async with asyncio.timeout(fleet.START_S):
-            while not await self.running.is_ready(vm):  # noqa: ASYNC110
-                await asyncio.sleep(0.1)
-
-    async def kill(self, vm: fleet.Vm) -> None:
-        vm.signal(signal.SIGKILL)
-        await asyncio.sleep(self.chosen.uniform(0.1, 1.0))
-        await self.restart(vm)
-
-    async def freeze(self, vm: fleet.Vm) -> None:
-        vm.signal(signal.SIGSTOP)
-        await asyncio.sleep(self.chosen.uniform(0.2, 3.0))
-        vm.signal(signal.SIGCONT)
-
-    async def stop(self, vm: fleet.Vm) -> None:
-        vm.signal(signal.SIGTERM)
-        async with asyncio.timeout(STOP_S):
-            while vm.is_alive():  # noqa: ASYNC110
-                await asyncio.sleep(0.05)
-        await self.restart(vm)
-
-    async def reload(self, vm: fleet.Vm) -> None:
-        vm.signal(signal.SIGHUP)
-
-    async def store(self, name: str, change: objects.Faults) -> None:
-        """Lets the store misbehave for a while."""
-        begun_s = self.loop.time()
-        self.running.store.faults = change
-        await asyncio.sleep(self.chosen.uniform(0.5, 4.0))
-        self.running.store.faults = objects.Faults()
-        self.note(name, "", begun_s)
-
-    async def forget(self, name: str) -> None:
-        """Lets the store forget its history, or its watchers."""
-        begun_s = self.loop.time()
-        if name == "store-forgets":
-            self.running.store.forget()
-        else:
-            self.running.store.forget_watchers()
-        self.note(name, "", begun_s)
-
-    async def cut_store(self, silent: bool) -> None:
-        """Cuts one VM off from the store."""
-        names = sorted(self.running.vms)
-        vm = self.running.vms[self.chosen.choice(names)]
-        begun_s = self.loop.time()
-        if silent:
-            vm.link.silence()
-        else:
-            vm.link.set_faults(link.Faults(cut=True))
-            await asyncio.sleep(self.chosen.uniform(0.5, 4.0))
-            vm.link.set_faults(link.Faults())
-        self.note("store-cut", vm.name, begun_s)
-
-    async def harm_link(self, change: link.Faults | None) -> None:
-        """Lets the link of a searcher misbehave; None silences it."""
-        server = self.pick_searcher()
-        begun_s = self.loop.time()
-        if change is None:
-            server.link.silence()
-        else:
-            server.link.set_faults(change)
-            await asyncio.sleep(self.chosen.uniform(0.5, 4.0))
-            server.link.set_faults(link.Faults())
-        self.note("searcher-link", "-", begun_s)
-
-    async def harm_searcher(self) -> None:
-        """Lets a searcher, or all of a service, misbehave."""
-        server = self.pick_searcher()
-        rows = [server]
-        if self.chosen.random() < 0.3:
-            names = self.running.of(server.service)
-            rows = [self.running.servers[name] for name in names]
-        begun_s = self.loop.time()
-        manner = self.chosen.choice(MANNERS)
-        for row in rows:
-            row.manner = manner
-        await asyncio.sleep(self.chosen.uniform(0.5, 4.0))
-        for row in rows:
-            row.manner = "healthy"
-        self.note(manner, "-", begun_s)
-
-    async def drain(self) -> None:
-        """Replaces a searcher: another one comes, it drains and goes."""
-        server = self.pick_searcher()
-        name = server.searcher.name
-        if name in self.drained:
-            return
-        begun_s = self.loop.time()
-        await self.running.add_searcher(server.service)
-        self.drained[name] = self.loop.time()
-        self.running.list_searcher(name, "draining")
-        await asyncio.sleep(3.5)
-        self.running.store.delete("servers", name)
-        await server.searcher.stop()
-        await server.link.close()
-        self.note("drain", "-", begun_s)
-
-    async def configure(self, times: int) -> None:
-        """Writes configurations, one after the other."""
-        begun_s = self.loop.time()
-        for _ in range(times):
-            newest = max(self.running.versions)
-            self.running.configure(self.running.lists[newest])
-            await asyncio.sleep(0.2)
-        self.note("configure", "-", begun_s)
-
-    async def reshard(self) -> None:
-        """Cuts the index in one shard more or fewer."""
-        begun_s = self.loop.time()
-        names = self.running.lists[max(self.running.versions)]
-        if self.chosen.random() < 0.5:
-            names = names[:-1]
-        else:
-            fresh = f"shard-{self.running.births}"
-            for _ in range(2):
-                await self.running.add_searcher(fresh)
-            names = (*names, fresh)
-        self.running.configure(names)
-        self.note("reshard", "-", begun_s)
-
-    def faults(self) -> dict[str, collections.abc.Callable[[], typing.Any]]:
-        """Returns the faults by name."""
-        return {
-            "kill": lambda: self.signal_vm("kill", self.kill),
-            "freeze": lambda: self.signal_vm("freeze", self.freeze),
-            "stop": lambda: self.signal_vm("stop", self.stop),
-            "reload": lambda: self.signal_vm("reload", self.reload),
-            "store-down": lambda: self.store(
-                "store-down", objects.Faults(status=503)
-            ),
-            "store-hangs": lambda: self.store(
-                "store-hangs", objects.Faults(hang=True)
-            ),
-            "store-late": lambda: self.store(
-                "store-late", objects.Faults(late_s=0.3)
-            ),
-            "store-spoils": lambda: self.store(
-                "store-spoils", objects.Faults(spoil=b"{")
-            ),
-            "store-forgets": lambda: self.forget("store-forgets"),
-            "watchers-forgotten": lambda: self.forget("watchers-forgotten"),
-            "store-cut": lambda: self.cut_store(False),
-            "store-silent": lambda: self.cut_store(True),
-            "link-cut": lambda: self.harm_link(link.Faults(cut=True)),
-            "link-late": lambda: self.harm_link(link.Faults(delay_ms=60)),
-            "link-silent": lambda: self.harm_link(None),
-            "searcher": self.harm_searcher,
-            "drain": self.drain,
-            "configure": lambda: self.configure(1),
-            "storm": lambda: self.configure(5),
-            "reshard": self.reshard,
-        }
-
-    async def harm(self) -> list[str]:
-        """Makes faults in series, some of them overlapping."""
-        table = self.faults()
-        count = self.chosen.randint(LEAST_FAULTS, MOST_FAULTS)
-        listed = sorted(table)
-        weights = [WEIGHTS.get(name, 1) for name in listed]
-        names = self.chosen.choices(listed, weights, k=count)
-        tasks = []
-        for name in names:
-            await asyncio.sleep(self.chosen.uniform(0, 2 * FAULTS_S / count))
-            tasks.append(asyncio.ensure_future(table[name]()))
-        await asyncio.gather(*tasks)
-        return names
-
-    async def run(
-        self, after_s: float = AFTER_S
-    ) -> tuple[list[str], promises.History]:
-        """Plays the load with the faults.
-
-        Args:
-            after_s: Load after the last fault.
-
-        Returns:
-            Names of the faults, and what happened.
-        """
-        background = asyncio.create_task(self.balance())
-        count = CALLERS * min(len(self.running.vms), 6)
-        load = [
-            asyncio.create_task(self.call(self.chosen.randrange(2**32)))
-            for _ in range(count)
-        ]
-        await asyncio.sleep(BEFORE_S)
-        names = await self.harm()
-        await asyncio.sleep(after_s)
-        self.stopped = True
-        await asyncio.gather(*load)
-        # What runs although it was refused comes later.
-        await asyncio.sleep(1.0)
-        background.cancel()
-        return names, promises.History(
-            *(self.records, self.running.arrivals, self.spans),
-            *(self.running.versions, self.running.lists, self.drained),
-            *(self.running.shape.allowance, self.loop.time()),
-        )
-
-
-async def run_seed(
-    seed: int, shape: str, lane: int, folder: pathlib.Path
+    seed: int
+    shape: str
+    faults: tuple[str, ...] = ()
+
+
+#: Cases that failed once, played before new ones.
+REGRESSIONS = (
+    # Polls after a lost history never ended; a failed connection hung a call.
+    Case(
+        3,
+        "shared",
+        (
+            *("watchers-forgotten", "store-forgets", "kill"),
+            *("store-spoils", "watchers-forgotten", "storm"),
+        ),
+    ),
+    # Polls that were given up kept their connections.
+    Case(
+        107,
+        "owners",
+        (
+            *("watchers-forgotten", "watchers-forgotten", "storm"),
+            *("freeze", "kill", "drain", "watchers-forgotten"),
+            *("reshard", "kill"),
+        ),
+    ),
+)
+
+
+async def run_case(
+    case: Case, lane: int, folder: pathlib.Path
 ) -> dict[str, typing.Any]:
-    """Plays one seed; returns its line."""
-    chosen = random.Random(seed)
+    """Plays one case; returns its line."""
+    chosen = random.Random(case.seed)
     begun_s = time.monotonic()
-    async with fleet.open_fleet(
-        SHAPES[shape]._replace(lane=lane), folder
-    ) as running:
-        names, history = await Soak(running, chosen).run()
+    shape = SHAPES[case.shape]._replace(lane=lane)
+    async with fleet.open_fleet(shape, folder) as running:
+        names, history = await trouble.Soak(running, chosen, case.faults).run()
     verdicts = promises.check(history)
     statuses: collections.Counter[str] = collections.Counter(
         f"{row.kind} {row.status}" for row in history.records
     )
     return {
-        "seed": seed,
-        "scenario": shape,
+        "seed": case.seed,
+        "scenario": case.shape,
         "faults": names,
         "seconds": round(time.monotonic() - begun_s, 1),
         "requests": len(history.records),
@@ -411,10 +106,8 @@
     }
 
 
-async def run_all(
-    seeds: list[int], shapes: list[str], lane: int, minutes: float
-) -> int:
-    """Plays seeds one after another; returns the exit code.
+async def run_all(cases: list[Case], lane: int, minutes: float) -> int:
+    """Plays cases one after another; returns the exit code.
 
     Only one at a time: what a second one does in this process would delay
     callers and searchers of the first.
@@ -422,15 +115,14 @@
     until_s = time.monotonic() + minutes * 60
     kept = pathlib.Path("reports") / "soak"
     lines = []
-    for seed in [*REGRESSIONS, *seeds]:
+    for case in cases:
         if time.monotonic() > until_s:
             break
         with tempfile.TemporaryDirectory(prefix="laurelrock-") as name:
             folder = pathlib.Path(name)
-            shape = shapes[seed % len(shapes)]
-            line = await run_seed(seed, shape, lane, folder)
+            line = await run_case(case, lane, folder)
             if line["violations"]:
-                target = kept / f"seed-{seed}"
+                target = kept / f"seed-{case.seed}"
                 shutil.copytree(folder, target, dirs_exist_ok=True)
         faults.print_json(line)
         lines.append(line)
@@ -453,6 +145,7 @@
 def main(argv: list[str]) -> int:
     """Runs the command line."""
     parser = argparse.ArgumentParser(description="Soak of gateway processes.")
+    parser.add_argument("--regressions", action="store_true")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--minutes", type=float, default=60.0)
@@ -461,11 +154,14 @@
         "--lane", type=int, default=0, help="loopback network of this process"
     )
     options = parser.parse_args(argv[1:])
-    seeds = list(range(options.seed, options.seed + options.seeds))
+    seeds = range(options.seed, options.seed + options.seeds)
     shapes = options.scenario or ["direct", "owners"]
+    cases = [Case(seed, shapes[seed % len(shapes)]) for seed in seeds]
+    if options.regressions:
+        cases = list(REGRESSIONS)
     # Processes are ended however this one is told to end.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
-    return asyncio.run(run_all(seeds, shapes, options.lane, options.minutes))
+    return asyncio.run(run_all(cases, options.lane, options.minutes))
 
 
 if __name__ == "__main__":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 from bench import fleet
 from bench import promises
-from bench import soak
+from bench import trouble
 
 SHAPE = fleet.Shape(lane=9, vms=3, shards=4)
 SEED = 7
@@ -19,9 +19,7 @@
     def test_short_run(self):
         async def play(folder):
             async with fleet.open_fleet(SHAPE, folder) as running:
-                run = soak.Soak(running, random.Random(SEED))
-                table = run.faults()
-                run.faults = lambda: {name: table[name] for name in FAULTS}
+                run = trouble.Soak(running, random.Random(SEED), FAULTS)
                 return await run.run(after_s=promises.RECOVERY_S + 1.0)
 
         with tempfile.TemporaryDirectory() as name:
