--- a/laurelrock/core/repeats.py
+++ b/laurelrock/core/repeats.py
@@ -25,8 +25,8 @@
 #: a service in each and of its stand-in. They are used twice in a window in
 #: which every service changes hands.
 RANK_PARTS = (0.35, 0.15)
-#: Extra calls that an equal part of the allowance must hold; below, it is
-#: concentrated. A VM then repeats a failed call and two of its neighbours'.
+#: Extra calls in a window that an equal part of the allowance must hold; with
+#: fewer a VM can't repeat the failed calls of a few requests.
 LEAST_PART = 3.0
 
 
