Check connection limits and versions as properties; list a limit that fails

Seen: single requests of more VMs than a searcher takes connections open one each, 300 where 110 are taken.

--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,97 @@
+"""Limits that hold over all VMs, and versions, as properties."""
+
+import collections
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from laurelrock.core import owners
+from laurelrock.gateways import following
+from laurelrock.gateways import upstreams
+from laurelrock.ports import directory
+from tests import gateway_builders as build
+from tests import gateways
+from tests import virtual
+
+BOUNDED = hypothesis.settings(
+    max_examples=500, deadline=None, derandomize=True, database=None
+)
+SHARDS = ("shard-0", "shard-1")
+ME = directory.VmRow(
+    vm="vm-1", failure_domain="a", address="10.0.0.1:8082", cores=1.0
+)
+
+
+def limit_of(service, connections, vms, domains):
+    """Returns the connections of one VM to a searcher of a service."""
+    known = upstreams.create_upstreams("a")
+    configuration = build.configuration(
+        build.query_route(SHARDS), build.single_route("files")
+    )
+    services = {
+        name: row._replace(connections=connections)
+        for name, row in configuration.services.items()
+    }
+    known.configure(configuration._replace(services=services))
+    known.set_vms(vms, domains)
+    return known.limit(service)
+
+
+class ConnectionsTest(unittest.TestCase):
+    @BOUNDED
+    @hypothesis.given(
+        strategies.integers(1, 600),
+        strategies.integers(1, 800),
+        strategies.integers(1, 5),
+    )
+    def test_shards(self, connections, vms, domains):
+        limit = limit_of(SHARDS[0], connections, vms, domains)
+        callers = vms
+        if not owners.fits(connections, vms):
+            callers = owners.callers_of(domains)
+        hypothesis.assume(callers <= connections)
+        self.assertLessEqual(callers * limit, connections)
+
+    @BOUNDED
+    @hypothesis.given(strategies.integers(1, 600), strategies.integers(1, 800))
+    def test_single_requests(self, connections, vms):
+        hypothesis.assume(vms <= connections)
+        limit = limit_of("files", connections, vms, 3)
+        self.assertLessEqual(vms * limit, connections)
+
+    def test_single_requests_of_more_vms_than_connections(self):
+        # 300 VMs and a searcher that takes 110, as on a grown site.
+        callers = 300 * limit_of("files", 110, 300, 4)
+        self.assertLessEqual(callers, 110)
+
+
+class VersionsTest(unittest.TestCase):
+    @BOUNDED
+    @hypothesis.given(
+        strategies.lists(
+            strategies.none() | strategies.integers(1, 12), max_size=30
+        )
+    )
+    def test_version_in_force_never_goes_back(self, versions):
+        seen = []
+
+        async def play():
+            known = following.Following(
+                *(None, ME, upstreams.create_upstreams("a")),
+                *(seen.append, lambda _: None, lambda _: None),
+            )
+            newest = 0
+            for version in versions:
+                configuration = None
+                if version is not None:
+                    route = build.single_route()
+                    configuration = build.configuration(route, version=version)
+                known.take(configuration)
+                newest = max(newest, version or 0)
+                self.assertEqual(known.version, newest)
+
+        with gateways.keep_lines(collections.deque(maxlen=1)):
+            virtual.run(play())
+        told = [configuration.version for configuration in seen]
+        self.assertEqual(told, sorted(set(told)))
