--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,11 +17,13 @@
 
 from aiohttp import web
 
+from fakes import callers
 from fakes import link
 from fakes import objects
 from fakes import shards
+from laurelrock.core import gathering
 
-__all__ = ["Arrival", "Fleet", "Shape", "Vm", "open_fleet"]
+__all__ = ["Arrival", "Fleet", "Shape", "Vm", "open_fleet", "record_of"]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "soak.example"
@@ -33,8 +35,10 @@
 SEARCHERS = 20_000
 #: Longest wait for the fleet to be ready, in seconds.
 START_S = 40.0
-#: Record of a part: its service and the request that it answers.
-RECORD_BYTES = 16
+
+
+#: Longest time for an answer about readiness, in seconds.
+READY_S = 0.5
 
 
 class Shape(typing.NamedTuple):
@@ -122,7 +126,6 @@
         vms: By name.
         servers: Searchers by id.
         arrivals: Requests as the searchers saw them.
-        document: Configuration in force.
         versions: Each configuration with the loop time of its writing.
         lists: Services of the query's shards, by version.
     """
@@ -161,8 +164,7 @@
             )
         )
         proof = f"X-Server-Stamp: {server.service}.{searcher.name}.{request.id}"
-        name = f"{server.service}/{request.id}".encode()
-        body = name[:RECORD_BYTES].ljust(RECORD_BYTES, b".")
+        body = record_of(server.service, request.id)
         good = shards.answer(request, "200 OK", body, proof)
         bad = shards.answer(request, "500 Internal Server Error", b"", proof)
         none = shards.answer(
@@ -335,17 +337,15 @@
 
     async def is_ready(self, vm: Vm) -> bool:
         """Tells whether a VM says that callers may come."""
+        caller = callers.Caller((vm.address, READINESS))
         try:
-            async with asyncio.timeout(0.5):
-                reader, writer = await asyncio.open_connection(
-                    vm.address, READINESS
-                )
-                writer.write(b"GET /api/readiness HTTP/1.1\r\nHost: r\r\n\r\n")
-                line = await reader.readline()
-                writer.transport.abort()
-        except (OSError, TimeoutError):
+            raw = callers.encode("balancer", "/api/readiness")
+            answer = await caller.ask(raw, READY_S)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return False
-        return b" 200 " in line
+        finally:
+            caller.close()
+        return answer.status == 200
 
     async def wait_ready(self) -> None:
         """Waits until all VMs are ready; raises `TimeoutError`."""
@@ -369,6 +369,12 @@
             await self.runner.cleanup()
 
 
+def record_of(service: str, request_id: str) -> bytes:
+    """Returns the one record of a part: who answers which request."""
+    name = f"{service}/{request_id}".encode()[: gathering.RECORD_BYTES]
+    return name.ljust(gathering.RECORD_BYTES, b".")
+
+
 @contextlib.asynccontextmanager
 async def open_fleet(
     shape: Shape, folder: pathlib.Path
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -14,7 +14,7 @@
 
 #: Undisturbed time after which the promises with a time hold for a VM, in
 #: seconds (the deployments' smallest).
-CONTACT_S = 4.0
+CALM_S = 4.0
 #: Longest time until a configuration is in force, in seconds (letter 1).
 IN_FORCE_S = 3.0
 #: Longest time until a searcher that drains gets nothing new, in seconds.
@@ -106,12 +106,15 @@
     ended_s: float
 
 
+def _disturbs(span: Span, begin_s: float, end_s: float) -> bool:
+    """Tells whether a fault lies in a time, or shortly before it."""
+    return span.begun_s <= end_s and span.ended_s + CALM_S >= begin_s
+
+
 def calm(history: History, vm: str, begin_s: float, end_s: float) -> bool:
     """Tells whether nothing disturbed a VM in a span and before it."""
     return not any(
-        span.vm in ("", vm)
-        and span.begun_s <= end_s
-        and span.ended_s + CONTACT_S >= begin_s
+        span.vm in ("", vm) and _disturbs(span, begin_s, end_s)
         for span in history.spans
     )
 
@@ -161,10 +164,7 @@
     broken = []
     for row in rows:
         service, _, rest = row.headers.get("x-server-stamp", "").partition(".")
-        expected = f"{service}/{row.request_id}".encode()
-        expected = expected[: fleet.RECORD_BYTES].ljust(
-            fleet.RECORD_BYTES, b"."
-        )
+        expected = fleet.record_of(service, row.request_id)
         if not rest.endswith("." + row.request_id) or row.body != expected:
             broken.append(f"{row.request_id}: {row.headers} {row.body!r}")
     return checker.Verdict(len(rows), broken)
@@ -186,11 +186,7 @@
         return f"{len(services)} parts and {missing} missing fit no list"
     if len(services) < 0.6 * (len(services) + missing):
         return "less than the least share"
-    records = [
-        f"{service}/{row.request_id}".encode()[: fleet.RECORD_BYTES]
-        for service in services
-    ]
-    records = [record.ljust(fleet.RECORD_BYTES, b".") for record in records]
+    records = [fleet.record_of(service, row.request_id) for service in services]
     if row.body != b"".join(sorted(records, reverse=True)):
         return "other records than those of the parts named"
     return ""
@@ -242,7 +238,7 @@
     return checker.Verdict(exercised, broken)
 
 
-def _answer_times(
+def _served_versions(
     history: History,
 ) -> dict[tuple[str, int], list[Record]]:
     found = collections.defaultdict(list)
@@ -255,7 +251,7 @@
 def never_back(history: History) -> checker.Verdict:
     """A process that served a version serves no older one afterwards."""
     broken, exercised = [], 0
-    for (vm, _), rows in _answer_times(history).items():
+    for (vm, _), rows in _served_versions(history).items():
         for row in rows:
             newest = max(
                 (o.version for o in rows if o.ended_s < row.sent_s), default=0
@@ -331,10 +327,8 @@
             if not span.begun_s - row.patience_s <= row.sent_s <= span.ended_s:
                 continue
             if any(
-                o.vm == row.vm
-                and o.begun_s <= row.ended_s
-                and o.ended_s + CONTACT_S >= row.sent_s
-                for o in harmed
+                other.vm == row.vm and _disturbs(other, row.sent_s, row.ended_s)
+                for other in harmed
             ):
                 continue
             exercised += 1
--- a/bench/trouble.py
+++ b/bench/trouble.py
@@ -25,7 +25,6 @@
 BALANCER_S = 0.5
 #: Longest time that a process may take to end, in seconds.
 STOP_S = 8.0
-
 #: How much more often than others a fault is drawn: those that only one or two
 #: promises are about.
 WEIGHTS = {"stop": 4, "drain": 3, "storm": 2, "reshard": 2, "kill": 2}
--- a/laurelrock/adapters/http_server.py
+++ b/laurelrock/adapters/http_server.py
@@ -42,7 +42,7 @@
         received_s: Loop time of the first byte.
         asked_s: Loop time at which the caller began, with the connection that
             it may have opened first, by the kernel's round trip.
-        back_s: Time that an answer's first byte takes to the caller.
+        return_s: Time that an answer's first byte takes to the caller.
     """
 
     method: bytes
@@ -51,7 +51,7 @@
     body: bytes
     received_s: float
     asked_s: float
-    back_s: float
+    return_s: float
 
 
 class Answer(typing.NamedTuple):
@@ -215,7 +215,7 @@
             self.check_size()
         if self.refused:
             return
-        back_s = self.round_trip_s / 2
+        return_s = self.round_trip_s / 2
         # The first request waited for its connection to open.
         opening_s = 0.0 if self.requests else self.round_trip_s
         self.requests += 1
@@ -225,8 +225,8 @@
             self.headers,
             b"".join(self.body),
             self.since_s,
-            self.since_s - back_s - opening_s,
-            back_s,
+            self.since_s - return_s - opening_s,
+            return_s,
         )
         self.waiting.append((request, self.parser.should_keep_alive()))
         if len(self.waiting) >= MAX_PIPELINED:
--- a/laurelrock/core/gathering.py
+++ b/laurelrock/core/gathering.py
@@ -60,7 +60,7 @@
     least: int,
     asked_s: float,
     objective_s: float,
-    back_s: float,
+    return_s: float,
     end_s: float,
 ) -> Plan:
     """Returns the plan of a query.
@@ -70,10 +70,10 @@
         least: Fewest of a success.
         asked_s: Loop time at which the caller first asked.
         objective_s: Of the route.
-        back_s: Time that an answer takes to the caller.
+        return_s: Time that an answer takes to the caller.
         end_s: Loop time at which the caller gives up.
     """
-    aim_s = asked_s + objective_s - back_s - MERGE_S
+    aim_s = asked_s + objective_s - return_s - MERGE_S
     grace_s = aim_s + objective_s * GRACE_FRACTION
     return Plan(shards, least, aim_s, grace_s, end_s)
 
--- a/laurelrock/core/pace.py
+++ b/laurelrock/core/throughput.py
@@ -1,4 +1,4 @@
-"""Pace: whether a query can still be answered in time.
+"""Throughput: whether a query can still be answered in time.
 
 When more queries come than the searchers can work on, all of them wait, and
 soon none is in time. Calls ahead of a new one over the calls that end in a
@@ -10,7 +10,13 @@
 import math
 import typing
 
-__all__ = ["Crowd", "Pace", "create_pace", "expected_s", "in_time"]
+__all__ = [
+    "Backlog",
+    "Throughput",
+    "create_throughput",
+    "expected_s",
+    "in_time",
+]
 
 #: Time constant of the rate at which calls end, in seconds: several of a
 #: searcher's pauses long, and short against a burst.
@@ -23,7 +29,7 @@
 CALL_FRACTION = 0.7
 
 
-class Pace:
+class Throughput:
     """Rate at which calls of one service end.
 
     Attributes:
@@ -48,14 +54,14 @@
         return math.exp(-(now_s - self.noted_s) / WINDOW_S)
 
 
-class Crowd(typing.NamedTuple):
-    """Calls of this VM ahead of a new one at a shard, and their pace."""
+class Backlog(typing.NamedTuple):
+    """Calls of this VM ahead of a new one at a shard, and their rate of ends."""
 
     ahead: int
     per_s: float
 
 
-def expected_s(rows: collections.abc.Iterable[Crowd], needed: int) -> float:
+def expected_s(rows: collections.abc.Iterable[Backlog], needed: int) -> float:
     """Returns the time until enough shards have answered a new query.
 
     Args:
@@ -69,7 +75,7 @@
     return waits[needed - 1] if 0 < needed <= len(waits) else 0.0
 
 
-def _wait_s(row: Crowd) -> float:
+def _wait_s(row: Backlog) -> float:
     if row.ahead < LEAST_AHEAD:
         return 0.0
     return row.ahead / row.per_s if row.per_s else math.inf
@@ -80,6 +86,6 @@
     return wait_s <= objective_s * CALL_FRACTION
 
 
-def create_pace() -> Pace:
-    """Returns the pace of a service that no call ended of."""
-    return Pace()
+def create_throughput() -> Throughput:
+    """Returns the rate of a service that no call ended of."""
+    return Throughput()
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -224,7 +224,7 @@
         replica = flight.upstream.replica
         now_s = self.loop.time()
         if ended.fate in (Fate.ANSWERED, Fate.ERRED):
-            self.upstreams.paces[replica.searcher.service].note(now_s)
+            self.upstreams.throughputs[replica.searcher.service].note(now_s)
         if ended.fate is Fate.ANSWERED:
             sent_s = flight.call.began_s or flight.begun_s
             typical = self.upstreams.typical[flight.kind]
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -167,10 +167,9 @@
         """Takes a new configuration's limits and searchers."""
         self.split.keep(configuration.routes)
         self.budget.forget(self.loop.time())
-        self.lending.set_groups(self.groups.called_by_owners(configuration))
         if self.servers:
             self.servers[0].limits = configuration.limits
-        self.warm(configuration)
+        self.place(configuration)
         self.sharing.configured(configuration)
 
     def searchers_changed(self, changes: list[registry.Change]) -> None:
@@ -191,6 +190,11 @@
         self.groups.link_ended(link)
         self.sharing.link_ended(link)
 
+    def place(self, configuration: routes.Configuration) -> None:
+        """Takes who calls which searchers, by the VMs and routes known."""
+        self.lending.set_groups(self.groups.called_by_owners(configuration))
+        self.warm(configuration)
+
     def warm(self, configuration: routes.Configuration) -> None:
         """Opens connections to the searchers that this VM will call."""
         used = {
@@ -222,13 +226,10 @@
             (vm.host, self.deployment.peers[1]) for vm in vms
         ]
         self.lending.set_vms(vms)
-        if self.following.table is not None:
-            configuration = self.following.table.configuration
-            self.lending.set_groups(self.groups.called_by_owners(configuration))
         self.count_vms(len(vms), len({vm.failure_domain for vm in vms}))
         self.sharing.set_vms(vms)
         if self.following.table is not None:
-            self.warm(self.following.table.configuration)
+            self.place(self.following.table.configuration)
 
     def reload(self, options: deployment.Deployment) -> None:
         """Takes changed settings; addresses hold until the next start."""
@@ -335,7 +336,7 @@
             return http_server.Answer(200, headers, body)
         headers = self.platform.refused(work.ticket)
         if outcome.status == 503:
-            headers.append(come_back(outcome.back_s or COME_BACK_S))
+            headers.append(come_back(outcome.retry_after_s or COME_BACK_S))
         return http_server.Answer(outcome.status, headers)
 
     def refuse(
--- a/laurelrock/gateways/groups.py
+++ b/laurelrock/gateways/groups.py
@@ -30,12 +30,11 @@
 TAKEN_S = 0.04
 #: Time before the objective at which an owner sends what is in, in seconds.
 SEND_S = 0.004
-#: First and longest time until an owner that was silent is asked whether it is
-#: back, in seconds.
+#: First and longest time until an owner that was silent is pinged, in seconds.
 PASS_S = 0.5
 MAX_PASS_S = 4.0
-#: Time for its word, in seconds. Nobody waits for it.
-BACK_S = 0.3
+#: Time for its reply, in seconds. No caller waits for it.
+PONG_S = 0.3
 
 _log = logs.get_logger(__name__)
 
@@ -104,12 +103,12 @@
 
 
 class Pass:
-    """An owner that was silent, and is passed over until it says a word.
+    """An owner that was silent, and is passed over until it replies.
 
     Attributes:
         vm: The owner.
         times: It was silent, in a row.
-        timer: Of the next question whether it is back.
+        timer: Of the next ping.
     """
 
     def __init__(self, vm: owners.Vm) -> None:
@@ -118,7 +117,7 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def next_s(self) -> float:
-        """Returns the time until the next question; it doubles."""
+        """Returns the time until the next ping; it doubles."""
         self.times += 1
         return min(PASS_S * 2 ** (self.times - 1), MAX_PASS_S)
 
@@ -301,30 +300,30 @@
         self.ask_next(group)
 
     def pass_over(self, vm: owners.Vm | None, why: str) -> None:
-        """Notes that an owner didn't answer; it is asked later, by itself."""
+        """Notes that an owner didn't answer; it is pinged from then on."""
         if vm is None or vm == self.me:
             return
         self.counts[why] += 1
         if vm.name not in self.passed:
             self.passed[vm.name] = Pass(vm)
             _log.info("owner-passed", owner=vm.name, reason=why)
-            self.ask_later(self.passed[vm.name])
+            self.ping_later(self.passed[vm.name])
 
-    def ask_later(self, row: Pass) -> None:
-        """Sets the time of the next question whether an owner is back."""
-        row.timer = self.loop.call_later(row.next_s(), self.ask_back, row)
+    def ping_later(self, row: Pass) -> None:
+        """Sets the time of the next ping of a silent owner."""
+        row.timer = self.loop.call_later(row.next_s(), self.ping, row)
 
-    def ask_back(self, row: Pass) -> None:
+    def ping(self, row: Pass) -> None:
         """Asks a silent owner whether it is back."""
         if row.vm not in self.vms:
             self.passed.pop(row.vm.name, None)
             return
         link = self.exchange.link((row.vm.host, self.port))
-        link.send(questions.Back(self.me.name))
-        row.timer = self.loop.call_later(BACK_S, self.ask_later, row)
+        link.send(questions.Ping(self.me.name))
+        row.timer = self.loop.call_later(PONG_S, self.ping_later, row)
 
-    def is_back(self, name: str) -> None:
-        """Notes the word of an owner."""
+    def recovered(self, name: str) -> None:
+        """Notes that an owner replies again."""
         row = self.passed.pop(name, None)
         if row is not None:
             row.stop_timer()
@@ -349,11 +348,11 @@
             task = self.serving.get((link, message.number))
             if task is not None:
                 task.cancel()
-        elif isinstance(message, questions.Back):
+        elif isinstance(message, questions.Ping):
             if not self.stopping:
-                link.send(questions.Here(self.me.name))
-        elif isinstance(message, questions.Here):
-            self.is_back(message.owner)
+                link.send(questions.Pong(self.me.name))
+        elif isinstance(message, questions.Pong):
+            self.recovered(message.owner)
         else:
             self.take_word(message)
 
@@ -389,7 +388,7 @@
             self.ask_next(group)
             return
         if group.owner is not None:
-            self.is_back(group.owner.name)
+            self.recovered(group.owner.name)
         if isinstance(message, questions.Taken):
             if not group.begun and group.link is not None:
                 group.begun = True
--- a/laurelrock/gateways/instruments.py
+++ b/laurelrock/gateways/instruments.py
@@ -40,7 +40,7 @@
     meters.counters(
         "laurelrock_borrowed_total",
         lambda: dict(gateway.lending.counts),
-        "Extra calls asked of another VM, by its word",
+        "Extra calls asked of another VM, by its reply",
     )
     meters.counter(
         "laurelrock_platform_calls_total",
--- a/laurelrock/gateways/lending.py
+++ b/laurelrock/gateways/lending.py
@@ -17,9 +17,9 @@
 
 __all__ = ["KINDS", "Borrow", "Lending", "Lent", "create_lending"]
 
-#: Time for the lender's word, in seconds: some times what a message needs
+#: Time for the lender's reply, in seconds: some times what a message needs
 #: there and back on a loaded VM.
-WORD_S = 0.03
+REPLY_S = 0.03
 
 _log = logs.get_logger(__name__)
 
@@ -137,26 +137,26 @@
             return False
         self.numbers += 1
         number = self.numbers
-        timer = self.loop.call_later(WORD_S, self.settle, number, "silent")
+        timer = self.loop.call_later(REPLY_S, self.settle, number, "silent")
         self.asked[number] = Question(lender.name, service, done, timer)
         link = self.exchange.link((lender.host, self.port))
         link.send(Borrow(number, service))
         return True
 
-    def settle(self, number: int, word: str) -> None:
-        """Passes a lender's word on."""
+    def settle(self, number: int, outcome: str) -> None:
+        """Passes a lender's reply on."""
         question = self.asked.pop(number, None)
         if question is None:
             return
         question.timer.cancel()
-        self.counts[word] += 1
+        self.counts[outcome] += 1
         _log.info(
             "extra-call",
             lender=question.lender,
             service=question.service,
-            word=word,
+            outcome=outcome,
         )
-        question.done(word == "lent")
+        question.done(outcome == "lent")
 
     def take(self, link: frames.Link, message: Borrow | Lent) -> None:
         """Takes a message of another VM."""
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -48,7 +48,7 @@
         may_have_run: Whether a call that failed may have been run.
         reason: Of the last failure, for logs.
         borrowed: Whether another VM was asked for an extra call.
-        borrowing: Whether its word is still to come.
+        borrowing: Whether its reply is still to come.
         changed: Called when the state changes.
     """
 
@@ -244,7 +244,7 @@
             return "no budget"
 
         def done(granted: bool) -> None:
-            self.borrowed(part, kind, granted)
+            self.lender_replied(part, kind, granted)
 
         part.borrowed = True
         part.borrowing = self.borrow(part.service, done)
@@ -273,8 +273,8 @@
             and not row.replica.ejections
         ]
 
-    def borrowed(self, part: Part, kind: str, granted: bool) -> None:
-        """Takes the word of the VM that was asked for an extra call."""
+    def lender_replied(self, part: Part, kind: str, granted: bool) -> None:
+        """Takes the reply of the VM that was asked for an extra call."""
         part.borrowing = False
         if part.state is not State.OPEN:
             return
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -5,18 +5,18 @@
 
 from laurelrock.adapters import http_client
 from laurelrock.core import gathering
-from laurelrock.core import pace
 from laurelrock.core import replicas
 from laurelrock.core import routes
+from laurelrock.core import throughput
 from laurelrock.gateways import calls
 from laurelrock.gateways import groups
 from laurelrock.gateways import parts
 
 __all__ = ["Outcome", "gather", "single"]
 
-#: Longest time after which a caller may come back that was refused for the
-#: crowd, in seconds; calls then have ended or failed.
-MAX_BACK_S = 1.0
+#: Longest time after which a caller may come back that was refused for
+#: overload, in seconds; calls then have ended or failed.
+MAX_RETRY_AFTER_S = 1.0
 
 
 class Outcome(typing.NamedTuple):
@@ -32,7 +32,7 @@
         attempts: Calls made.
         missing: Shards that are not in a query's answer.
         reason: Of a failure, for logs.
-        back_s: Time until a refused caller may come back; 0 for the usual.
+        retry_after_s: Until a refused caller may come back; 0 for the usual.
     """
 
     kind: typing.Literal["answered", "partial", "refused", "failed", "late"]
@@ -44,7 +44,7 @@
     attempts: int = 0
     missing: tuple[str, ...] = ()
     reason: str = ""
-    back_s: float = 0.0
+    retry_after_s: float = 0.0
 
 
 class Gathering:
@@ -159,7 +159,7 @@
     plan = plan_of(work, link_bytes_per_s)
     own, away = others.split(route)
     if not away:
-        outcome = too_crowded(route, placement)
+        outcome = refuse_overload(route, placement)
         if outcome is not None:
             return outcome
     gathered = Gathering(work, own)
@@ -204,26 +204,26 @@
         route.least_shards,
         request.asked_s,
         route.objective_s,
-        request.back_s + sending_s,
+        request.return_s + sending_s,
         work.end_s,
     )
 
 
-def too_crowded(
+def refuse_overload(
     route: routes.Route, placement: parts.Placement
 ) -> Outcome | None:
     """Refuses a query that would wait behind too many others, or None."""
     now_s = placement.calls.loop.time()
-    rows = [placement.known.crowd(name, now_s) for name in route.shards]
-    wait_s = pace.expected_s(rows, route.least_shards)
-    if pace.in_time(wait_s, route.objective_s):
+    rows = [placement.known.backlog(name, now_s) for name in route.shards]
+    wait_s = throughput.expected_s(rows, route.least_shards)
+    if throughput.in_time(wait_s, route.objective_s):
         return None
     return Outcome(
         "refused",
         503,
         shards=len(route.shards),
         reason=f"a call takes {wait_s * 1000:.0f} ms",
-        back_s=min(wait_s, MAX_BACK_S),
+        retry_after_s=min(wait_s, MAX_RETRY_AFTER_S),
     )
 
 
--- a/laurelrock/gateways/questions.py
+++ b/laurelrock/gateways/questions.py
@@ -5,13 +5,13 @@
 __all__ = [
     "KINDS",
     "Ask",
-    "Back",
     "Begin",
     "Declined",
     "Drop",
     "Found",
-    "Here",
     "Link",
+    "Ping",
+    "Pong",
     "Taken",
 ]
 
@@ -94,13 +94,13 @@
     number: int
 
 
-class Back(typing.NamedTuple):
+class Ping(typing.NamedTuple):
     """Asks an owner that was silent whether it is back."""
 
     asker: str
 
 
-class Here(typing.NamedTuple):
+class Pong(typing.NamedTuple):
     """Says that an owner is there and takes groups."""
 
     owner: str
@@ -120,6 +120,6 @@
     4: Drop,
     7: Begin,
     8: Declined,
-    11: Back,
-    12: Here,
+    11: Ping,
+    12: Pong,
 }
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -7,10 +7,10 @@
 from laurelrock.adapters import http_client
 from laurelrock.adapters import logs
 from laurelrock.core import owners
-from laurelrock.core import pace
 from laurelrock.core import registry
 from laurelrock.core import replicas
 from laurelrock.core import routes
+from laurelrock.core import throughput
 
 __all__ = ["Upstream", "Upstreams", "create_upstreams"]
 
@@ -54,7 +54,7 @@
         by_id: All searchers.
         by_service: The same, by service and id.
         typical: Latencies by kind of call.
-        paces: Rates at which calls end, by service.
+        throughputs: Rates at which calls end, by service.
         opened: Connections opened to searchers that are gone.
     """
 
@@ -71,8 +71,8 @@
         self.typical: dict[str, replicas.Typical] = collections.defaultdict(
             replicas.Typical
         )
-        self.paces: dict[str, pace.Pace] = collections.defaultdict(
-            pace.create_pace
+        self.throughputs: dict[str, throughput.Throughput] = (
+            collections.defaultdict(throughput.create_throughput)
         )
         self.opened = 0
 
@@ -84,10 +84,10 @@
         """Returns the searchers of a service."""
         return self.by_service.get(service, {}).values()
 
-    def crowd(self, service: str, now_s: float) -> pace.Crowd:
+    def backlog(self, service: str, now_s: float) -> throughput.Backlog:
         """Returns the calls ahead of a new one at a service."""
         ahead = sum(len(row.replica.flights) for row in self.of(service))
-        return pace.Crowd(ahead, self.paces[service].per_s(now_s))
+        return throughput.Backlog(ahead, self.throughputs[service].per_s(now_s))
 
     def limit(self, service: str) -> int:
         """Returns the connections to one searcher of a service."""
@@ -109,8 +109,10 @@
         names = {route.name for route in configuration.routes}
         for name in [row for row in self.typical if row not in names]:
             del self.typical[name]
-        for name in [row for row in self.paces if row not in self.services]:
-            del self.paces[name]
+        for name in [
+            row for row in self.throughputs if row not in self.services
+        ]:
+            del self.throughputs[name]
         self.set_vms(self.vms, self.domains)
 
     def set_vms(self, count: int, domains: int) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -137,7 +137,7 @@
         for request, before_s in zip(self.seen, (0.009, 0.003), strict=True):
             found_s = request.received_s - request.asked_s
             self.assertAlmostEqual(found_s, before_s)
-            self.assertEqual(request.back_s, 0.003)
+            self.assertEqual(request.return_s, 0.003)
 
     async def test_round_trip_is_the_kernels(self):
         _, writer = await self.connect()
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -25,7 +25,7 @@
 
 
 def body_of(service, request_id):
-    return f"{service}/{request_id}".encode().ljust(fleet.RECORD_BYTES, b".")
+    return f"{service}/{request_id}".encode().ljust(16, b".")
 
 
 def query(services, missing, **fields):
--- a/tests/test_pace.py
+++ b/tests/test_throughput.py
@@ -5,7 +5,7 @@
 import math
 import unittest
 
-from laurelrock.core import pace
+from laurelrock.core import throughput
 from tests import gateway_builders as build
 from tests import gateway_worlds as worlds
 from tests import gateways
@@ -16,34 +16,39 @@
 
 # Calls ahead and calls that end in a second, by shard; the time expected of
 # 11 shards.
-CROWDS = (
+BACKLOGS = (
     ([], 0.0),
-    # Few calls: whatever their pace.
-    ([pace.Crowd(pace.LEAST_AHEAD - 1, 1.0)] * 20, 0.0),
-    ([pace.Crowd(8, 100.0)] * 20, 0.08),
+    # Few calls: whatever their rate.
+    ([throughput.Backlog(throughput.LEAST_AHEAD - 1, 1.0)] * 20, 0.0),
+    ([throughput.Backlog(8, 100.0)] * 20, 0.08),
     # Some shards are dark.
-    ([pace.Crowd(50, 0.0)] * 9 + [pace.Crowd(4, 100.0)] * 11, 0.04),
-    ([pace.Crowd(50, 0.0)] * 20, math.inf),
+    (
+        [throughput.Backlog(50, 0.0)] * 9 + [throughput.Backlog(4, 100.0)] * 11,
+        0.04,
+    ),
+    ([throughput.Backlog(50, 0.0)] * 20, math.inf),
 )
 
 
-class PaceTest(unittest.TestCase):
+class ThroughputTest(unittest.TestCase):
     def test_steady_rate(self):
-        rate = pace.create_pace()
+        rate = throughput.create_throughput()
         for n in range(400):
             rate.note(n / 100)
         self.assertAlmostEqual(rate.per_s(4.0), 100.0, delta=5.0)
 
     def test_forgets(self):
-        rate = pace.create_pace()
+        rate = throughput.create_throughput()
         self.assertEqual(rate.per_s(0.0), 0.0)
         rate.note(1.0)
-        self.assertLess(rate.per_s(1.0 + 10 * pace.WINDOW_S), 0.001)
+        self.assertLess(rate.per_s(1.0 + 10 * throughput.WINDOW_S), 0.001)
 
     def test_expected(self):
-        for rows, expected in CROWDS:
+        for rows, expected in BACKLOGS:
             with self.subTest(rows=rows[:1]):
-                self.assertAlmostEqual(pace.expected_s(rows, 11), expected)
+                self.assertAlmostEqual(
+                    throughput.expected_s(rows, 11), expected
+                )
 
 
 class Queue(worlds.Client):
@@ -139,5 +144,5 @@
         self.assertGreater(len(refused), 100)
         for outcome, took_s in refused:
             self.assertEqual(took_s, 0.0)
-            self.assertGreater(outcome.back_s, 0.04)
+            self.assertGreater(outcome.retry_after_s, 0.04)
             self.assertEqual(outcome.attempts, 0)
