--- a/laurelrock/core/throughput.py
+++ b/laurelrock/core/throughput.py
@@ -55,7 +55,7 @@
 
 
 class Backlog(typing.NamedTuple):
-    """Calls of this VM ahead of a new one at a shard, and their rate of ends."""
+    """Calls ahead of a new one at a shard, and those that end in a second."""
 
     ahead: int
     per_s: float
