Ask for a generation that is announced while a peer has still to answer

A daemon that has asked a peer ignores the heartbeats of the next 0.3 s, also once the answer is in; a generation announced meanwhile is then asked for at the next heartbeat, up to a second later. The test publishes 4 and 5 in quick succession, and the daemon behind does not read the head itself at the addresses of that run (127.104.130).

Ruled out: the back-off of the watchers (only replies to writes were lost); a ring whose only predecessor is the killed relay (the other one was alive).

Change: an answer ends the wait, and the newest heartbeat of the meantime is taken in again. The stand-in fleet does the same.

The new test fails five of six cases before.

--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -317,19 +317,31 @@
         self, process: Process, message: messages.Message, now_s: float
     ) -> None:
         """Gives a message to the spreading of the manifest."""
-        answer: messages.Message = None
+        state = process.spread
         if isinstance(message, messages.Heartbeat):
-            answer = spreading.on_heartbeat(process.spread, message, now_s)
+            self.ask(process, message, now_s)
         elif isinstance(message, messages.ManifestWanted):
-            answer = spreading.on_wanted(process.spread, message, now_s)
+            answer = spreading.on_wanted(state, message, now_s)
+            if answer is not None:
+                views.send(process.view, message.address, answer)
         elif isinstance(message, messages.ManifestSteps):
-            spreading.on_steps(process.spread, message)
+            spreading.on_steps(state, message)
+            self.ask(process, spreading.on_answered(state, now_s), now_s)
         elif isinstance(message, messages.ManifestCopy):
-            spreading.on_copy(process.spread, message)
-        if answer is not None:
-            views.send(process.view, message.address, answer)
+            spreading.on_copy(state, message)
+            self.ask(process, spreading.on_answered(state, now_s), now_s)
         self.note(process)
 
+    def ask(
+        self, process: Process, beat: messages.Heartbeat | None, now_s: float
+    ) -> None:
+        """Asks the sender of a heartbeat for a newer generation."""
+        if beat is None:
+            return
+        question = spreading.on_heartbeat(process.spread, beat, now_s)
+        if question is not None:
+            views.send(process.view, beat.address, question)
+
     def note(self, process: Process) -> None:
         """Announces a generation that came into force."""
         catalog, view = process.spread.catalog, process.view
--- a/laurelrock/core/spreading.py
+++ b/laurelrock/core/spreading.py
@@ -74,7 +74,8 @@
         head_version: Version of that object.
         whole: Whether a step failed, so that only a copy will do.
         pace: When the platform may be read next.
-        asked_s: When a peer was last asked.
+        asked_s: When a peer was asked that has not answered yet.
+        heard: Newest heartbeat that came while a peer had still to answer.
         copies: Whole copies that may be given now.
         copied_s: When `copies` was last brought up to date.
         alarms: Failures since the last log.
@@ -90,6 +91,7 @@
         self.whole = False
         self.pace = pacing.Pace(random, now_s)
         self.asked_s = now_s - ASK_S
+        self.heard: messages.Heartbeat | None = None
         self.copies = COPIES_PER_S
         self.copied_s = now_s
         self.alarms: list[errors.LaurelrockError] = []
@@ -207,13 +209,28 @@
     except errors.GenerationConflictError as error:
         state.alarms.append(error)
         return None
-    if not ahead or now_s - state.asked_s < ASK_S:
+    if not ahead:
+        return None
+    if now_s - state.asked_s < ASK_S:
+        if state.heard is None or beat.generation > state.heard.generation:
+            state.heard = beat
         return None
     state.asked_s = now_s
     held = 0 if state.whole else state.catalog.generation
     return messages.ManifestWanted(state.address, held)
 
 
+def on_answered(state: Spreading, now_s: float) -> messages.Heartbeat | None:
+    """Ends the wait for a peer; returns a heartbeat to take in again.
+
+    A generation that is announced between a question and its answer would
+    otherwise be asked for at the next heartbeat only, a second later.
+    """
+    state.asked_s = now_s - ASK_S
+    heard, state.heard = state.heard, None
+    return heard
+
+
 def on_wanted(
     state: Spreading, message: messages.ManifestWanted, now_s: float
 ) -> messages.ManifestSteps | messages.ManifestCopy | None:
--- a/laurelrock/spread.py
+++ b/laurelrock/spread.py
@@ -149,6 +149,7 @@
         before = self.generation
         spreading.on_steps(self.state, message)
         self.announce_change(before, message.address)
+        self.ask_next()
 
     def on_copy(
         self, sender: buses.Sender, message: messages.ManifestCopy
@@ -157,6 +158,13 @@
         before = self.generation
         spreading.on_copy(self.state, message)
         self.announce_change(before, message.address)
+        self.ask_next()
+
+    def ask_next(self) -> None:
+        """Asks for what was announced while a peer had still to answer."""
+        heard = spreading.on_answered(self.state, _now_s())
+        if heard is not None:
+            self.on_heartbeat(heard)
 
     def announce_change(self, before: int, source: str) -> None:
         """Tells listeners and neighbours where the generation rose."""
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -8,6 +8,7 @@
 from laurelrock import head
 from laurelrock import manifest
 from laurelrock import membership
+from laurelrock.core import detector
 from laurelrock.core import pacing
 from laurelrock.core import spreading
 
@@ -38,6 +39,19 @@
                     self.assertEqual(net.generations(), {index})
                 self.assert_only_rising(net)
 
+    def test_changes_in_quick_succession(self):
+        # The second is announced while the first is asked for; no daemon
+        # has to wait for the next heartbeat, a second later.
+        net = fleet.start(1, 4, 1)
+        for gap_s in (0.02, 0.05, 0.1, 0.15, 0.2, 0.25):
+            with self.subTest(gap_s):
+                net.publish(fleet.small_manifest(f"first-{gap_s}"))
+                net.run(gap_s)
+                net.publish(fleet.small_manifest(f"second-{gap_s}"))
+                net.run(detector.HEARTBEAT_S / 2)
+                self.assertEqual(net.generations(), {net.generation})
+                net.run(5.0)
+
     def test_cut_off_domain_gets_it_after_healing(self):
         net = fleet.start(1, 15, 5)
         inside = net.domain("d")
