Send single requests through the VMs that call a service

Cause: a shard's searchers were planned for the owners of its group, six VMs of 82 with up to eight of 63 connections each, but single requests had no owners: where a route names such a service, all VMs opened connections.

Ruled out: connections of processes that had ended (resets stayed at the three searchers of one shard of 90, for 8 s after all VMs started anew); VMs that count too few others (all counted 82 within a second).

Change: while a searcher's connections give each VM one, all VMs call; else as many VMs of each failure domain as get two, by rendezvous hashing, or the shard's owner. The others ask one of them: it says that it is there, is told to begin, runs the request and passes the searcher's answer on. Owners are looked up once a list of VMs. A VM that stops no longer declines its own groups where it reaches no other.

--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -21,11 +21,13 @@
 from laurelrock.gateways import following
 from laurelrock.gateways import groups
 from laurelrock.gateways import lending
+from laurelrock.gateways import outcomes
 from laurelrock.gateways import parts
 from laurelrock.gateways import peers
 from laurelrock.gateways import queries
 from laurelrock.gateways import questions
 from laurelrock.gateways import sharing
+from laurelrock.gateways import singles
 from laurelrock.gateways import upstreams
 from laurelrock.ports import directory
 from laurelrock.ports import wire
@@ -115,7 +117,12 @@
             self.calls, self.known, self.budget, self.lending.borrow
         )
         self.groups = groups.create_groups(
-            self.placement, platform, self.exchange, vm_of(me), port
+            self.placement,
+            platform,
+            self.exchange,
+            vm_of(me),
+            port,
+            queries.single,
         )
         self.following = following.Following(
             source,
@@ -192,18 +199,24 @@
 
     def place(self, configuration: routes.Configuration) -> None:
         """Takes who calls which searchers, by the VMs and routes known."""
-        self.lending.set_groups(self.groups.called_by_owners(configuration))
+        self.groups.assignment.configure(configuration)
+        self.lending.set_groups(self.groups.assignment.groups)
         self.warm(configuration)
 
     def warm(self, configuration: routes.Configuration) -> None:
         """Opens connections to the searchers that this VM will call."""
+        assigned = self.groups.assignment
         used = {
             name
             for route in configuration.routes
-            for name in [
-                *(self.groups.owned(route) if route.shards else ()),
-                *(part.service for part in route.parts),
-            ]
+            if route.shards
+            for name in assigned.owned(route)
+        }
+        used |= {
+            part.service
+            for route in configuration.routes
+            for part in route.parts
+            if not assigned.owners_of(part.service)
         }
         self.spawn(self.known.warm(sorted(used)))
 
@@ -219,9 +232,9 @@
 
     def set_vms(self, vms: list[owners.Vm]) -> None:
         """Takes the list of VMs."""
-        if vms == self.groups.vms:
+        if vms == self.groups.assignment.vms:
             return
-        self.groups.vms = vms
+        self.groups.assignment.set_vms(vms)
         self.peers.addresses = [
             (vm.host, self.deployment.peers[1]) for vm in vms
         ]
@@ -282,7 +295,7 @@
         try:
             outcome = await self.run_work(work)
         except asyncio.CancelledError:
-            self.note(work, queries.Outcome("failed", 0, reason="caller left"))
+            self.note(work, outcomes.Outcome("failed", 0, reason="caller left"))
             raise
         self.note(work, outcome)
         return self.encode(work, outcome)
@@ -307,7 +320,7 @@
             request.received_s + patience_s,
         )
 
-    async def run_work(self, work: calls.Work) -> queries.Outcome:
+    async def run_work(self, work: calls.Work) -> outcomes.Outcome:
         """Runs a request at its searchers."""
         if work.route.shards:
             return await queries.gather(
@@ -317,10 +330,10 @@
                 self.deployment.link_bytes_per_s,
             )
         service = self.split.next(work.route)
-        return await queries.single(work, service, self.placement)
+        return await singles.run(work, service, self.placement, self.groups)
 
     def encode(
-        self, work: calls.Work, outcome: queries.Outcome
+        self, work: calls.Work, outcome: outcomes.Outcome
     ) -> http_server.Answer:
         """Returns the answer to a caller."""
         if outcome.reply is not None:
@@ -366,7 +379,7 @@
             "searchers_age_ms": known.age_ms(),
         }
 
-    def note(self, work: calls.Work, outcome: queries.Outcome) -> None:
+    def note(self, work: calls.Work, outcome: outcomes.Outcome) -> None:
         """Counts and logs the end of a request."""
         self.counts[outcome.kind] += 1
         elapsed_s = self.loop.time() - work.request.received_s
--- a/laurelrock/gateways/groups.py
+++ b/laurelrock/gateways/groups.py
@@ -17,7 +17,9 @@
 from laurelrock.adapters import logs
 from laurelrock.core import owners
 from laurelrock.core import routes
+from laurelrock.gateways import assignment
 from laurelrock.gateways import calls
+from laurelrock.gateways import outcomes
 from laurelrock.gateways import parts
 from laurelrock.gateways import questions
 from laurelrock.gateways import serving
@@ -45,8 +47,11 @@
     Attributes:
         work: The query.
         services: Of the group.
+        owners: That may be asked, the first one first.
         aim_s: Loop time at which the first answer is due.
         changed: Called when parts came in or the group ended.
+        whole: Whether it is a request that one searcher answers.
+        reply: How such a request ended.
         tried: Owners asked, by name.
         owner: Asked now.
         link: To that owner.
@@ -64,13 +69,18 @@
         self,
         work: calls.Work,
         services: tuple[str, ...],
+        rows: list[owners.Vm],
         aim_s: float,
         changed: collections.abc.Callable[[], None],
+        whole: bool = False,
     ) -> None:
         self.work = work
         self.services = services
+        self.owners = rows
         self.aim_s = aim_s
         self.changed = changed
+        self.whole = whole
+        self.reply: questions.Answered | None = None
         self.tried: set[str] = set()
         self.owner: owners.Vm | None = None
         self.link: questions.Link | None = None
@@ -127,6 +137,12 @@
             self.timer.cancel()
 
 
+Single = collections.abc.Callable[
+    [calls.Work, str, parts.Placement],
+    collections.abc.Awaitable[outcomes.Outcome],
+]
+
+
 class Groups:
     """State of the groups of this VM's queries, and of those it works on.
 
@@ -135,9 +151,10 @@
         platform: Headers of the calls.
         exchange: Messages between VMs.
         loopback: Messages of this VM to itself.
+        single: Runs a request that one searcher answers.
+        assignment: Who calls which services.
         me: This VM.
         port: Of all VMs' exchanges.
-        vms: Listed, this one included.
         asked: Groups that others work on, by number.
         waiting: Groups that this VM was asked for, and when, and that it was
             not told to begin.
@@ -155,12 +172,14 @@
         exchange: frames.Exchange,
         me: owners.Vm,
         port: int,
+        single: Single,
     ) -> None:
         self.placement = placement
         self.platform = platform
+        self.single = single
+        self.assignment = assignment.create_assignment(placement.known, me)
         self.me = me
         self.port = port
-        self.vms: list[owners.Vm] = []
         self.asked: dict[int, Group] = {}
         self.serving: dict[tuple[questions.Link, int], asyncio.Task[None]] = {}
         self.waiting: dict[
@@ -180,59 +199,26 @@
         self.loopback = Loopback(self)
         self.loop = asyncio.get_running_loop()
 
-    def needed(self, route: routes.Route) -> bool:
-        """Tells whether a query's shards are called by owners."""
-        services = self.placement.known.services
-        return bool(self.vms) and not all(
-            owners.fits(
-                services.get(name, routes.Service()).connections, len(self.vms)
-            )
-            for name in route.shards[:1]
-        )
-
-    def owned(self, route: routes.Route) -> list[str]:
-        """Returns the shards that this VM calls for its failure domain."""
-        if not self.needed(route):
-            return list(route.shards)
-        domain = self.me.failure_domain
-        return [
-            name
-            for group in owners.cut(route.shards)
-            if owners.ranked(group[0], self.vms, domain)[0] == self.me
-            for name in group
-        ]
-
-    def called_by_owners(
-        self, configuration: routes.Configuration
-    ) -> list[tuple[str, ...]]:
-        """Returns the groups of all routes that owners call."""
-        return [
-            group
-            for route in configuration.routes
-            if route.shards and self.needed(route)
-            for group in owners.cut(route.shards)
-        ]
-
     def split(
         self, route: routes.Route
     ) -> tuple[tuple[str, ...], list[tuple[str, ...]]]:
         """Returns the shards that this VM calls itself, and the groups."""
-        if not self.needed(route):
+        if not self.assignment.needed(route):
             return route.shards, []
         own: list[str] = []
         others = []
         for group in owners.cut(route.shards):
-            if self.first_owner(group, set()) == self.me:
+            rows = self.assignment.ranked(group[0])
+            if self.first_owner(rows, set()) == self.me:
                 own += group
             else:
                 others.append(group)
         return tuple(own), others
 
     def first_owner(
-        self, group: tuple[str, ...], tried: set[str]
+        self, rows: list[owners.Vm], tried: set[str]
     ) -> owners.Vm | None:
         """Returns the owner to ask; None where all were, or are silent."""
-        rows = owners.ranked(group[0], self.vms, self.me.failure_domain)
         for vm in rows:
             if vm.name not in tried and vm.name not in self.passed:
                 return vm
@@ -248,13 +234,26 @@
         changed: collections.abc.Callable[[], None],
     ) -> Group:
         """Asks for a group; see `Group`."""
-        group = Group(work, services, aim_s, changed)
+        rows = self.assignment.ranked(services[0])
+        group = Group(work, services, rows, aim_s, changed)
+        self.ask_next(group)
+        return group
+
+    def ask_whole(
+        self,
+        work: calls.Work,
+        service: str,
+        rows: list[owners.Vm],
+        changed: collections.abc.Callable[[], None],
+    ) -> Group:
+        """Asks one of some VMs for a request that one searcher answers."""
+        group = Group(work, (service,), rows, work.end_s, changed, whole=True)
         self.ask_next(group)
         return group
 
     def ask_next(self, group: Group) -> None:
         """Asks the next owner, this VM itself as the last one."""
-        vm = self.first_owner(group.services, group.tried)
+        vm = self.first_owner(group.owners, group.tried)
         if vm is None and self.me.name not in group.tried:
             vm = self.me
         if vm is None:
@@ -289,6 +288,8 @@
             top=work.route.top,
             aim_s=group.aim_s - now_s - SEND_S,
             left_s=work.end_s - now_s,
+            whole=group.whole,
+            repeatable=work.route.repeatable,
         )
 
     def not_taken(self, group: Group) -> None:
@@ -315,7 +316,7 @@
 
     def ping(self, row: Pass) -> None:
         """Asks a silent owner whether it is back."""
-        if row.vm not in self.vms:
+        if row.vm not in self.assignment.vms:
             self.passed.pop(row.vm.name, None)
             return
         link = self.exchange.link((row.vm.host, self.port))
@@ -358,7 +359,7 @@
 
     def take_question(self, link: questions.Link, ask: questions.Ask) -> None:
         """Says whether this VM takes a group."""
-        if self.stopping:
+        if self.stopping and link is not self.loopback:
             link.send(questions.Declined(ask.number))
             return
         self.waiting[link, ask.number] = (ask, self.loop.time())
@@ -375,7 +376,11 @@
         task.add_done_callback(lambda _: self.serving.pop(key, None))
 
     def take_word(
-        self, message: questions.Taken | questions.Declined | questions.Found
+        self,
+        message: questions.Taken
+        | questions.Declined
+        | questions.Found
+        | questions.Answered,
     ) -> None:
         """Takes an owner's word on a group."""
         group = self.asked.get(message.number)
@@ -394,6 +399,11 @@
                 group.begun = True
                 group.link.send(questions.Begin(group.number))
             return
+        if isinstance(message, questions.Answered):
+            del self.asked[message.number]
+            group.reply = message
+            group.end()
+            return
         group.proofs += message.proofs
         group.missing -= {group.services[n] for n in message.places}
         group.bodies.append(message.records)
@@ -426,9 +436,12 @@
     ) -> None:
         """Works on a group and sends what comes in."""
         self.counts["served"] += 1
-        work = serving.create_serving(
-            self.placement, self.platform, link, ask, asked_s
-        )
+        asked = serving.create_work(self.platform, ask, asked_s)
+        if ask.whole:
+            outcome = await self.single(asked, ask.services[0], self.placement)
+            link.send(questions.answered(ask.number, outcome))
+            return
+        work = serving.Serving(self.placement, link, ask, asked)
         try:
             await work.run()
         finally:
@@ -452,6 +465,7 @@
     exchange: frames.Exchange,
     me: owners.Vm,
     port: int,
+    single: Single,
 ) -> Groups:
     """Returns the state without groups."""
-    return Groups(placement, platform, exchange, me, port)
+    return Groups(placement, platform, exchange, me, port, single)
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -3,50 +3,22 @@
 import asyncio
 import typing
 
-from laurelrock.adapters import http_client
 from laurelrock.core import gathering
 from laurelrock.core import replicas
 from laurelrock.core import routes
 from laurelrock.core import throughput
 from laurelrock.gateways import calls
 from laurelrock.gateways import groups
+from laurelrock.gateways import outcomes
 from laurelrock.gateways import parts
 
-__all__ = ["Outcome", "gather", "single"]
+__all__ = ["gather", "single"]
 
 #: Longest time after which a caller may come back that was refused for
 #: overload, in seconds; calls then have ended or failed.
 MAX_RETRY_AFTER_S = 1.0
 
 
-class Outcome(typing.NamedTuple):
-    """How a request ended.
-
-    Attributes:
-        kind: For logs and metrics.
-        status: Of the answer.
-        reply: Of a searcher, passed on unchanged.
-        bodies: Of the parts of a query's answer.
-        proofs: Of the same parts.
-        shards: Asked by a query.
-        attempts: Calls made.
-        missing: Shards that are not in a query's answer.
-        reason: Of a failure, for logs.
-        retry_after_s: Until a refused caller may come back; 0 for the usual.
-    """
-
-    kind: typing.Literal["answered", "partial", "refused", "failed", "late"]
-    status: int
-    reply: http_client.Reply | None = None
-    bodies: tuple[bytes, ...] = ()
-    proofs: tuple[bytes, ...] = ()
-    shards: int = 0
-    attempts: int = 0
-    missing: tuple[str, ...] = ()
-    reason: str = ""
-    retry_after_s: float = 0.0
-
-
 class Gathering:
     """A request that waits for its parts.
 
@@ -141,7 +113,7 @@
     placement: parts.Placement,
     others: groups.Groups,
     link_bytes_per_s: float,
-) -> Outcome:
+) -> outcomes.Outcome:
     """Runs a query over many shards.
 
     Args:
@@ -155,7 +127,7 @@
     reachable = sum(1 for name in route.shards if placement.reachable(name))
     if reachable < route.least_shards:
         reason = f"searchers for {reachable} of {count} shards"
-        return Outcome("refused", 503, shards=count, reason=reason)
+        return outcomes.Outcome("refused", 503, shards=count, reason=reason)
     plan = plan_of(work, link_bytes_per_s)
     own, away = others.split(route)
     if not away:
@@ -183,7 +155,7 @@
     if len(proofs) < route.least_shards:
         late = placement.calls.loop.time() >= work.end_s
         return query_failure(gathered, route, late)
-    return Outcome(
+    return outcomes.Outcome(
         "answered" if len(proofs) == count else "partial",
         200,
         bodies=gathered.bodies(),
@@ -211,14 +183,14 @@
 
 def refuse_overload(
     route: routes.Route, placement: parts.Placement
-) -> Outcome | None:
+) -> outcomes.Outcome | None:
     """Refuses a query that would wait behind too many others, or None."""
     now_s = placement.calls.loop.time()
     rows = [placement.known.backlog(name, now_s) for name in route.shards]
     wait_s = throughput.expected_s(rows, route.least_shards)
     if throughput.in_time(wait_s, route.objective_s):
         return None
-    return Outcome(
+    return outcomes.Outcome(
         "refused",
         503,
         shards=len(route.shards),
@@ -229,7 +201,7 @@
 
 def query_failure(
     gathered: Gathering, route: routes.Route, late: bool
-) -> Outcome:
+) -> outcomes.Outcome:
     """Returns the outcome of a query that lacks too many shards."""
     count = len(route.shards)
     reasons = {part.why() for part in gathered.rows if part.answer is None}
@@ -251,7 +223,7 @@
         kind = "late"
     elif not ran:
         kind = "refused"
-    return Outcome(
+    return outcomes.Outcome(
         kind,
         status,
         shards=count,
@@ -263,7 +235,7 @@
 
 async def single(
     work: calls.Work, service: str, placement: parts.Placement
-) -> Outcome:
+) -> outcomes.Outcome:
     """Runs a request that one searcher answers."""
     gathered = Gathering(work, (service,))
     part = gathered.rows[0]
@@ -271,7 +243,7 @@
     typical = placement.known.typical[work.route.name]
     try:
         if not placement.reachable(service) or not placement.start(part):
-            return Outcome("refused", 503, reason="no searcher")
+            return outcomes.Outcome("refused", 503, reason="no searcher")
         await wait(gathered, placement, plan, typical)
         sent = any(flight.call.sent for flight in part.flights)
     finally:
@@ -279,18 +251,22 @@
     if part.answer is not None:
         reply = part.answer.reply
         status = reply.status if reply else 502
-        return Outcome("answered", status, reply, attempts=part.attempts)
+        return outcomes.Outcome(
+            "answered", status, reply, attempts=part.attempts
+        )
     ran = part.may_have_run or sent
     if part.erred is not None and not sent:
         reply = part.erred.reply
         status = reply.status if reply else 502
-        return Outcome(
+        return outcomes.Outcome(
             "failed", status, reply, attempts=part.attempts, reason=part.reason
         )
     reason = part.why()
     attempts = part.attempts
     if not ran:
-        return Outcome("refused", 503, attempts=attempts, reason=reason)
+        return outcomes.Outcome(
+            "refused", 503, attempts=attempts, reason=reason
+        )
     if sent:
-        return Outcome("late", 504, attempts=attempts, reason=reason)
-    return Outcome("failed", 502, attempts=attempts, reason=reason)
+        return outcomes.Outcome("late", 504, attempts=attempts, reason=reason)
+    return outcomes.Outcome("failed", 502, attempts=attempts, reason=reason)
--- a/laurelrock/gateways/questions.py
+++ b/laurelrock/gateways/questions.py
@@ -1,9 +1,13 @@
-"""Messages about groups of shards, between the VMs that serve callers."""
+"""Messages about groups of shards and single requests, between gateways."""
 
 import typing
 
+from laurelrock.adapters import http_client
+from laurelrock.gateways import outcomes
+
 __all__ = [
     "KINDS",
+    "Answered",
     "Ask",
     "Begin",
     "Declined",
@@ -13,6 +17,8 @@
     "Ping",
     "Pong",
     "Taken",
+    "answered",
+    "outcome_of",
 ]
 
 
@@ -33,6 +39,9 @@
         top: Records that are sent back at most.
         aim_s: Time until the first answer is due.
         left_s: Time until the caller gives up.
+        whole: Whether one searcher answers; the owner then replies with its
+            whole answer, for the one service of the group.
+        repeatable: Whether the request may run more than once.
     """
 
     number: int
@@ -48,6 +57,8 @@
     top: int
     aim_s: float
     left_s: float
+    whole: bool = False
+    repeatable: bool = True
 
 
 class Taken(typing.NamedTuple):
@@ -88,6 +99,59 @@
     calls: int
 
 
+class Answered(typing.NamedTuple):
+    """How a request ended that one searcher answers.
+
+    Attributes:
+        number: Of the question.
+        kind: See `outcomes.Outcome`.
+        status: Of the answer.
+        passed_on: Whether it is a searcher's, with the next two.
+        headers: Of the searcher's answer.
+        body: Of the searcher's answer.
+        attempts: Calls made.
+        reason: Of a failure, for logs.
+    """
+
+    number: int
+    kind: outcomes.Kind
+    status: int
+    passed_on: bool
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    attempts: int
+    reason: str
+
+
+def answered(number: int, outcome: outcomes.Outcome) -> Answered:
+    """Returns the message that tells of an outcome."""
+    reply = outcome.reply
+    return Answered(
+        number,
+        outcome.kind,
+        outcome.status,
+        reply is not None,
+        reply.headers if reply else [],
+        reply.body if reply else b"",
+        outcome.attempts,
+        outcome.reason,
+    )
+
+
+def outcome_of(message: Answered) -> outcomes.Outcome:
+    """Returns the outcome that a message tells of."""
+    reply = None
+    if message.passed_on:
+        reply = http_client.Reply(message.status, message.headers, message.body)
+    return outcomes.Outcome(
+        message.kind,
+        message.status,
+        reply,
+        attempts=message.attempts,
+        reason=message.reason,
+    )
+
+
 class Drop(typing.NamedTuple):
     """Says that nobody waits for a group any more."""
 
@@ -122,4 +186,5 @@
     8: Declined,
     11: Ping,
     12: Pong,
+    13: Answered,
 }
--- a/laurelrock/gateways/serving.py
+++ b/laurelrock/gateways/serving.py
@@ -10,7 +10,7 @@
 from laurelrock.gateways import questions
 from laurelrock.ports import wire
 
-__all__ = ["Serving", "create_serving"]
+__all__ = ["Serving", "create_work"]
 
 
 class Serving:
@@ -111,14 +111,10 @@
         )
 
 
-def create_serving(
-    placement: parts.Placement,
-    platform: wire.Wire,
-    link: questions.Link,
-    ask: questions.Ask,
-    now_s: float,
-) -> Serving:
-    """Returns the work on a group that was asked for at a loop time."""
+def create_work(
+    platform: wire.Wire, ask: questions.Ask, now_s: float
+) -> calls.Work:
+    """Returns the request of a question that came at a loop time."""
     request = http_server.Request(
         ask.method, ask.target, ask.headers, ask.body, now_s, now_s, 0.0
     )
@@ -127,7 +123,7 @@
         name=ask.route,
         host="",
         prefix="",
-        repeatable=True,
+        repeatable=ask.repeatable,
         timeout_s=ask.left_s,
         objective_s=ask.aim_s,
         shards=ask.services,
@@ -136,5 +132,4 @@
     )
     head = platform.encode_head(ask.headers, ticket)
     end_s = now_s + ask.left_s
-    work = calls.Work(request, ticket, route, ask.version, head, end_s)
-    return Serving(placement, link, ask, work)
+    return calls.Work(request, ticket, route, ask.version, head, end_s)
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -89,15 +89,30 @@
         ahead = sum(len(row.replica.flights) for row in self.of(service))
         return throughput.Backlog(ahead, self.throughputs[service].per_s(now_s))
 
+    def service(self, name: str) -> routes.Service:
+        """Returns what is configured of a service."""
+        return self.services.get(name, routes.Service())
+
+    def near_callers(self, service: str) -> int:
+        """Returns the VMs of a failure domain that call for single requests.
+
+        0 stands for all of them; see `owners.near_callers`.
+        """
+        connections = self.service(service).connections
+        return owners.near_callers(connections, self.vms, self.domains)
+
+    def callers(self, service: str) -> int:
+        """Returns the VMs that call the searchers of a service."""
+        callers = max(1, self.vms)
+        if service in self.sharded:
+            fits = owners.fits(self.service(service).connections, callers)
+            return callers if fits else owners.callers_of(self.domains)
+        return self.near_callers(service) * self.domains or callers
+
     def limit(self, service: str) -> int:
         """Returns the connections to one searcher of a service."""
-        configured = self.services.get(service, routes.Service())
-        callers = max(1, self.vms)
-        if service in self.sharded and not owners.fits(
-            configured.connections, callers
-        ):
-            callers = owners.callers_of(self.domains)
-        share = configured.connections * CONNECTION_SHARE / callers
+        connections = self.service(service).connections
+        share = connections * CONNECTION_SHARE / self.callers(service)
         return max(1, min(MAX_CONNECTIONS, int(share)))
 
     def configure(self, configuration: routes.Configuration) -> None:
--- a/tests/gateway_worlds.py
+++ b/tests/gateway_worlds.py
@@ -20,8 +20,10 @@
 from laurelrock.gateways import calls
 from laurelrock.gateways import groups
 from laurelrock.gateways import lending
+from laurelrock.gateways import outcomes
 from laurelrock.gateways import parts
 from laurelrock.gateways import queries
+from laurelrock.gateways import singles
 from laurelrock.gateways import upstreams
 from laurelrock.platform import wire as platform_wire
 from laurelrock.ports import wire
@@ -199,7 +201,7 @@
             self.calls, self.known, self.budget, self.lending.borrow
         )
         self.groups = groups.create_groups(
-            self.placement, platform_wire, self, me, PORT
+            self.placement, platform_wire, self, me, PORT, queries.single
         )
         self.links: dict[str, Link] = {}
         #: Whether messages to it get lost, and connections stay.
@@ -225,7 +227,7 @@
 
     async def run(
         self, route: routes.Route, request_id: bytes, patience_s: float
-    ) -> queries.Outcome:
+    ) -> outcomes.Outcome:
         """Runs one caller's request."""
         loop = asyncio.get_running_loop()
         headers = [(b"x-request-id", request_id)]
@@ -243,9 +245,8 @@
             return await queries.gather(
                 work, self.placement, self.groups, 125e6
             )
-        return await queries.single(
-            work, route.parts[0].service, self.placement
-        )
+        service = route.parts[0].service
+        return await singles.run(work, service, self.placement, self.groups)
 
 
 class World:
--- a/tests/test_fleet_gateways.py
+++ b/tests/test_fleet_gateways.py
@@ -50,7 +50,7 @@
         )
 
     def owner_of(self, key, domain="d0"):
-        vms = self.fleet[0].groups.vms
+        vms = self.fleet[0].groups.assignment.vms
         name = owners.ranked(key, vms, domain)[0].name
         return self.fleet[int(name.removeprefix("vm-"))]
 
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -32,7 +32,7 @@
             for n in range(2):
                 world.change(node, f"{service}-{n}", "live")
     for node in world.nodes:
-        node.groups.vms = [other.me for other in world.nodes]
+        node.groups.assignment.set_vms([other.me for other in world.nodes])
     return world
 
 
@@ -41,7 +41,7 @@
     world = create_world()
     asker = world.nodes[0]
     _, away = asker.groups.split(ROUTE)
-    owner = asker.groups.first_owner(away[0], set())
+    owner = asker.groups.assignment.ranked(away[0][0])[0]
     return world, asker, world.by_host[owner.host]
 
 
@@ -110,9 +110,9 @@
             world, asker, owner = split_world()
             owner.deaf = True
             await self.ask(asker)
-            asker.groups.vms = [
-                node.me for node in world.nodes if node is not owner
-            ]
+            asker.groups.assignment.set_vms(
+                [node.me for node in world.nodes if node is not owner]
+            )
             await asyncio.sleep(10.0)
             return asker.groups.passed
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from laurelrock.core import owners
+from laurelrock.gateways import assignment
 from laurelrock.gateways import following
 from laurelrock.gateways import upstreams
 from laurelrock.ports import directory
@@ -18,6 +19,9 @@
     max_examples=500, deadline=None, derandomize=True, database=None
 )
 SHARDS = ("shard-0", "shard-1")
+CONFIGURATION = build.configuration(
+    build.query_route(SHARDS), build.single_route("files")
+)
 ME = directory.VmRow(
     vm="vm-1", failure_domain="a", address="10.0.0.1:8082", cores=1.0
 )
@@ -25,17 +29,39 @@
 
 def limit_of(service, connections, vms, domains):
     """Returns the connections of one VM to a searcher of a service."""
+    return known_upstreams(connections, vms, domains).limit(service)
+
+
+def known_upstreams(connections, vms, domains):
+    """Returns the searchers' state where all take so many connections."""
     known = upstreams.create_upstreams("a")
-    configuration = build.configuration(
-        build.query_route(SHARDS), build.single_route("files")
-    )
     services = {
         name: row._replace(connections=connections)
-        for name, row in configuration.services.items()
+        for name, row in CONFIGURATION.services.items()
     }
-    known.configure(configuration._replace(services=services))
+    known.configure(CONFIGURATION._replace(services=services))
     known.set_vms(vms, domains)
-    return known.limit(service)
+    return known
+
+
+def count_callers(service, connections, vms, domains):
+    """Returns the VMs that some VM of the fleet has call for its callers."""
+    fleet = [
+        owners.Vm(f"vm-{n}", f"d{n % domains}", f"10.0.0.{n}", 1.0)
+        for n in range(vms)
+    ]
+    known = known_upstreams(connections, vms, domains)
+    called = set()
+    for me in fleet[: 5 * domains]:
+        assigned = assignment.create_assignment(known, me)
+        assigned.set_vms(fleet)
+        assigned.configure(CONFIGURATION)
+        rows = assigned.owners_of(service)
+        if not rows and not known.near_callers(service):
+            return vms
+        # An owner that is silent is passed over for the next one.
+        called |= {vm.name for vm in rows or [me]}
+    return len(called)
 
 
 class ConnectionsTest(unittest.TestCase):
@@ -58,12 +84,27 @@
     def test_single_requests(self, connections, vms):
         hypothesis.assume(vms <= connections)
         limit = limit_of("files", connections, vms, 3)
-        self.assertLessEqual(vms * limit, connections)
+        self.assertLessEqual(
+            count_callers("files", connections, vms, 3) * limit, connections
+        )
 
     def test_single_requests_of_more_vms_than_connections(self):
-        # 300 VMs and a searcher that takes 110, as on a grown site.
-        callers = 300 * limit_of("files", 110, 300, 4)
-        self.assertLessEqual(callers, 110)
+        # Searchers of the grown sites, at the sizes of the bench's sweep and
+        # of the plan.
+        for connections, vms, domains in (
+            *((110, 300, 4), (110, 760, 5), (63, 82, 3)),
+            *((550, 1000, 5), (26, 760, 5)),
+        ):
+            with self.subTest(connections=connections, vms=vms):
+                callers = count_callers("files", connections, vms, domains)
+                limit = limit_of("files", connections, vms, domains)
+                self.assertLessEqual(callers * limit, connections)
+
+    def test_single_requests_to_a_shard(self):
+        # A route may name the service that holds a shard of a query.
+        callers = count_callers(SHARDS[0], 63, 82, 3)
+        limit = limit_of(SHARDS[0], 63, 82, 3)
+        self.assertLessEqual(callers * limit, 63)
 
 
 class VersionsTest(unittest.TestCase):
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -16,7 +16,7 @@
 from laurelrock.core import gathering
 from laurelrock.core import repeats
 from laurelrock.core import routes
-from laurelrock.gateways import queries
+from laurelrock.gateways import outcomes
 from tests import gateway_builders as build
 from tests import gateway_worlds as worlds
 from tests import gateways
@@ -109,7 +109,7 @@
     request_id: bytes
     begun_s: float
     ended_s: float
-    outcome: queries.Outcome | None
+    outcome: outcomes.Outcome | None
 
 
 async def play_steps(
@@ -164,8 +164,9 @@
     """Plays a history over four VMs that call shards for each other."""
     configuration = build.configuration(MANY, READ, SAVE)
     services = {
-        # Too few connections for all VMs to call each searcher.
-        name: service._replace(connections=6)
+        # Too few connections for all VMs to call each searcher, of shards
+        # and of single requests.
+        name: service._replace(connections=4 if name == "files" else 6)
         for name, service in configuration.services.items()
     }
     configuration = configuration._replace(services=services)
@@ -178,10 +179,13 @@
     everyone = [node.me for node in world.nodes]
     for node, view in zip(world.nodes, views, strict=True):
         # Each VM may know others that the rest does not.
-        node.groups.vms = [vm for vm in everyone if vm == node.me or view]
+        node.groups.assignment.set_vms(
+            [vm for vm in everyone if vm == node.me or view]
+        )
         node.known.set_vms(4, 2)
         node.lending.set_vms(everyone)
-        node.lending.set_groups(node.groups.called_by_owners(configuration))
+        node.groups.assignment.configure(configuration)
+        node.lending.set_groups(node.groups.assignment.groups)
 
     async def cut():
         for pause_s, one, other in cuts:
--- /dev/null
+++ b/tests/test_singles.py
@@ -0,0 +1,199 @@
+"""Single requests among several gateways, of which some call the searchers."""
+
+import asyncio
+import unittest.mock
+
+from fakes import shards
+from laurelrock.gateways import calls
+from laurelrock.gateways import groups
+from laurelrock.gateways import questions
+from tests import gateway_builders as build
+from tests import gateways
+
+HOSTS = [f"127.0.0.{10 + n}" for n in range(4)]
+SAVE = build.store_single(
+    name="r-save", path_prefix="/save/", type="non_idempotent"
+)
+
+
+def document():
+    """Returns a configuration whose searchers take few connections."""
+    found = build.store_configuration(build.store_single(), SAVE)
+    for row in found["services"]:
+        row["max_connections"] = 4
+    return found
+
+
+class SinglesCase(gateways.GatewayCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        # Longer than a loaded machine needs for a message and its answer.
+        self.enterContext(unittest.mock.patch.object(groups, "TAKEN_S", 0.5))
+
+    async def start(self, script=shards.healthy, count=2):
+        self.searchers = [
+            await shards.start(f"s-{n}", script, b"found") for n in range(count)
+        ]
+        rows = [("files", searcher) for searcher in self.searchers]
+        await self.start_fleet(document(), rows, HOSTS)
+
+    async def ask_vm(self, vm, request_id="r-1", path="/single/a", **fields):
+        fields.setdefault("deadline_ms", 4000)
+        self.address = vm.deployment.callers
+        return await self.ask(gateways.request(path, request_id, **fields))
+
+    def rows_of(self, vm):
+        """Returns the gateways that a gateway asks, the first one first."""
+        rows = vm.groups.assignment.owners_of("files")
+        by_host = {row.deployment.address: row for row in self.fleet}
+        return [by_host[row.host] for row in rows]
+
+    def asker(self):
+        """Returns a gateway that doesn't call the searchers itself."""
+        return next(vm for vm in self.fleet if self.rows_of(vm))
+
+    def seen(self):
+        return sum(len(row.requests) for row in self.searchers)
+
+
+class SinglesTest(SinglesCase):
+    async def test_few_vms_hold_connections(self):
+        await self.start()
+        for number, vm in enumerate(self.fleet):
+            answer = await self.ask_vm(vm, f"r-{number}")
+            self.assertEqual((answer.status, answer.body), (200, b"found"))
+            self.assertIn("x-server-stamp", answer.headers)
+        for searcher in self.searchers:
+            callers = sum(
+                1
+                for vm in self.fleet
+                if vm.known.by_id[searcher.name].client.opened
+            )
+            self.assertLessEqual(callers, 2)
+            self.assertLessEqual(searcher.connections, 4)
+
+    async def test_failure_of_a_searcher_is_passed_on(self):
+        def missing(searcher, request):
+            proof = f"X-Server-Stamp: {searcher.name}"
+            body = shards.answer(request, "404 Not Found", b"none", proof)
+            return shards.Play(((0, body),))
+
+        await self.start(missing)
+        answer = await self.ask_vm(self.asker())
+        self.assertEqual((answer.status, answer.body), (404, b"none"))
+        self.assertIn("x-server-stamp", answer.headers)
+        self.assertEqual(self.seen(), 1)
+
+    async def test_full_searchers_are_a_refusal(self):
+        def full(searcher, request):
+            note = "X-Not-Executed: 1"
+            body = shards.answer(request, "503 Unavailable", b"", note)
+            return shards.Play(((0, body),))
+
+        await self.start(full)
+        answer = await self.ask_vm(self.asker(), path="/save/a")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+
+    async def test_body_and_method_reach_the_searcher(self):
+        await self.start()
+        await self.ask_vm(self.asker(), method="POST", body=b"some body")
+        seen = [row for one in self.searchers for row in one.requests]
+        self.assertEqual(
+            [(row.method, row.target, row.body) for row in seen],
+            [("POST", "/single/a", b"some body")],
+        )
+
+    async def test_silent_vm_is_passed_over(self):
+        await self.start()
+        asker = self.asker()
+        silent = self.rows_of(asker)[0]
+        silent.exchange.handle = lambda link, message: None
+        answer = await self.ask_vm(asker, path="/save/a")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.seen(), 1)
+
+    async def test_vm_that_reads_late_calls_nobody(self):
+        await self.start()
+        asker = self.asker()
+        late = self.rows_of(asker)[0]
+        handle, held = late.exchange.handle, []
+        late.exchange.handle = lambda *row: held.append(row)
+        answer = await self.ask_vm(asker, path="/save/a")
+        self.assertEqual(answer.status, 200)
+        for link, message in held:
+            handle(link, message)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.seen(), 1)
+
+    async def test_vm_that_stops_declines(self):
+        await self.start()
+        asker = self.asker()
+        self.rows_of(asker)[0].groups.stopping = True
+        answer = await self.ask_vm(asker, path="/save/a")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.seen(), 1)
+
+    async def test_stopping_vm_that_reaches_no_other_calls_itself(self):
+        await self.start()
+        asker = self.asker()
+        for vm in self.fleet:
+            if vm is not asker:
+                vm.groups.stopping = True
+        asker.groups.stopping = True
+        answer = await self.ask_vm(asker, path="/save/a")
+        self.assertEqual(answer.status, 200)
+
+    async def test_lost_after_it_had_begun(self):
+        def hang(searcher, request):
+            return shards.Play(end="hang")
+
+        await self.start(hang)
+        asker = self.asker()
+        lost = self.rows_of(asker)[0]
+        asking = asyncio.create_task(self.ask_vm(asker, path="/save/a"))
+        await self.until(lambda: self.seen() == 1)
+        lost.exchange.close()
+        answer = await asking
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.seen(), 1)
+
+    async def test_answer_that_does_not_come(self):
+        def hang(searcher, request):
+            return shards.Play(end="hang")
+
+        await self.start(hang)
+        answer = await self.ask_vm(
+            self.asker(), path="/save/a", deadline_ms=300
+        )
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(self.seen(), 1)
+
+    async def test_caller_that_leaves_ends_the_call(self):
+        def hang(searcher, request):
+            return shards.Play(end="hang")
+
+        await self.start(hang)
+        self.address = self.asker().deployment.callers
+        _, writer = await self.connect()
+        writer.write(gateways.request("/single/a", deadline_ms=4000))
+        await self.until(lambda: self.seen() == 1)
+        writer.transport.abort()
+        await self.until(lambda: all(row.left for row in self.searchers))
+        self.assertLess(calls.LINGER_S + calls.SWEEP_S, 0.5)
+        self.assertFalse(any(vm.groups.serving for vm in self.fleet))
+        self.assertFalse(any(vm.groups.asked for vm in self.fleet))
+
+    async def test_outcomes_survive_the_way_between_vms(self):
+        await self.start()
+        asker = self.asker()
+        kinds = []
+        handle = asker.exchange.handle
+
+        def note(link, message):
+            kinds.append(type(message))
+            handle(link, message)
+
+        asker.exchange.handle = note
+        await self.ask_vm(asker)
+        self.assertEqual(kinds, [questions.Taken, questions.Answered])
