Begin to follow the platform once the list of VMs is known

Cause: a gateway that starts looks each 0.4 s whether it follows the platform itself or through another VM. At the first look it has no list of VMs yet; the list comes some ms later, and 0.4 s passed unused.

Ruled out: reads of the store that hang or fail (no such line); the time that a process takes to start.

Change: a new list of VMs ends the wait.

The test has a beat of a minute and fails before.

--- a/laurelrock/gateways/sharing.py
+++ b/laurelrock/gateways/sharing.py
@@ -95,6 +95,7 @@
         heard_s: Loop time of the source's last word.
         subscribed_s: Loop time of the subscription.
         useless: Sources passed over since one was of use, by name.
+        listed: Set when the list of VMs changes.
     """
 
     def __init__(
@@ -119,6 +120,7 @@
         self.heard_s = 0.0
         self.subscribed_s = 0.0
         self.useless: set[str] = set()
+        self.listed = asyncio.Event()
         self.loop = asyncio.get_running_loop()
 
     def sources(self) -> list[owners.Vm]:
@@ -175,7 +177,16 @@
                     self.subscribe(self.source, now_s)
             self.complete()
             self.push(State(None, False, [], [], None, self.known.age_s()))
-            await asyncio.sleep(BEAT_S)
+            await self.rest()
+
+    async def rest(self) -> None:
+        """Waits for the next beat, or until the list of VMs changes."""
+        self.listed.clear()
+        try:
+            async with asyncio.timeout(BEAT_S):
+                await self.listed.wait()
+        except TimeoutError:
+            return
 
     def look_after_source(self, now_s: float) -> bool:
         """Goes to the next source where the present one is no use.
@@ -291,6 +302,7 @@
     def set_vms(self, vms: list[owners.Vm]) -> None:
         """Takes the list of VMs and passes it on."""
         self.vms = vms
+        self.listed.set()
         self.push(State(None, False, [], [], vms, self.known.age_s()))
 
 
--- a/tests/test_fleet_gateways.py
+++ b/tests/test_fleet_gateways.py
@@ -197,6 +197,13 @@
         name = vm.sharing.source.name
         return self.fleet[int(name.removeprefix("vm-"))]
 
+    async def test_start_does_not_wait_for_a_beat(self):
+        # All VMs start anew at one moment; the store lists them all.
+        beat = unittest.mock.patch.object(sharing, "BEAT_S", 60.0)
+        with beat:
+            await self.start()
+            self.assertTrue(all(vm.ready for vm in self.fleet))
+
     async def test_changes_reach_subscribers(self):
         await self.start_shared()
         self.store.put("config", "main", document(version=7))
