Count a far searcher a fifth of the objective more

Change: a far searcher counts 0.2 of the route's objective more, in place of 10 ms.

The test of a near searcher without a free slot now names an objective for which a far one is better, as before; a new one has the reverse.

--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -44,9 +44,10 @@
 FULL_S = 0.03
 #: Factor of the latency of a searcher that has just started.
 COLD_FACTOR = 1.6
-#: Time that a call to another failure domain costs besides, in seconds: the
-#: way there and back, and what its bytes cost.
-FAR_COST_S = 0.010
+#: Time that a call to another failure domain costs besides, as a fraction of
+#: the route's objective. Bytes between failure domains are paid for, and an
+#: answer within the objective is of no more use for being earlier.
+FAR_FRACTION = 0.2
 #: Fewest searchers of other failure domains that tell of a cut.
 LEAST_FAR = 4
 #: Time without an answer from any of them, in seconds.
@@ -283,12 +284,17 @@
     typical: Typical,
     near: Near,
     connected: Connected,
+    objective_s: float,
     now_s: float,
 ) -> Replica:
-    """Returns the searcher that is expected to answer first."""
+    """Returns the searcher that is expected to answer first.
+
+    One of another failure domain has to be faster by a fraction of the
+    route's objective.
+    """
 
     def cost(row: Replica) -> tuple[float, int, int]:
-        far = 0.0 if near(row) else FAR_COST_S
+        far = 0.0 if near(row) else FAR_FRACTION * objective_s
         opening = 0.0 if connected(row) else CONNECT_COST_S
         expected_s = row.expected_s(typical, now_s) + far + opening
         return expected_s, len(row.flights), row.numbers
--- a/laurelrock/gateways/groups.py
+++ b/laurelrock/gateways/groups.py
@@ -247,7 +247,8 @@
         changed: collections.abc.Callable[[], None],
     ) -> Group:
         """Asks one of some VMs for a request that one searcher answers."""
-        group = Group(work, (service,), rows, work.end_s, changed, whole=True)
+        aim_s = work.request.received_s + work.route.objective_s
+        group = Group(work, (service,), rows, aim_s, changed, whole=True)
         self.ask_next(group)
         return group
 
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -148,6 +148,7 @@
             typical,
             self.known.near,
             lambda replica: bool(by_replica[replica].client.idle),
+            part.work.route.objective_s,
             self.calls.loop.time(),
         )
         return by_replica[chosen]
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -26,12 +26,13 @@
         self.two = build.replica("two")
         self.unconnected = []
 
-    def choose(self, now_s=10.0):
+    def choose(self, now_s=10.0, objective_s=0.05):
         chosen = replicas.choose(
             [self.one, self.two],
             self.typical,
             near,
             lambda row: row not in self.unconnected,
+            objective_s,
             now_s,
         )
         return chosen.searcher.id
@@ -48,7 +49,18 @@
         self.one = build.replica("one", failure_domain="b")
         self.two.begin(9.995)
         self.two.begin(9.995)
-        self.assertEqual(self.choose(), "one")
+        self.assertEqual(self.choose(objective_s=0.04), "one")
+
+    def test_near_one_goes_first_while_it_is_well_in_time(self):
+        # A far one would be earlier, which is of no use to the caller, and
+        # its bytes are paid for.
+        self.one = build.replica("one", failure_domain="b")
+        self.two.begin(9.995)
+        self.two.begin(9.995)
+        self.assertEqual(self.choose(objective_s=0.15), "two")
+        for _ in range(4):
+            self.two.begin(9.995)
+        self.assertEqual(self.choose(objective_s=0.15), "one")
 
     def test_paused_searcher_gets_nothing_new(self):
         self.one.begin(9.9)
