Take VMs that are gone for good from the platform's list

Cause: each VM lists itself and nothing on the platform expires.

Weighed: a heartbeat in each row (760 writes a second at the size to design for, or minutes of delay); random checks by all (each VM ends with a connection to every other); one checker a VM by rendezvous (two dead VMs may check each other). Chosen: a ring, where the first live VM before a dead one finds it; one connection a VM.

A VM that misses itself in the list lists itself again. Where half of the others are silent, nothing is removed.

Tests: every dead VM of any set is found by the live ones and nobody else is asked beyond one live one (hypothesis); a gateway that ended leaves the list among three others on sockets, one that was removed comes back.

--- a/fakes/objects.py
+++ b/fakes/objects.py
@@ -146,6 +146,9 @@
                 return await self.watch(kind, int(query["watch"]), wait_s)
             return self.page(kind, query.get("after", ""))
         if request.method == "DELETE":
+            wanted = request.query.get("revision")
+            if found and wanted not in (None, str(found["meta"]["revision"])):
+                return web.json_response(found, status=409)
             gone = self.delete(kind, name)
             return web.json_response({}, status=200 if gone else 404)
         document = await request.json()
--- a/laurelrock/gateways/following.py
+++ b/laurelrock/gateways/following.py
@@ -100,6 +100,7 @@
         direct: Whether this VM polls the platform itself.
         started_s: Loop time of the start.
         down: Names of the polls that get no answer.
+        announced: Whether this VM listed itself.
         fresh_s: Loop time at which the searchers were known for certain last;
             while the poll of searchers is answered, it is the present.
     """
@@ -126,6 +127,7 @@
         self.vms_changed = vms_changed
         self.searchers_changed = searchers_changed
         self.down: set[str] = set()
+        self.announced = False
         self.fresh_s = -math.inf
         self.direct = False
         self.loop = asyncio.get_running_loop()
@@ -291,16 +293,15 @@
         them at once. One that doesn't poll the platform gets it otherwise.
         """
         attempt = 0
-        announced = False
         while True:
             try:
                 if self.direct:
                     await self.read_vms()
-                if not announced:
+                if not self.announced:
                     await self.read_vms(first=True)
                     await asyncio.sleep(random.random() / 4)
                     await self.source.announce(self.me)
-                    announced = True
+                    self.announced = True
                     await asyncio.sleep(FIRST_VMS_S)
                     await self.read_vms()
             except errors.StoreError as error:
@@ -311,6 +312,12 @@
             attempt = 0
             await asyncio.sleep(VMS_S)
 
+    def note_listed(self, listed: bool) -> None:
+        """Notes whether a list of VMs names this one, which it should."""
+        if self.announced and not listed:
+            self.announced = False
+            _log.warning("unlisted")
+
     async def read_vms(self, first: bool = False) -> None:
         """Reads the list of VMs.
 
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -17,6 +17,7 @@
 from laurelrock.core import repeats
 from laurelrock.core import routes
 from laurelrock.gateways import calls
+from laurelrock.gateways import departing
 from laurelrock.gateways import deployment
 from laurelrock.gateways import following
 from laurelrock.gateways import groups
@@ -76,6 +77,7 @@
         sharing: Who follows the platform for whom.
         groups: Shards that other VMs call, and that this one calls for them.
         following: Configuration and registry.
+        departing: Takes VMs that are gone from the platform's list.
         peers: What other VMs know.
         servers: Ports for callers, readiness, other VMs and metrics.
         counts: Answers by outcome.
@@ -135,6 +137,9 @@
         self.sharing = sharing.create_sharing(
             self.following, self.exchange, vm_of(me), port, self.set_vms
         )
+        self.departing = departing.create_departing(
+            source, self.exchange, vm_of(me), port
+        )
         self.peers = peers.create_peers(
             self.following,
             options.peers,
@@ -190,6 +195,8 @@
         elif isinstance(message, lending.Borrow | lending.Lent):
             self.lending.take(link, message)
         else:
+            if isinstance(message, questions.Pong):
+                self.departing.heard(message.owner)
             self.groups.take(link, message)
 
     def link_ended(self, link: frames.Link) -> None:
@@ -232,8 +239,10 @@
 
     def set_vms(self, vms: list[owners.Vm]) -> None:
         """Takes the list of VMs."""
+        self.following.note_listed(vm_of(self.following.me) in vms)
         if vms == self.groups.assignment.vms:
             return
+        self.departing.set_vms(vms)
         self.groups.assignment.set_vms(vms)
         self.peers.addresses = [
             (vm.host, self.deployment.peers[1]) for vm in vms
--- a/laurelrock/gateways/instruments.py
+++ b/laurelrock/gateways/instruments.py
@@ -42,6 +42,11 @@
         lambda: dict(gateway.lending.counts),
         "Extra calls asked of another VM, by its reply",
     )
+    meters.counters(
+        "laurelrock_departures_total",
+        lambda: dict(gateway.departing.counts),
+        "Checks of other VMs, and those taken from the list",
+    )
     meters.counter(
         "laurelrock_platform_calls_total",
         lambda: gateway.source.calls,
--- a/laurelrock/gateways/running.py
+++ b/laurelrock/gateways/running.py
@@ -46,6 +46,7 @@
         opened.following.expire,
         opened.following.count_vms,
         opened.sharing.run,
+        opened.departing.run,
         opened.peers.run,
         opened.known.probe,
         opened.watch_reach,
--- a/laurelrock/platform/store.py
+++ b/laurelrock/platform/store.py
@@ -194,6 +194,20 @@
         if status == 409:
             await self.request("PUT", f"/api/objects/{VMS}/{name}", document)
 
+    async def withdraw(self, vm: str, host: str) -> bool:
+        """Implements `Directory`."""
+        path = f"/api/objects/{VMS}/{urllib.parse.quote(vm, safe='')}"
+        status, found = await self.request("GET", path)
+        if status == 404:
+            return False
+        fields = objects.Fields(found)
+        row = objects.Fields(fields.row.get("spec"))
+        if row.text("address").rpartition(":")[0] != host:
+            return False
+        revision = objects.Fields(fields.row.get("meta")).whole("revision")
+        status, _ = await self.request("DELETE", f"{path}?revision={revision}")
+        return status not in (404, 409)
+
     async def read_vms(self) -> list[directory.VmRow]:
         """Implements `Directory`."""
         page = await self.list_all(VMS, stale=True)
--- a/laurelrock/ports/directory.py
+++ b/laurelrock/ports/directory.py
@@ -68,6 +68,13 @@
     async def announce(self, row: VmRow) -> None:
         """Lists this VM."""
 
+    async def withdraw(self, vm: str, host: str) -> bool:
+        """Takes a VM from the list, if it is there with this address.
+
+        Returns:
+            Whether it was.
+        """
+
     async def read_vms(self) -> list[VmRow]:
         """Returns the listed VMs; the list may be some seconds old."""
 
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -13,6 +13,7 @@
 from laurelrock.adapters import frames
 from laurelrock.adapters import http_server
 from laurelrock.gateways import calls
+from laurelrock.gateways import departing
 from laurelrock.gateways import following
 from laurelrock.gateways import gateway
 from laurelrock.gateways import groups
@@ -29,7 +30,8 @@
 HOST = "127.0.0.1"
 #: Modules whose log lines are kept.
 LOGGING = (
-    *(frames, http_server, calls, following, gateway, groups, lending),
+    *(frames, http_server, calls, departing, following, gateway, groups),
+    lending,
     *(parts, peers, sharing, upstreams, store),
 )
 
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,108 @@
+"""Tests of VMs that are gone for good."""
+
+import asyncio
+import unittest
+import unittest.mock
+
+import hypothesis
+from hypothesis import strategies
+
+from laurelrock.core import departures
+from laurelrock.gateways import departing
+from tests import test_fleet_gateways
+
+NAMES = tuple(f"vm-{n}" for n in range(12))
+
+
+def silent_since(since_s, checks=departures.LEAST_CHECKS):
+    found = departures.Departures()
+    for _ in range(checks):
+        found.missed("vm-1", since_s)
+    return found
+
+
+class DeparturesTest(unittest.TestCase):
+    def test_table(self):
+        late_s = departures.GONE_S + 1.0
+        for what, found, listed, now_s, gone in (
+            ("silent for long", silent_since(0.0), 9, late_s, ["vm-1"]),
+            ("silent for a while", silent_since(0.0), 9, 60.0, []),
+            ("few checks", silent_since(0.0, 2), 9, late_s, []),
+            ("half of the others silent", silent_since(0.0), 3, late_s, []),
+            ("the only other one", silent_since(0.0), 2, late_s, ["vm-1"]),
+        ):
+            with self.subTest(what):
+                self.assertEqual(found.gone(listed, now_s), gone)
+
+    def test_reply_ends_a_silence(self):
+        found = silent_since(0.0)
+        found.heard("vm-1")
+        found.missed("vm-1", departures.GONE_S)
+        self.assertEqual(found.gone(9, departures.GONE_S + 1.0), [])
+
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @hypothesis.given(
+        strategies.sets(strategies.sampled_from(NAMES), max_size=11)
+    )
+    def test_live_vms_check_every_dead_one(self, dead):
+        live = [name for name in NAMES if name not in dead]
+        seen = set()
+        for name in live:
+            silent: set[str] = set()
+            for _ in NAMES:
+                asked = departures.checked(name, NAMES, silent)
+                silent |= {row for row in asked if row in dead}
+            seen |= silent
+            self.assertNotIn(name, asked)
+            # No more than the dead ones on the way and one live one.
+            self.assertLessEqual(len(set(asked) - dead), 1)
+        self.assertEqual(seen, dead)
+
+
+class DepartingTest(test_fleet_gateways.FleetCase):
+    async def test_vm_that_is_gone_leaves_the_list(self):
+        await self.start()
+        gone, *rest = self.fleet
+        gone.exchange.close()
+        await self.end(gone)
+        name = gone.deployment.vm
+        for vm in rest:
+            vm.departing.found.silent.clear()
+        self.patch_times()
+        await self.check_all(rest, departures.LEAST_CHECKS)
+        self.assertNotIn(name, self.store.rows["laurelrock-vms"])
+        await self.until(lambda: all(vm.known.vms == 3 for vm in rest), 12.0)
+        self.assertIn("vm-gone", {row["event"] for row in self.lines})
+
+    async def test_live_vms_stay(self):
+        await self.start()
+        self.patch_times()
+        await self.check_all(self.fleet, departures.LEAST_CHECKS)
+        self.assertEqual(len(self.store.rows["laurelrock-vms"]), 4)
+
+    async def test_vm_that_was_taken_from_the_list_comes_back(self):
+        await self.start()
+        vm = self.fleet[0]
+        await self.until(lambda: vm.following.announced)
+        removed = await vm.source.withdraw("vm-0", test_fleet_gateways.HOSTS[0])
+        self.assertTrue(removed)
+        await self.until(
+            lambda: "vm-0" in self.store.rows["laurelrock-vms"], 12.0
+        )
+
+    async def test_row_with_another_address_stays(self):
+        await self.start()
+        removed = await self.fleet[0].source.withdraw("vm-1", "127.0.0.99")
+        self.assertFalse(removed)
+        self.assertIn("vm-1", self.store.rows["laurelrock-vms"])
+
+    def patch_times(self):
+        for module, name, value in (
+            (departures, "GONE_S", 0.0),
+            (departing, "REPLY_S", 0.3),
+        ):
+            self.enterContext(unittest.mock.patch.object(module, name, value))
+
+    async def check_all(self, vms, times):
+        for _ in range(times):
+            await asyncio.gather(*[vm.departing.check() for vm in vms])
