Harm the ways to VMs in the soak, and let searchers be born again

Change: callers and other VMs reach a VM through links that are cut, delayed or silenced; a searcher is replaced by one with the same id, the same address and a later birth. A bar shows progress on a terminal. What the soak can't do is said: a process's steady clock can't be changed from outside.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -33,6 +33,8 @@
 STORE, STORE_LINK = 7100, 7101
 #: First port of the searchers' links.
 SEARCHERS = 20_000
+#: Start of the first searchers, in milliseconds since 1970.
+FIRST_BORN_MS = 1_790_000_000_000
 #: Longest wait for the fleet to be ready, in seconds.
 START_S = 40.0
 
@@ -76,21 +78,32 @@
         name: Of the VM.
         address: IPv4 number.
         link: Between it and the store.
+        front: Between callers and it.
+        exchange: Between other VMs and it.
         process: Running, or ended.
         starts: Processes so far.
     """
 
-    def __init__(self, name: str, address: str, way: link.Link) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        way: link.Link,
+        front: link.Link,
+        exchange: link.Link,
+    ) -> None:
         self.name = name
         self.address = address
         self.link = way
+        self.front = front
+        self.exchange = exchange
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
 
     @property
     def callers(self) -> tuple[str, int]:
         """Where callers connect."""
-        return self.address, CALLERS
+        return front_of(self.address), CALLERS
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process, if it lives."""
@@ -112,6 +125,7 @@
         self.link = way
         self.service = service
         self.port = port
+        self.born_ms = FIRST_BORN_MS
         #: What it does with requests: see `Fleet.play`.
         self.manner = "healthy"
 
@@ -196,6 +210,15 @@
         self.list_searcher(name, "ready")
         return server
 
+    async def bear_again(self, server: Server) -> None:
+        """Ends a searcher and starts another one under its id and address."""
+        name = server.searcher.name
+        await server.searcher.stop()
+        server.searcher = await shards.start(name, self.play)
+        server.link.target = ":".join(map(str, server.searcher.address))
+        server.born_ms += 1000
+        self.list_searcher(name, "ready")
+
     def list_searcher(self, name: str, state: str) -> None:
         """Writes a searcher's entry."""
         server = self.servers[name]
@@ -209,7 +232,7 @@
             "state": state,
             "warmup_left_ms": 0,
             "seq": 1,
-            "born": 1_790_000_000_000,
+            "born": server.born_ms,
         }
         self.store.put("servers", name, spec)
 
@@ -290,9 +313,18 @@
         way = await link.start(
             f"{self.network}.0.1:{port}", f"{self.network}.0.1:{STORE}"
         )
-        vm = Vm(f"vm-{number}", address, way)
+        listed = listed_as(address)
+        vm = Vm(
+            f"vm-{number}",
+            address,
+            way,
+            await link.start(
+                f"{front_of(address)}:{CALLERS}", f"{address}:{CALLERS}"
+            ),
+            await link.start(f"{listed}:{EXCHANGE}", f"{address}:{EXCHANGE}"),
+        )
         self.vms[vm.name] = vm
-        seeds = [f"{self.network}.1.{n + 1}:{PEERS}" for n in range(3)]
+        seeds = [f"{self.network}.3.{n + 1}:{PEERS}" for n in range(3)]
         settings = {
             "node_name": vm.name,
             "ip": address,
@@ -301,7 +333,7 @@
             "listen_addrs": {
                 "front": f"{address}:{CALLERS}",
                 "readiness_addr": f"{address}:{READINESS}",
-                "control": f"{address}:{PEERS}",
+                "control": f"{listed}:{PEERS}",
             },
             "port_range": [EXCHANGE, EXCHANGE + 9],
             "seed_nodes": seeds,
@@ -361,7 +393,8 @@
             vm.signal(signal.SIGKILL)
             if vm.process is not None:
                 vm.process.wait()
-            await vm.link.close()
+            for way in (vm.link, vm.front, vm.exchange):
+                await way.close()
         for server in self.servers.values():
             await server.searcher.stop()
             await server.link.close()
@@ -369,6 +402,18 @@
             await self.runner.cleanup()
 
 
+def front_of(address: str) -> str:
+    """Returns where callers find a VM: a link to it."""
+    first, second, _, last = address.split(".")
+    return f"{first}.{second}.4.{last}"
+
+
+def listed_as(address: str) -> str:
+    """Returns the address that a VM lists; its exchange is behind a link."""
+    first, second, _, last = address.split(".")
+    return f"{first}.{second}.3.{last}"
+
+
 def record_of(service: str, request_id: str) -> bytes:
     """Returns the one record of a part: who answers which request."""
     name = f"{service}/{request_id}".encode()[: gathering.RECORD_BYTES]
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -27,6 +27,8 @@
 
 #: Violations that are printed of each promise.
 MAX_PRINTED = 3
+#: Width of the progress bar, in characters.
+BAR = 40
 SHAPES = {
     "direct": fleet.Shape(vms=4, shards=6),
     "owners": fleet.Shape(vms=5, shards=18, connections=6, allowance=200),
@@ -126,6 +128,7 @@
                 shutil.copytree(folder, target, dirs_exist_ok=True)
         faults.print_json(line)
         lines.append(line)
+        show_progress(len(lines), len(cases))
     exercised: collections.Counter[str] = collections.Counter()
     violations: collections.Counter[str] = collections.Counter()
     for line in lines:
@@ -142,6 +145,14 @@
     return int(bool(violations))
 
 
+def show_progress(played: int, cases: int) -> None:
+    """Draws a bar on a terminal; elsewhere nothing."""
+    if sys.stderr.isatty():
+        done = round(BAR * played / cases)
+        bar = "#" * done + "." * (BAR - done)
+        print(f"\r[{bar}] {played} of {cases}", end="", file=sys.stderr)
+
+
 def main(argv: list[str]) -> int:
     """Runs the command line."""
     parser = argparse.ArgumentParser(description="Soak of gateway processes.")
--- a/bench/trouble.py
+++ b/bench/trouble.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import random
 import signal
 import typing
@@ -28,6 +29,12 @@
 #: How much more often than others a fault is drawn: those that only one or two
 #: promises are about.
 WEIGHTS = {"stop": 4, "drain": 3, "storm": 2, "reshard": 2, "kill": 2}
+#: What a way to a VM does; None: what is open falls silent.
+WAYS = (
+    ("cut", link.Faults(cut=True)),
+    ("late", link.Faults(delay_ms=60)),
+    ("silent", None),
+)
 MANNERS = ("slow", "failing", "full", "mute", "resetting", "cut")
 
 
@@ -213,6 +220,36 @@
             vm.link.set_faults(link.Faults())
         self.note("store-cut", vm.name, begun_s)
 
+    async def harm_way(
+        self, name: str, way: str, change: link.Faults | None
+    ) -> None:
+        """Lets the way of callers, or of other VMs, to one VM misbehave.
+
+        Args:
+            name: Of the fault.
+            way: Attribute of the VM that holds the link.
+            change: Of the link; None silences what is open.
+        """
+        chosen = self.running.vms[self.chosen.choice(sorted(self.running.vms))]
+        taken: link.Link = getattr(chosen, way)
+        begun_s = self.loop.time()
+        if change is None:
+            taken.silence()
+        else:
+            taken.set_faults(change)
+            await asyncio.sleep(self.chosen.uniform(0.5, 4.0))
+            taken.set_faults(link.Faults())
+        self.note(name, chosen.name, begun_s)
+
+    async def bear_again(self) -> None:
+        """Lets a searcher start anew under its id."""
+        server = self.pick_searcher()
+        if server.searcher.name in self.drained:
+            return
+        begun_s = self.loop.time()
+        await self.running.bear_again(server)
+        self.note("born-again", "-", begun_s)
+
     async def harm_link(self, change: link.Faults | None) -> None:
         """Lets the link of a searcher misbehave; None silences it."""
         server = self.pick_searcher()
@@ -306,6 +343,14 @@
             "link-cut": lambda: self.harm_link(link.Faults(cut=True)),
             "link-late": lambda: self.harm_link(link.Faults(delay_ms=60)),
             "link-silent": lambda: self.harm_link(None),
+            **{
+                f"{way}-{name}": functools.partial(
+                    self.harm_way, f"{way}-{name}", way, change
+                )
+                for way in ("front", "exchange")
+                for name, change in WAYS
+            },
+            "born-again": self.bear_again,
             "searcher": self.harm_searcher,
             "drain": self.drain,
             "configure": lambda: self.configure(1),
