--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -3,6 +3,8 @@
 import contextlib
 import io
 import json
+import subprocess
+import sys
 import unittest
 import urllib.request
 
@@ -97,6 +99,25 @@
                 self.assertIn("platform-unavailable", err)
 
 
+class GatewayTest(unittest.TestCase):
+    def test_gateway_loads_no_tls(self):
+        script = (
+            "import sys\n"
+            "from laurelrock.commands import gateway\n"
+            "gateway.leave_out_tls()\n"
+            "import laurelrock.platform.process\n"
+            "print(sorted({'_ssl', '_hashlib'} & set(sys.modules)))\n"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", script],
+            cwd=processes.ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual(done.stdout.strip(), "[]")
+
+
 class PublishTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
