Refuse at once what owners can't reach, and tell of a cut

Only owners found that they were cut off, the last of 21 VMs 4.5 s later, and the balancer takes callers elsewhere only when none of them is ready.

Ruled out: refusals by the searchers (no such answers); the budget.

Change: an owner says with 'taken' how many shards it can't reach. A query that can't be answered ends at once with 502, the next are refused with 503 before anything runs, and the owners are asked meanwhile. A VM that is cut off tells those of its failure domain to look too. The search for a cut has a module of its own.

--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -27,6 +27,7 @@
 from laurelrock.gateways import peers
 from laurelrock.gateways import queries
 from laurelrock.gateways import questions
+from laurelrock.gateways import reach
 from laurelrock.gateways import sharing
 from laurelrock.gateways import singles
 from laurelrock.gateways import upstreams
@@ -45,8 +46,6 @@
 GRACE_FRACTION = 0.93
 #: Interval at which a stopping process looks for requests in hand, in seconds.
 DRAIN_LOOK_S = 0.05
-#: Interval at which a cut from other failure domains is looked for, in seconds.
-REACH_S = 0.2
 #: Time until a refused caller may come back, in seconds: searchers are back,
 #: or another VM has the route, in about this time.
 COME_BACK_S = 0.3
@@ -82,7 +81,7 @@
         servers: Ports for callers, readiness, other VMs and metrics.
         counts: Answers by outcome.
         stopping_s: Loop time of SIGTERM; 0 before.
-        cut: Whether this VM reaches no other failure domain.
+        reach: Whether this VM reaches the other failure domains.
         tasks: Background work.
     """
 
@@ -149,7 +148,9 @@
         self.servers: list[http_server.Server] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.stopping_s = 0.0
-        self.cut = False
+        self.reach = reach.create_reach(
+            self.known, self.groups, self.following, vm_of(me)
+        )
         self.tasks: set[asyncio.Task[typing.Any]] = set()
 
     @property
@@ -159,7 +160,7 @@
             self.following.table is not None
             and self.following.listed
             and not self.stopping_s
-            and not self.cut
+            and not self.reach.cut
         )
 
     def spawn(
@@ -190,7 +191,9 @@
 
     def take(self, link: frames.Link, message: typing.Any) -> None:
         """Takes a message of another VM."""
-        if isinstance(message, sharing.Follow | sharing.State):
+        if isinstance(message, questions.Look):
+            self.reach.hint()
+        elif isinstance(message, sharing.Follow | sharing.State):
             self.sharing.take(link, message)
         elif isinstance(message, lending.Borrow | lending.Lent):
             self.lending.take(link, message)
@@ -207,6 +210,9 @@
     def place(self, configuration: routes.Configuration) -> None:
         """Takes who calls which searchers, by the VMs and routes known."""
         self.groups.assignment.configure(configuration)
+        self.groups.surveys.configure(
+            {row.name for row in configuration.routes}
+        )
         self.lending.set_groups(self.groups.assignment.groups)
         self.warm(configuration)
 
@@ -259,21 +265,6 @@
         self.budget.rule = options.repeats
         _log.info("reloaded", repeats=options.repeats, grace_s=options.grace_s)
 
-    async def watch_reach(self) -> None:
-        """Notes when this VM is cut off from the others, and when not.
-
-        Silent searchers alone may be down or cut off themselves, so the
-        platform is asked too.
-        """
-        while True:
-            await asyncio.sleep(REACH_S)
-            cut = self.known.far_silent(self.loop.time())
-            if cut and not self.cut:
-                cut = not await self.following.reaches_platform()
-            if cut != self.cut:
-                self.cut = cut
-                _log.warning("cut-off" if cut else "cut-ended")
-
     async def answer_readiness(
         self, request: http_server.Request
     ) -> http_server.Answer:
--- a/laurelrock/gateways/groups.py
+++ b/laurelrock/gateways/groups.py
@@ -23,6 +23,7 @@
 from laurelrock.gateways import parts
 from laurelrock.gateways import questions
 from laurelrock.gateways import serving
+from laurelrock.gateways import surveys
 from laurelrock.ports import wire
 
 __all__ = ["Group", "Groups", "create_groups"]
@@ -61,6 +62,7 @@
         bodies: Their records.
         missing: Services whose parts are not in.
         left: Parts that may still come.
+        blocked: Those of them whose searchers the owner can't reach.
         calls: Made for the group, as far as known.
         timer: Runs out when the owner doesn't say that it is there.
     """
@@ -90,6 +92,7 @@
         self.bodies: list[bytes] = []
         self.missing = set(services)
         self.left = len(services)
+        self.blocked = 0
         self.calls = 0
         self.timer: asyncio.TimerHandle | None = None
 
@@ -153,6 +156,7 @@
         loopback: Messages of this VM to itself.
         single: Runs a request that one searcher answers.
         assignment: Who calls which services.
+        surveys: Shards that owners can't reach.
         me: This VM.
         port: Of all VMs' exchanges.
         asked: Groups that others work on, by number.
@@ -178,6 +182,9 @@
         self.platform = platform
         self.single = single
         self.assignment = assignment.create_assignment(placement.known, me)
+        self.surveys = surveys.create_surveys(
+            placement, self.assignment, self.owner_of, self.send
+        )
         self.me = me
         self.port = port
         self.asked: dict[int, Group] = {}
@@ -208,8 +215,7 @@
         own: list[str] = []
         others = []
         for group in owners.cut(route.shards):
-            rows = self.assignment.ranked(group[0])
-            if self.first_owner(rows, set()) == self.me:
+            if self.owner_of(group) == self.me:
                 own += group
             else:
                 others.append(group)
@@ -224,6 +230,14 @@
                 return vm
         return None
 
+    def owner_of(self, group: tuple[str, ...]) -> owners.Vm | None:
+        """Returns the owner of a group that is asked first."""
+        return self.first_owner(self.assignment.ranked(group[0]), set())
+
+    def send(self, vm: owners.Vm, message: typing.Any) -> None:
+        """Sends a message to a VM."""
+        self.exchange.link((vm.host, self.port)).send(message)
+
     # Groups that others work on
 
     def ask(
@@ -320,8 +334,7 @@
         if row.vm not in self.assignment.vms:
             self.passed.pop(row.vm.name, None)
             return
-        link = self.exchange.link((row.vm.host, self.port))
-        link.send(questions.Ping(self.me.name))
+        self.send(row.vm, questions.Ping(self.me.name))
         row.timer = self.loop.call_later(PONG_S, self.ping_later, row)
 
     def recovered(self, name: str) -> None:
@@ -355,6 +368,11 @@
                 link.send(questions.Pong(self.me.name))
         elif isinstance(message, questions.Pong):
             self.recovered(message.owner)
+        elif isinstance(message, questions.Survey):
+            key, blocked = message.services[0], self.surveys.blocked
+            link.send(questions.Surveyed(key, blocked(message.services)))
+        elif isinstance(message, questions.Surveyed):
+            self.surveys.note(message.key, message.blocked)
         else:
             self.take_word(message)
 
@@ -364,7 +382,8 @@
             link.send(questions.Declined(ask.number))
             return
         self.waiting[link, ask.number] = (ask, self.loop.time())
-        link.send(questions.Taken(ask.number))
+        blocked = self.surveys.blocked(ask.services)
+        link.send(questions.Taken(ask.number, blocked))
 
     def begin(self, link: questions.Link, number: int) -> None:
         """Begins to work on a group that was asked for before."""
@@ -396,9 +415,7 @@
         if group.owner is not None:
             self.recovered(group.owner.name)
         if isinstance(message, questions.Taken):
-            if not group.begun and group.link is not None:
-                group.begun = True
-                group.link.send(questions.Begin(group.number))
+            self.begin_away(group, message)
             return
         if isinstance(message, questions.Answered):
             del self.asked[message.number]
@@ -409,11 +426,23 @@
         group.missing -= {group.services[n] for n in message.places}
         group.bodies.append(message.records)
         group.left = message.left
+        group.blocked = min(group.blocked, group.left)
         group.calls = message.calls
         if not group.left:
             del self.asked[message.number]
         group.changed()
 
+    def begin_away(self, group: Group, taken: questions.Taken) -> None:
+        """Tells an owner to begin, unless it was told."""
+        if group.begun or group.link is None:
+            return
+        group.begun = True
+        group.link.send(questions.Begin(group.number))
+        if not group.whole:
+            self.surveys.note(group.services[0], taken.blocked)
+            group.blocked = taken.blocked
+            group.changed()
+
     def link_ended(self, link: questions.Link) -> None:
         """Ends what went over a link."""
         for group in [row for row in self.asked.values() if row.link is link]:
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -24,6 +24,7 @@
 
     Attributes:
         rows: Parts that this VM calls.
+        hard: Those of them whose searchers can't be reached.
         groups: Of shards that other VMs call.
         changed: Set when a part or a group changed.
     """
@@ -32,6 +33,7 @@
         self.rows = [
             parts.create_part(work, service, self.note) for service in services
         ]
+        self.hard: list[parts.Part] = []
         self.groups: list[groups.Group] = []
         self.open_rows = len(self.rows)
         self.answered_rows = 0
@@ -48,6 +50,12 @@
         """Parts that may still come."""
         return self.open_rows + sum(group.left for group in self.groups)
 
+    @property
+    def blocked(self) -> int:
+        """Parts that may come, but whose searchers can't be reached."""
+        own = sum(row.state is parts.State.OPEN for row in self.hard)
+        return own + sum(group.blocked for group in self.groups)
+
     @property
     def answered(self) -> int:
         """Parts that are in."""
@@ -99,6 +107,9 @@
         now_s = loop.time()
         if gathering.ready(plan, gathered.answered, gathered.left, now_s):
             return
+        may_come = gathered.left - gathered.blocked
+        if gathered.answered + may_come < plan.least:
+            return
         if now_s >= look_s:
             look_s = parts.look(gathered.rows, placement, typical, now_s)
         gathered.changed.clear()
@@ -124,8 +135,9 @@
     """
     route = work.route
     count = len(route.shards)
-    reachable = sum(1 for name in route.shards if placement.reachable(name))
+    reachable = others.surveys.reachable(route)
     if reachable < route.least_shards:
+        others.surveys.ask(route)
         reason = f"searchers for {reachable} of {count} shards"
         return outcomes.Outcome("refused", 503, shards=count, reason=reason)
     plan = plan_of(work, link_bytes_per_s)
@@ -141,6 +153,11 @@
                 work, services, plan.objective_s, gathered.changed.set
             )
             gathered.groups.append(group)
+        gathered.hard = [
+            part
+            for part in gathered.rows
+            if not placement.reachable(part.service)
+        ]
         for part in gathered.rows:
             if not placement.start(part):
                 part.reason = "no searcher"
--- a/laurelrock/gateways/questions.py
+++ b/laurelrock/gateways/questions.py
@@ -14,8 +14,11 @@
     "Drop",
     "Found",
     "Link",
+    "Look",
     "Ping",
     "Pong",
+    "Survey",
+    "Surveyed",
     "Taken",
     "answered",
     "outcome_of",
@@ -62,9 +65,15 @@
 
 
 class Taken(typing.NamedTuple):
-    """Says that the owner is there and waits to begin."""
+    """Says that the owner is there and waits to begin.
+
+    Attributes:
+        number: Of the group.
+        blocked: Shards of it that the owner can't reach now.
+    """
 
     number: int
+    blocked: int = 0
 
 
 class Declined(typing.NamedTuple):
@@ -170,6 +179,30 @@
     owner: str
 
 
+class Survey(typing.NamedTuple):
+    """Asks an owner which shards of its group it can't reach."""
+
+    services: tuple[str, ...]
+
+
+class Surveyed(typing.NamedTuple):
+    """Says how many shards of a group an owner can't reach.
+
+    Attributes:
+        key: First shard of the group.
+        blocked: Shards.
+    """
+
+    key: str
+    blocked: int
+
+
+class Look(typing.NamedTuple):
+    """Says that the sender is cut off; others of its domain may be too."""
+
+    vm: str
+
+
 class Link(typing.Protocol):
     """Way to a VM."""
 
@@ -187,4 +220,7 @@
     11: Ping,
     12: Pong,
     13: Answered,
+    14: Survey,
+    15: Surveyed,
+    16: Look,
 }
--- a/laurelrock/gateways/running.py
+++ b/laurelrock/gateways/running.py
@@ -49,7 +49,7 @@
         opened.departing.run,
         opened.peers.run,
         opened.known.probe,
-        opened.watch_reach,
+        opened.reach.run,
     ):
         opened.keep_up(work)
 
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -20,6 +20,7 @@
 from laurelrock.gateways import lending
 from laurelrock.gateways import parts
 from laurelrock.gateways import peers
+from laurelrock.gateways import reach
 from laurelrock.gateways import running
 from laurelrock.gateways import sharing
 from laurelrock.gateways import upstreams
@@ -32,7 +33,7 @@
 LOGGING = (
     *(frames, http_server, calls, departing, following, gateway, groups),
     lending,
-    *(parts, peers, sharing, upstreams, store),
+    *(parts, peers, reach, sharing, upstreams, store),
 )
 
 
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -1,9 +1,12 @@
-"""Tests of owners that are silent, in virtual time."""
+"""Tests of owners that are silent or cut off, in virtual time."""
 
 import asyncio
 import collections
+import itertools
+import math
 import unittest
 
+from laurelrock.gateways import surveys
 from tests import gateway_builders as build
 from tests import gateway_worlds as worlds
 from tests import gateways
@@ -15,7 +18,10 @@
 WAITED_S = 0.04
 
 
-def create_world():
+GOOD = worlds.Behaviour("answer", 0.005)
+
+
+def create_world(behaviours=(GOOD,)):
     """Returns six VMs of two failure domains; owners call all shards."""
     configuration = build.configuration(ROUTE)
     services = {
@@ -24,7 +30,7 @@
     }
     world = worlds.World(
         configuration._replace(services=services),
-        [worlds.Behaviour("answer", 0.005)],
+        behaviours,
     )
     for number in range(6):
         node = world.add_node(number, "ab"[number % 2], 6)
@@ -45,6 +51,85 @@
     return world, asker, world.by_host[owner.host]
 
 
+class UnreachableTest(unittest.TestCase):
+    """Owners reach too few searchers, as in a domain that is cut off."""
+
+    def setUp(self):
+        self.lines = collections.deque(maxlen=10_000)
+        self.enterContext(gateways.keep_lines(self.lines))
+
+    def cut_world(self):
+        """Returns a world in which nobody reaches a shard of four."""
+        world = create_world([worlds.Behaviour("silent", 0.0)])
+        for node in world.nodes:
+            for number, name in enumerate(SHARDS):
+                if number % 4:
+                    continue
+                for row in node.known.of(name):
+                    row.replica.ejections, row.replica.probe_s = 1, math.inf
+        asker = world.nodes[0]
+        return world, asker
+
+    async def ask(self, node, number):
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        outcome = await node.run(ROUTE, b"r-%d" % number, 1.0)
+        return outcome, loop.time() - begun_s
+
+    def test_query_that_cannot_be_answered_ends_at_once(self):
+        async def play():
+            world, asker = self.cut_world()
+            first = await self.ask(asker, 1)
+            before = len(world.arrivals)
+            second = await self.ask(asker, 2)
+            return first, second, len(world.arrivals) - before
+
+        (first, took_s), (second, refused_s), arrivals = virtual.run(play())
+        self.assertEqual(first.status, 502)
+        self.assertLess(took_s, WAITED_S)
+        # Owners' word on the first is known by now: nothing of it runs.
+        self.assertEqual((second.kind, second.status), ("refused", 503))
+        self.assertEqual((refused_s, arrivals), (0.0, 0))
+
+    def test_word_of_owners_is_asked_for_while_callers_are_refused(self):
+        async def play():
+            world, asker = self.cut_world()
+            await self.ask(asker, 1)
+            outcomes = []
+            for number in range(2, 12):
+                await asyncio.sleep(surveys.FRESH_S / 2)
+                outcomes.append((await self.ask(asker, number))[0].status)
+            for node in world.nodes:
+                for row in node.known.by_id.values():
+                    row.replica.alive()
+            world.behaviours = itertools.repeat(GOOD)
+            await self.ask(asker, 12)
+            await asyncio.sleep(surveys.AGAIN_S)
+            await self.ask(asker, 13)
+            await asyncio.sleep(surveys.AGAIN_S)
+            last, _ = await self.ask(asker, 14)
+            return outcomes, last
+
+        outcomes, last = virtual.run(play())
+        self.assertEqual(set(outcomes), {503})
+        self.assertEqual(last.kind, "answered")
+
+    def test_vm_that_calls_nothing_knows_that_it_is_cut_off(self):
+        async def play():
+            world, asker = self.cut_world()
+            found = [asker.groups.surveys.hopeless([ROUTE])]
+            await self.ask(asker, 1)
+            found.append(asker.groups.surveys.hopeless([ROUTE]))
+            await asyncio.sleep(surveys.FRESH_S + 0.1)
+            found.append(asker.groups.surveys.hopeless([ROUTE]))
+            asker.groups.surveys.ask(ROUTE)
+            await asyncio.sleep(0.1)
+            found.append(asker.groups.surveys.hopeless([ROUTE]))
+            return found
+
+        self.assertEqual(virtual.run(play()), [False, True, False, True])
+
+
 class SilentOwnerTest(unittest.TestCase):
     def setUp(self):
         self.lines = collections.deque(maxlen=10_000)
--- /dev/null
+++ b/tests/test_reach.py
@@ -0,0 +1,69 @@
+"""Tests of VMs that are cut off from the other failure domains."""
+
+import math
+
+from tests import test_fleet_gateways
+
+
+class ReachTest(test_fleet_gateways.FleetCase):
+    """Four VMs in two failure domains; owners call all shards."""
+
+    def block(self):
+        """Lets no VM reach a searcher."""
+        for vm in self.fleet:
+            for row in vm.known.by_id.values():
+                row.replica.ejections, row.replica.probe_s = 1, math.inf
+            # What a VM sees that calls few searchers itself.
+            vm.known.far_silent = lambda now_s: False
+
+    def unblock(self):
+        for vm in self.fleet:
+            for row in vm.known.by_id.values():
+                row.replica.alive()
+
+    def cut_platform(self, reached):
+        async def reaches_platform():
+            return reached
+
+        for vm in self.fleet:
+            vm.following.reaches_platform = reaches_platform
+
+    def near(self, vm):
+        """Returns the VMs of a VM's failure domain."""
+        domain = vm.deployment.failure_domain
+        return [
+            row for row in self.fleet if row.deployment.failure_domain == domain
+        ]
+
+    async def test_all_vms_of_a_domain_learn_that_it_is_cut_off(self):
+        await self.start()
+        self.block()
+        self.cut_platform(False)
+        # One has a caller; the others have none, and hear of it.
+        await self.ask_vm(0)
+        cut = self.near(self.fleet[0])
+        await self.until(lambda: not any(vm.ready for vm in cut), 8.0)
+        self.unblock()
+        await self.until(lambda: all(vm.ready for vm in cut), 8.0)
+
+    async def test_vm_that_reaches_the_platform_is_not_cut_off(self):
+        await self.start()
+        self.block()
+        self.cut_platform(True)
+        await self.ask_vm(0)
+        for vm in self.fleet:
+            await vm.reach.look()
+        self.assertTrue(all(vm.ready for vm in self.fleet))
+
+    async def test_one_unreachable_group_is_no_cut(self):
+        await self.start()
+        route = self.fleet[0].following.table.configuration.routes[0]
+        key = route.shards[0]
+        for vm in self.fleet:
+            for row in vm.known.of(key):
+                row.replica.ejections, row.replica.probe_s = 1, math.inf
+        self.cut_platform(False)
+        answer = await self.ask_vm(0)
+        self.assertEqual(answer.status, 200)
+        await self.fleet[0].reach.look()
+        self.assertTrue(self.fleet[0].ready)
