Move what other VMs are asked for out of a module that grew too long

No behaviour changes: state of a group and of a silent owner stand in gateways/asked.py, first calls in queries.begin.

--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -104,53 +104,43 @@
         self.calls = calls.create_calls(platform, self.known)
         self.budget = repeats.create_budget(options.repeats)
         self.split = routes.Split()
-        me = row_of(options)
+        row = row_of(options)
+        me, port = vm_of(row), options.exchange_port
         self.exchange = frames.create_exchange(
             {**questions.KINDS, **sharing.KINDS, **lending.KINDS},
             self.take,
             self.link_ended,
         )
-        port = options.exchange_port
         self.lending = lending.create_lending(
-            self.budget, self.exchange, vm_of(me), port
+            self.budget, self.exchange, me, port
         )
         self.placement = parts.Placement(
             self.calls, self.known, self.budget, self.lending.borrow
         )
         self.groups = groups.create_groups(
-            self.placement,
-            platform,
-            self.exchange,
-            vm_of(me),
-            port,
+            *(self.placement, platform, self.exchange, me, port),
             queries.single,
         )
         self.following = following.Following(
-            source,
-            me,
-            self.known,
-            self.configured,
-            self.take_vms,
-            self.searchers_changed,
+            *(source, row, self.known, self.configured),
+            *(self.take_vms, self.searchers_changed),
         )
         self.sharing = sharing.create_sharing(
-            self.following, self.exchange, vm_of(me), port, self.set_vms
+            self.following, self.exchange, me, port, self.set_vms
         )
         self.departing = departing.create_departing(
-            source, self.exchange, vm_of(me), port
+            source, self.exchange, me, port
+        )
+        self.reach = reach.create_reach(
+            self.known, self.groups, self.following, me
         )
         self.peers = peers.create_peers(
-            self.following,
-            options.peers,
-            list(options.seeds),
+            *(self.following, options.peers, list(options.seeds)),
             self.count_vms,
         )
         self.servers: list[http_server.Server] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.stopping_s = 0.0
-        self.reach = reach.create_reach(
-            self.known, self.groups, self.following, vm_of(me)
-        )
         self.tasks: set[asyncio.Task[typing.Any]] = set()
 
     @property
--- a/laurelrock/gateways/groups.py
+++ b/laurelrock/gateways/groups.py
@@ -17,6 +17,7 @@
 from laurelrock.adapters import logs
 from laurelrock.core import owners
 from laurelrock.core import routes
+from laurelrock.gateways import asked
 from laurelrock.gateways import assignment
 from laurelrock.gateways import calls
 from laurelrock.gateways import outcomes
@@ -26,120 +27,20 @@
 from laurelrock.gateways import surveys
 from laurelrock.ports import wire
 
-__all__ = ["Group", "Groups", "create_groups"]
+__all__ = ["Groups", "create_groups"]
 
 #: Time in which an owner says that it took a group, in seconds: some times
 #: what a message needs there and back on a loaded VM.
 TAKEN_S = 0.04
 #: Time before the objective at which an owner sends what is in, in seconds.
 SEND_S = 0.004
-#: First and longest time until an owner that was silent is pinged, in seconds.
-PASS_S = 0.5
-MAX_PASS_S = 4.0
-#: Time for its reply, in seconds. No caller waits for it.
+#: Time for the reply of a silent owner that is pinged, in seconds. No caller
+#: waits for it.
 PONG_S = 0.3
 
 _log = logs.get_logger(__name__)
 
 
-class Group:
-    """A group that another VM works on.
-
-    Attributes:
-        work: The query.
-        services: Of the group.
-        owners: That may be asked, the first one first.
-        aim_s: Loop time at which the first answer is due.
-        changed: Called when parts came in or the group ended.
-        whole: Whether it is a request that one searcher answers.
-        reply: How such a request ended.
-        tried: Owners asked, by name.
-        owner: Asked now.
-        link: To that owner.
-        number: Of the group on the link.
-        begun: Whether the owner was told to begin.
-        proofs: Of the parts that are in.
-        bodies: Their records.
-        missing: Services whose parts are not in.
-        left: Parts that may still come.
-        blocked: Those of them whose searchers the owner can't reach.
-        calls: Made for the group, as far as known.
-        timer: Runs out when the owner doesn't say that it is there.
-    """
-
-    def __init__(
-        self,
-        work: calls.Work,
-        services: tuple[str, ...],
-        rows: list[owners.Vm],
-        aim_s: float,
-        changed: collections.abc.Callable[[], None],
-        whole: bool = False,
-    ) -> None:
-        self.work = work
-        self.services = services
-        self.owners = rows
-        self.aim_s = aim_s
-        self.changed = changed
-        self.whole = whole
-        self.reply: questions.Answered | None = None
-        self.tried: set[str] = set()
-        self.owner: owners.Vm | None = None
-        self.link: questions.Link | None = None
-        self.number = 0
-        self.begun = False
-        self.proofs: list[bytes] = []
-        self.bodies: list[bytes] = []
-        self.missing = set(services)
-        self.left = len(services)
-        self.blocked = 0
-        self.calls = 0
-        self.timer: asyncio.TimerHandle | None = None
-
-    @property
-    def answered(self) -> int:
-        """Parts that are in."""
-        return len(self.proofs)
-
-    def stop_timer(self) -> None:
-        """Ends the wait for the owner's word."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
-    def end(self) -> None:
-        """Notes that nothing more comes."""
-        self.stop_timer()
-        if self.left:
-            self.left = 0
-            self.changed()
-
-
-class Pass:
-    """An owner that was silent, and is passed over until it replies.
-
-    Attributes:
-        vm: The owner.
-        times: It was silent, in a row.
-        timer: Of the next ping.
-    """
-
-    def __init__(self, vm: owners.Vm) -> None:
-        self.vm = vm
-        self.times = 0
-        self.timer: asyncio.TimerHandle | None = None
-
-    def next_s(self) -> float:
-        """Returns the time until the next ping; it doubles."""
-        self.times += 1
-        return min(PASS_S * 2 ** (self.times - 1), MAX_PASS_S)
-
-    def stop_timer(self) -> None:
-        """Asks no more."""
-        if self.timer is not None:
-            self.timer.cancel()
-
-
 Single = collections.abc.Callable[
     [calls.Work, str, parts.Placement],
     collections.abc.Awaitable[outcomes.Outcome],
@@ -187,12 +88,12 @@
         )
         self.me = me
         self.port = port
-        self.asked: dict[int, Group] = {}
+        self.asked: dict[int, asked.Group] = {}
         self.serving: dict[tuple[questions.Link, int], asyncio.Task[None]] = {}
         self.waiting: dict[
             tuple[questions.Link, int], tuple[questions.Ask, float]
         ] = {}
-        self.passed: dict[str, Pass] = {}
+        self.passed: dict[str, asked.Pass] = {}
         self.numbers = 0
         self.stopping = False
         self.counts = {
@@ -246,10 +147,10 @@
         services: tuple[str, ...],
         aim_s: float,
         changed: collections.abc.Callable[[], None],
-    ) -> Group:
-        """Asks for a group; see `Group`."""
+    ) -> asked.Group:
+        """Asks for a group."""
         rows = self.assignment.ranked(services[0])
-        group = Group(work, services, rows, aim_s, changed)
+        group = asked.Group(work, services, rows, aim_s, changed)
         self.ask_next(group)
         return group
 
@@ -259,14 +160,14 @@
         service: str,
         rows: list[owners.Vm],
         changed: collections.abc.Callable[[], None],
-    ) -> Group:
+    ) -> asked.Group:
         """Asks one of some VMs for a request that one searcher answers."""
         aim_s = work.request.received_s + work.route.objective_s
-        group = Group(work, (service,), rows, aim_s, changed, whole=True)
+        group = asked.Group(work, (service,), rows, aim_s, changed, whole=True)
         self.ask_next(group)
         return group
 
-    def ask_next(self, group: Group) -> None:
+    def ask_next(self, group: asked.Group) -> None:
         """Asks the next owner, this VM itself as the last one."""
         vm = self.first_owner(group.owners, group.tried)
         if vm is None and self.me.name not in group.tried:
@@ -286,7 +187,7 @@
         self.counts["asked"] += 1
         group.timer = self.loop.call_later(TAKEN_S, self.not_taken, group)
 
-    def question(self, group: Group) -> questions.Ask:
+    def question(self, group: asked.Group) -> questions.Ask:
         """Returns the message that asks for a group."""
         work, now_s = group.work, self.loop.time()
         return questions.Ask(
@@ -307,7 +208,7 @@
             repeatable=work.route.repeatable,
         )
 
-    def not_taken(self, group: Group) -> None:
+    def not_taken(self, group: asked.Group) -> None:
         """Passes over an owner that is silent."""
         self.pass_over(group.owner, "silent")
         if group.link is not None:
@@ -321,15 +222,15 @@
             return
         self.counts[why] += 1
         if vm.name not in self.passed:
-            self.passed[vm.name] = Pass(vm)
+            self.passed[vm.name] = asked.Pass(vm)
             _log.info("owner-passed", owner=vm.name, reason=why)
             self.ping_later(self.passed[vm.name])
 
-    def ping_later(self, row: Pass) -> None:
+    def ping_later(self, row: asked.Pass) -> None:
         """Sets the time of the next ping of a silent owner."""
         row.timer = self.loop.call_later(row.next_s(), self.ping, row)
 
-    def ping(self, row: Pass) -> None:
+    def ping(self, row: asked.Pass) -> None:
         """Asks a silent owner whether it is back."""
         if row.vm not in self.assignment.vms:
             self.passed.pop(row.vm.name, None)
@@ -344,7 +245,7 @@
             row.stop_timer()
             _log.info("owner-back", owner=name)
 
-    def drop(self, group: Group) -> None:
+    def drop(self, group: asked.Group) -> None:
         """Ends a group that nobody waits for."""
         group.stop_timer()
         if self.asked.pop(group.number, None) is not None and group.link:
@@ -388,10 +289,10 @@
     def begin(self, link: questions.Link, number: int) -> None:
         """Begins to work on a group that was asked for before."""
         key = (link, number)
-        asked = self.waiting.pop(key, None)
-        if asked is None:
+        question = self.waiting.pop(key, None)
+        if question is None:
             return
-        task = self.loop.create_task(self.serve(link, *asked))
+        task = self.loop.create_task(self.serve(link, *question))
         self.serving[key] = task
         task.add_done_callback(lambda _: self.serving.pop(key, None))
 
@@ -432,7 +333,7 @@
             del self.asked[message.number]
         group.changed()
 
-    def begin_away(self, group: Group, taken: questions.Taken) -> None:
+    def begin_away(self, group: asked.Group, taken: questions.Taken) -> None:
         """Tells an owner to begin, unless it was told."""
         if group.begun or group.link is None:
             return
@@ -464,18 +365,18 @@
     async def serve(
         self, link: questions.Link, ask: questions.Ask, asked_s: float
     ) -> None:
-        """Works on a group and sends what comes in."""
+        """Works on a group, or a single request, and sends what comes in."""
         self.counts["served"] += 1
-        asked = serving.create_work(self.platform, ask, asked_s)
+        work = serving.create_work(self.platform, ask, asked_s)
         if ask.whole:
-            outcome = await self.single(asked, ask.services[0], self.placement)
+            outcome = await self.single(work, ask.services[0], self.placement)
             link.send(questions.answered(ask.number, outcome))
             return
-        work = serving.Serving(self.placement, link, ask, asked)
+        served = serving.Serving(self.placement, link, ask, work)
         try:
-            await work.run()
+            await served.run()
         finally:
-            work.abandon()
+            served.abandon()
 
 
 class Loopback:
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -7,6 +7,7 @@
 from laurelrock.core import replicas
 from laurelrock.core import routes
 from laurelrock.core import throughput
+from laurelrock.gateways import asked
 from laurelrock.gateways import calls
 from laurelrock.gateways import groups
 from laurelrock.gateways import outcomes
@@ -34,7 +35,7 @@
             parts.create_part(work, service, self.note) for service in services
         ]
         self.hard: list[parts.Part] = []
-        self.groups: list[groups.Group] = []
+        self.groups: list[asked.Group] = []
         self.open_rows = len(self.rows)
         self.answered_rows = 0
         self.changed = asyncio.Event()
@@ -148,20 +149,11 @@
             return outcome
     gathered = Gathering(work, own)
     try:
-        for services in away:
-            group = others.ask(
-                work, services, plan.objective_s, gathered.changed.set
-            )
-            gathered.groups.append(group)
-        gathered.hard = [
-            part
-            for part in gathered.rows
-            if not placement.reachable(part.service)
+        gathered.groups = [
+            others.ask(work, services, plan.objective_s, gathered.changed.set)
+            for services in away
         ]
-        for part in gathered.rows:
-            if not placement.start(part):
-                part.reason = "no searcher"
-                part.finish(parts.State.FAILED)
+        begin(gathered, placement)
         typical = placement.known.typical[route.name]
         await wait(gathered, placement, plan, typical)
     finally:
@@ -183,6 +175,17 @@
     )
 
 
+def begin(gathered: Gathering, placement: parts.Placement) -> None:
+    """Makes the first calls of the parts that this VM calls."""
+    gathered.hard = [
+        part for part in gathered.rows if not placement.reachable(part.service)
+    ]
+    for part in gathered.rows:
+        if not placement.start(part):
+            part.reason = "no searcher"
+            part.finish(parts.State.FAILED)
+
+
 def plan_of(work: calls.Work, link_bytes_per_s: float) -> gathering.Plan:
     """Returns when a query is answered."""
     route, request = work.route, work.request
