Take calls in flight as a sign of a cut, before they end

Cause: a VM finds that it is cut off from the other failure domains by searchers that were ejected, which takes two calls that ran into their time; with deadlines of 0.6 to 1.2 s that is 1.3 to 2 s after the cut. The balancer needs up to two more.

Change: a far searcher with a call in flight for 0.35 s, over twice a searcher's pause, counts as silent too, and 0.35 s without any far answer is enough. The platform is asked as before.

--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -50,8 +50,9 @@
 FAR_FRACTION = 0.2
 #: Fewest searchers of other failure domains that tell of a cut.
 LEAST_FAR = 4
-#: Time without an answer from any of them, in seconds.
-FAR_SILENCE_S = 0.5
+#: Time without an answer from any of them, in seconds: over twice as long as
+#: a searcher pauses.
+FAR_SILENCE_S = 0.35
 #: Time that a call costs besides where a connection has to be opened first,
 #: in seconds; the searcher spends some milliseconds of a slot on it.
 CONNECT_COST_S = 0.008
@@ -270,11 +271,13 @@
 ) -> bool:
     """Tells whether searchers outside this failure domain fell silent.
 
-    Several are ejected, and none has answered lately: this failure domain
-    may be cut off from the others.
+    Several are ejected, or have had a call for long, and none has answered
+    lately: this failure domain may be cut off from the others.
     """
     far = [row for row in replicas if takes_work(row) and not near(row)]
-    silent = sum(1 for row in far if not row.reachable)
+    silent = sum(
+        not row.reachable or row.oldest_s(now_s) > FAR_SILENCE_S for row in far
+    )
     answered_s = max((row.noted_s for row in far), default=0.0)
     return silent >= LEAST_FAR and now_s - answered_s > FAR_SILENCE_S
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -167,6 +167,15 @@
     def test_silence_of_all_others(self):
         self.assertTrue(replicas.far_silent(self.rows(4), near, 10.0))
 
+    def test_calls_in_flight_tell_before_they_end(self):
+        rows = [build.replica(f"far-{n}", failure_domain="b") for n in range(4)]
+        for row in rows:
+            row.begin(9.4)
+        self.assertTrue(replicas.far_silent(rows, near, 10.0))
+        self.assertFalse(replicas.far_silent(rows, near, 9.5))
+        rows[0].answered(0.02, typical_of(0.02), 9.9)
+        self.assertFalse(replicas.far_silent(rows, near, 10.0))
+
     def test_few_silent_ones_are_no_cut(self):
         self.assertFalse(replicas.far_silent(self.rows(3), near, 10.0))
 
