Go by what owners hear from afar, not by shards that are down

Searchers of many shards that are down for everybody while the platform is down look the same; then all VMs would have reported not ready, also for what they can serve.

Change: an owner also says whether all other failure domains are silent to it, by its own calls; a VM is cut off by others' word only where all owners that spoke lately say so. What owners can't reach still refuses queries.

--- a/laurelrock/gateways/groups.py
+++ b/laurelrock/gateways/groups.py
@@ -270,10 +270,9 @@
         elif isinstance(message, questions.Pong):
             self.recovered(message.owner)
         elif isinstance(message, questions.Survey):
-            key, blocked = message.services[0], self.surveys.blocked
-            link.send(questions.Surveyed(key, blocked(message.services)))
+            link.send(self.surveys.answer(message))
         elif isinstance(message, questions.Surveyed):
-            self.surveys.note(message.key, message.blocked)
+            self.surveys.note(message)
         else:
             self.take_word(message)
 
@@ -284,7 +283,8 @@
             return
         self.waiting[link, ask.number] = (ask, self.loop.time())
         blocked = self.surveys.blocked(ask.services)
-        link.send(questions.Taken(ask.number, blocked))
+        far_silent = self.surveys.far_silent()
+        link.send(questions.Taken(ask.number, blocked, far_silent))
 
     def begin(self, link: questions.Link, number: int) -> None:
         """Begins to work on a group that was asked for before."""
@@ -340,7 +340,11 @@
         group.begun = True
         group.link.send(questions.Begin(group.number))
         if not group.whole:
-            self.surveys.note(group.services[0], taken.blocked)
+            self.surveys.note(
+                questions.Surveyed(
+                    group.services[0], taken.blocked, taken.far_silent
+                )
+            )
             group.blocked = taken.blocked
             group.changed()
 
--- a/laurelrock/gateways/questions.py
+++ b/laurelrock/gateways/questions.py
@@ -70,10 +70,12 @@
     Attributes:
         number: Of the group.
         blocked: Shards of it that the owner can't reach now.
+        far_silent: Whether all other failure domains are silent to the owner.
     """
 
     number: int
     blocked: int = 0
+    far_silent: bool = False
 
 
 class Declined(typing.NamedTuple):
@@ -191,10 +193,12 @@
     Attributes:
         key: First shard of the group.
         blocked: Shards.
+        far_silent: See `Taken`.
     """
 
     key: str
     blocked: int
+    far_silent: bool
 
 
 class Look(typing.NamedTuple):
--- a/laurelrock/gateways/reach.py
+++ b/laurelrock/gateways/reach.py
@@ -62,10 +62,12 @@
 
         Silent searchers alone may be down or cut off themselves, so the
         platform is asked too. A VM that calls few searchers goes by what the
-        owners of its groups say.
+        owners of its groups hear from afar.
         """
         hinted = self.hinted()
-        cut = self.known.far_silent(self.loop.time()) or self.hopeless()
+        self.ask_owners()
+        cut = self.known.far_silent(self.loop.time())
+        cut = cut or self.groups.surveys.cut_off()
         if cut and not self.cut:
             cut = not await self.following.reaches_platform()
         if cut == self.cut:
@@ -75,19 +77,14 @@
         if cut and not hinted:
             self.tell_near()
 
-    def hopeless(self) -> bool:
-        """Tells whether no query can be answered by what owners say."""
+    def ask_owners(self) -> None:
+        """Asks for the word that does not come while there are no callers."""
         table = self.following.table
-        if table is None:
-            return False
-        rows = table.configuration.routes
-        surveys = self.groups.surveys
-        if self.cut or self.hinted():
-            # Without callers the owners' word has to be asked for.
-            for row in rows:
-                if row.shards and self.groups.assignment.needed(row):
-                    surveys.ask(row)
-        return surveys.hopeless(rows)
+        if table is None or not (self.cut or self.hinted()):
+            return
+        for row in table.configuration.routes:
+            if row.shards and self.groups.assignment.needed(row):
+                self.groups.surveys.ask(row)
 
     def hint(self) -> None:
         """Notes that another VM of this failure domain is cut off."""
--- a/laurelrock/gateways/surveys.py
+++ b/laurelrock/gateways/surveys.py
@@ -24,9 +24,9 @@
 
 
 class Word(typing.NamedTuple):
-    """Shards of a group that its owner can't reach, and when it said so."""
+    """What an owner said of its group, and when."""
 
-    blocked: int
+    said: questions.Surveyed
     at_s: float
 
 
@@ -65,9 +65,19 @@
         reachable = self.placement.reachable
         return sum(1 for name in services if not reachable(name))
 
-    def note(self, key: str, blocked: int) -> None:
+    def far_silent(self) -> bool:
+        """Tells whether all other failure domains are silent to this VM."""
+        return self.placement.known.far_silent(self.loop.time())
+
+    def answer(self, survey: questions.Survey) -> questions.Surveyed:
+        """Returns this VM's word on a group."""
+        services = survey.services
+        blocked = self.blocked(services)
+        return questions.Surveyed(services[0], blocked, self.far_silent())
+
+    def note(self, said: questions.Surveyed) -> None:
         """Takes an owner's word on its group."""
-        self.words[key] = Word(blocked, self.loop.time())
+        self.words[said.key] = Word(said, self.loop.time())
 
     def reachable(self, route: routes.Route) -> int:
         """Returns the shards of a query that may be reached."""
@@ -78,15 +88,16 @@
             if self.owner_of(group) == self.assignment.me:
                 blocked += self.blocked(group)
             else:
-                blocked += self.fresh(group[0])
+                said = self.fresh(group[0])
+                blocked += said.blocked if said else 0
         return len(route.shards) - blocked
 
-    def fresh(self, key: str) -> int:
-        """Returns what an owner said lately; 0 where it said nothing."""
+    def fresh(self, key: str) -> questions.Surveyed | None:
+        """Returns what an owner said lately, if anything."""
         word = self.words.get(key)
         if word is None or self.loop.time() - word.at_s > FRESH_S:
-            return 0
-        return word.blocked
+            return None
+        return word.said
 
     def ask(self, route: routes.Route) -> None:
         """Asks the owners of a query's groups, unless that was just done."""
@@ -99,19 +110,22 @@
             if vm is not None and vm != self.assignment.me:
                 self.send(vm, questions.Survey(group))
 
-    def hopeless(self, rows: collections.abc.Iterable[routes.Route]) -> bool:
-        """Tells whether no query can be answered by what owners said."""
-        queries = [row for row in rows if row.shards]
-        return bool(queries) and all(
-            self.assignment.needed(row)
-            and self.reachable(row) < row.least_shards
-            for row in queries
-        )
+    def cut_off(self) -> bool:
+        """Tells whether all owners that spoke lately hear nobody from afar.
+
+        That shards can't be reached is no sign of a cut: their searchers may
+        be down for everybody.
+        """
+        said = [word for word in map(self.fresh, self.words) if word]
+        return bool(said) and all(word.far_silent for word in said)
 
     def configure(self, names: collections.abc.Container[str]) -> None:
-        """Forgets routes that are gone."""
+        """Forgets routes and groups that are gone."""
         for name in [row for row in self.asked_s if row not in names]:
             del self.asked_s[name]
+        keys = set(self.assignment.keys.values())
+        for key in [row for row in self.words if row not in keys]:
+            del self.words[key]
 
 
 def create_surveys(
