Move the modules of saves into one package

Cause: six modules at the top of the package (saves, save_client, save_relay, claim_forwarding, claim_routing, ledger_writers) belong to one matter, and nothing said so.

No behaviour changes. Ruled out: shorter module names such as saves/client.py, since modules are imported, not names, and client would mean two things.

--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -31,14 +31,14 @@
 import msgspec
 import structlog
 
-from laurelrock import claim_routing
 from laurelrock import errors
-from laurelrock import ledger_writers
-from laurelrock import saves
 from laurelrock.adapters import platform
 from laurelrock.core import ledger
 from laurelrock.core import members
 from laurelrock.ports import platform as platform_port
+from laurelrock.saves import claim_routing
+from laurelrock.saves import ledger_writers
+from laurelrock.saves import save_runner
 
 __all__ = ["main"]
 
@@ -133,7 +133,7 @@
 
 def create_entries(
     variant: str, platforms: list[CountingPlatform]
-) -> tuple[list[saves.SaveRunner], list[ledger_writers.LedgerWriters]]:
+) -> tuple[list[save_runner.SaveRunner], list[ledger_writers.LedgerWriters]]:
     """Returns the save runner and the ledger writers of each entry."""
     rng = random.Random(SEED)
     tuning = ledger_writers.Tuning()
@@ -163,7 +163,7 @@
         await asyncio.sleep(PEER_DELAY_S)
         return outcome
 
-    stores: list[saves.ClaimStore] = list(local)
+    stores: list[save_runner.ClaimStore] = list(local)
     if variant == "key-objects":
         stores = [KeyObjects(client) for client in clients]
     elif variant in FORWARDING_VARIANTS:
@@ -174,7 +174,7 @@
             for store, entry in zip(local, entries, strict=True)
         ]
     runners = [
-        saves.SaveRunner(
+        save_runner.SaveRunner(
             store, lambda: time.time() * 1000, lambda: secrets.token_bytes(12)
         )
         for store in stores
@@ -203,15 +203,15 @@
     return str(uuid.UUID(int=value | (7 << 76) | (2 << 62)))
 
 
-async def execute() -> saves.Outcome:
+async def execute() -> save_runner.Outcome:
     """Simulates the call to the searcher."""
     await asyncio.sleep(SEARCHER_CALL_S)
-    return saves.Outcome("yes", b'{"saved":"0123456789abcdef"}')
+    return save_runner.Outcome("yes", b'{"saved":"0123456789abcdef"}')
 
 
-async def save_once(entry: saves.SaveRunner, result: RateResult) -> None:
+async def save_once(entry: save_runner.SaveRunner, result: RateResult) -> None:
     """Makes one save and records its time or its refusal."""
-    request = saves.Request("r", "a", "c", new_key(), b"1", DEADLINE_S)
+    request = save_runner.Request("r", "a", "c", new_key(), b"1", DEADLINE_S)
     started_s = time.monotonic()
     try:
         await entry.run(request, execute)
--- a/laurelrock/entry.py
+++ b/laurelrock/entry.py
@@ -19,15 +19,15 @@
 
 from laurelrock import admission_control
 from laurelrock import callers
-from laurelrock import claim_forwarding
 from laurelrock import daemon as daemons
 from laurelrock import errors
-from laurelrock import save_client
-from laurelrock import saves
 from laurelrock import search
 from laurelrock import settings
 from laurelrock.adapters import logs
 from laurelrock.core import query as queries
+from laurelrock.saves import claim_forwarding
+from laurelrock.saves import save_client
+from laurelrock.saves import save_runner
 
 __all__ = ["run"]
 
@@ -237,7 +237,7 @@
     raw = await callers.read_body(request, limit)
     parsed = callers.read_save(raw, config, caller, application)
     deadline_s = began_s + parsed.deadline_ms / 1000
-    save = saves.Request(
+    save = save_runner.Request(
         request_id=request_id,
         application=application,
         caller=caller,
--- a/laurelrock/relay.py
+++ b/laurelrock/relay.py
@@ -16,11 +16,11 @@
 from laurelrock import manifest
 from laurelrock import messages
 from laurelrock import pools
-from laurelrock import save_relay
 from laurelrock import settings
 from laurelrock.adapters import searcher as searchers
 from laurelrock.core import hits
 from laurelrock.core import upstreams
+from laurelrock.saves import save_relay
 
 __all__ = ["run"]
 
--- /dev/null
+++ b/laurelrock/saves/__init__.py
@@ -0,0 +1,1 @@
+"""Saves, which run at most once: runs, claims and ledgers."""
--- a/laurelrock/claim_forwarding.py
+++ b/laurelrock/saves/claim_forwarding.py
@@ -10,14 +10,14 @@
 import time
 import typing
 
-from laurelrock import claim_routing
 from laurelrock import daemon as daemons
 from laurelrock import errors
-from laurelrock import ledger_writers as writers
 from laurelrock import messages
-from laurelrock import saves
 from laurelrock.core import ledger
 from laurelrock.core import members
+from laurelrock.saves import claim_routing
+from laurelrock.saves import ledger_writers as writers
+from laurelrock.saves import save_runner
 
 __all__ = ["ClaimForwarder", "create_claim_forwarder", "create_save_runner"]
 
@@ -153,7 +153,7 @@
     return forwarder
 
 
-def create_save_runner(daemon: daemons.Daemon) -> saves.SaveRunner:
+def create_save_runner(daemon: daemons.Daemon) -> save_runner.SaveRunner:
     """Returns the `SaveRunner` of an entry, with its platform and peers."""
     ledgers = writers.LedgerWriters(
         daemon.platform, random.random, writers.Tuning()
@@ -173,7 +173,7 @@
         lambda: daemon.members.usable_members("entry"),
         create_claim_forwarder(daemon, ledgers).forward,
     )
-    runner = saves.SaveRunner(
+    runner = save_runner.SaveRunner(
         shared,
         lambda: time.time() * 1000,
         lambda: secrets.token_bytes(ATTEMPT_BYTES),
@@ -186,7 +186,7 @@
     daemon: daemons.Daemon,
     ledgers: writers.LedgerWriters,
     shared: claim_routing.ClaimRouter,
-    runner: saves.SaveRunner,
+    runner: save_runner.SaveRunner,
 ) -> None:
     meters = daemon.metrics
     meters.counters(
--- a/laurelrock/claim_routing.py
+++ b/laurelrock/saves/claim_routing.py
@@ -13,11 +13,11 @@
 import collections.abc
 
 from laurelrock import errors
-from laurelrock import ledger_writers as writers
 from laurelrock.adapters import logs
 from laurelrock.core import ledger
 from laurelrock.core import members
 from laurelrock.core import ownership
+from laurelrock.saves import ledger_writers as writers
 
 __all__ = ["ClaimRouter"]
 
--- a/laurelrock/save_client.py
+++ b/laurelrock/saves/save_client.py
@@ -10,11 +10,11 @@
 
 from laurelrock import daemon as daemons
 from laurelrock import messages
-from laurelrock import saves
 from laurelrock import search
 from laurelrock.adapters import logs
 from laurelrock.core import members
 from laurelrock.core import ownership
+from laurelrock.saves import save_runner
 
 __all__ = ["SaveClient", "create_save_client"]
 
@@ -67,9 +67,12 @@
         pending.set_result(reply)
 
     async def run(
-        self, request: saves.Request, service: str, deadline_s: float
-    ) -> saves.Outcome:
-        """Sends a claimed save and returns its outcome; see `saves.Execute`."""
+        self, request: save_runner.Request, service: str, deadline_s: float
+    ) -> save_runner.Outcome:
+        """Sends a claimed save and returns its outcome.
+
+        Implements `save_runner.Execute`.
+        """
         region = self.daemon.settings.vm.region
         key = ownership.service_key(request.application, service, region)
         relays = ownership.owners(key, self.daemon.relays(region))
@@ -86,8 +89,8 @@
                 continue
             if reply.ran != "no" or reply.reason not in NEXT_RELAY_REASONS:
                 wait_s = reply.retry_after_ms / 1000 or DEFAULT_RETRY_AFTER_S
-                return saves.Outcome(reply.ran, reply.result, wait_s)
-        return saves.Outcome("no", b"", DEFAULT_RETRY_AFTER_S)
+                return save_runner.Outcome(reply.ran, reply.result, wait_s)
+        return save_runner.Outcome("no", b"", DEFAULT_RETRY_AFTER_S)
 
     async def is_alive(self, relay: members.Member, deadline_s: float) -> bool:
         """Returns whether a relay is alive, pinging it if necessary."""
@@ -112,7 +115,7 @@
     async def send_save(
         self,
         relay: members.Member,
-        request: saves.Request,
+        request: save_runner.Request,
         service: str,
         deadline_s: float,
     ) -> messages.SaveReply | None:
--- a/tests/save_histories.py
+++ b/tests/save_histories.py
@@ -13,19 +13,19 @@
 import random
 import typing
 
-from laurelrock import claim_routing
 from laurelrock import errors
-from laurelrock import ledger_writers
-from laurelrock import saves
 from laurelrock.core import ledger
 from laurelrock.core import members
+from laurelrock.saves import claim_routing
+from laurelrock.saves import ledger_writers
+from laurelrock.saves import save_runner
 from tests import builders
 from tests import memory_platform
 from tests import virtual_time
 
 ChoiceFunction = collections.abc.Callable[[int], int]
 CreateSaves = collections.abc.Callable[
-    [saves.ClaimStore, str], saves.SaveRunner
+    [save_runner.ClaimStore, str], save_runner.SaveRunner
 ]
 
 #: Number of steps after which a history is ended.
@@ -133,7 +133,9 @@
         tuning = ledger_writers.Tuning(spacing_s=0.0, linger_s=0.0)
         return ledger_writers.LedgerWriters(port, lambda: 0.5, tuning)
 
-    def open_store(self, name: str, forwards_claims: bool) -> saves.ClaimStore:
+    def open_store(
+        self, name: str, forwards_claims: bool
+    ) -> save_runner.ClaimStore:
         """Returns a daemon's claim store.
 
         If `forwards_claims` is true, claims are forwarded to their owners.
@@ -190,22 +192,24 @@
         self.pending_calls.append(pending)
         return await pending.outcome
 
-    async def call_searcher(self, number: int) -> saves.Outcome:
+    async def call_searcher(self, number: int) -> save_runner.Outcome:
         """Simulates the single call of a request to the searcher."""
         asked = self.requests[number]
         self.events.append(Event(number, "sent"))
         fate = await self.wait_for_outcome(asked.daemon, "send")
         if fate == "refused":
-            return saves.Outcome("no")
+            return save_runner.Outcome("no")
         self.runs[asked.key] += 1
         result = str(self.runs[asked.key]).encode()
         self.events.append(Event(number, "ran", result))
-        return saves.Outcome("unknown" if fate == "lost" else "yes", result)
+        return save_runner.Outcome(
+            "unknown" if fate == "lost" else "yes", result
+        )
 
     async def send_request(self, number: int) -> None:
         asked = self.requests[number]
         await asyncio.sleep(asked.delay_s)
-        request = saves.Request(
+        request = save_runner.Request(
             str(number), "a", asked.caller, asked.key, asked.body, DEADLINE_S
         )
         run = self.daemons[asked.daemon].run
@@ -364,9 +368,11 @@
         path[-1][0] += 1
 
 
-def create_saves(store: saves.ClaimStore, name: str) -> saves.SaveRunner:
+def create_saves(
+    store: save_runner.ClaimStore, name: str
+) -> save_runner.SaveRunner:
     """Returns the save runner of a daemon, with deterministic identities."""
     identity = random.Random(name)
-    return saves.SaveRunner(
+    return save_runner.SaveRunner(
         store, lambda: builders.NOW_MS, lambda: identity.randbytes(12)
     )
--- a/tests/test_claim_routing.py
+++ b/tests/test_claim_routing.py
@@ -7,14 +7,14 @@
 
 import structlog
 
-from laurelrock import claim_forwarding
-from laurelrock import claim_routing
 from laurelrock import errors
-from laurelrock import ledger_writers
 from laurelrock import messages
-from laurelrock import saves
 from laurelrock.core import ledger
 from laurelrock.core import members
+from laurelrock.saves import claim_forwarding
+from laurelrock.saves import claim_routing
+from laurelrock.saves import ledger_writers
+from laurelrock.saves import save_runner
 from tests import builders
 from tests import memory_platform
 from tests import save_histories
@@ -76,12 +76,12 @@
             ask,
         )
 
-    async def execute(self) -> saves.Outcome:
+    async def execute(self) -> save_runner.Outcome:
         self.ran.append("")
-        return saves.Outcome("yes", b"7")
+        return save_runner.Outcome("yes", b"7")
 
     async def ask(self, name: str, key: str) -> str:
-        request = saves.Request("r", "a", "c", key, b"1", 2.0)
+        request = save_runner.Request("r", "a", "c", key, b"1", 2.0)
         try:
             answer = await self.saves[name].run(request, self.execute)
         except errors.RefusalError as refusal:
--- a/tests/test_save_client.py
+++ b/tests/test_save_client.py
@@ -9,18 +9,18 @@
 
 from laurelrock import errors
 from laurelrock import messages
-from laurelrock import save_client
-from laurelrock import save_relay
-from laurelrock import saves
 from laurelrock.core import members
 from laurelrock.core import replay_window
+from laurelrock.saves import save_client
+from laurelrock.saves import save_relay
+from laurelrock.saves import save_runner
 from tests import virtual_time
 
 setUpModule = virtual_time.suppress_logs
 tearDownModule = structlog.reset_defaults
 
 SAVE = messages.Save("1", "p", "r", "a", "svc", "k", 1000.0, b"1")
-REQUEST = saves.Request("r", "a", "c", "k", b"1", 1.0)
+REQUEST = save_runner.Request("r", "a", "c", "k", b"1", 1.0)
 
 OK = {"status": "ok", "ran": True, "result": b"7"}
 SHED = {"status": "shed", "ran": False, "retry_after_ms": 9.0}
--- a/tests/test_saves.py
+++ b/tests/test_saves.py
@@ -10,9 +10,9 @@
 import structlog
 
 from laurelrock import errors
-from laurelrock import ledger_writers
-from laurelrock import saves
 from laurelrock.core import ledger
+from laurelrock.saves import ledger_writers
+from laurelrock.saves import save_runner
 from tests import builders
 from tests import memory_platform
 from tests import save_histories
@@ -35,7 +35,7 @@
         self.e1 = self.daemon("e1")
         self.e2 = self.daemon("e2")
 
-    def daemon(self, name: str) -> saves.SaveRunner:
+    def daemon(self, name: str) -> save_runner.SaveRunner:
         port = memory_platform.MemoryPlatform(self.store, name)
         store = ledger_writers.LedgerWriters(
             port, lambda: 0.5, ledger_writers.Tuning()
@@ -45,26 +45,26 @@
     def execute(
         self, behaviour: str, delay_s: float = 0.01
     ) -> collections.abc.Callable[[], typing.Any]:
-        async def run() -> saves.Outcome:
+        async def run() -> save_runner.Outcome:
             self.ran.append(behaviour)
             await asyncio.sleep(delay_s)
             if behaviour == "refusal":
                 raise errors.OverloadedError("shed", "no", 1.0)
             if behaviour == "broken":
                 raise ConnectionResetError
-            return saves.Outcome(typing.cast(errors.Ran, behaviour), b"7")
+            return save_runner.Outcome(typing.cast(errors.Ran, behaviour), b"7")
 
         return run
 
     async def ask(
         self,
-        daemon: saves.SaveRunner,
+        daemon: save_runner.SaveRunner,
         behaviour: str = "yes",
         delay_s: float = 0.01,
         **fields: typing.Any,
     ) -> tuple[str, ...]:
         """Runs a save and returns `ran` and the code that the caller gets."""
-        request = saves.Request("r", "a", "c", KEY, b"1", 2.0)
+        request = save_runner.Request("r", "a", "c", KEY, b"1", 2.0)
         request = request._replace(**fields)
         try:
             answer = await daemon.run(request, self.execute(behaviour, delay_s))
@@ -191,10 +191,10 @@
             bench = Bench()
             large = bytes(ledger.MAX_RESULT_BYTES + 1)
 
-            async def run() -> saves.Outcome:
-                return saves.Outcome("yes", large)
+            async def run() -> save_runner.Outcome:
+                return save_runner.Outcome("yes", large)
 
-            request = saves.Request("r", "a", "c", KEY, b"1", 2.0)
+            request = save_runner.Request("r", "a", "c", KEY, b"1", 2.0)
             self.assertEqual(large, (await bench.e1.run(request, run)).result)
             await bench.e1.close()
             result = await bench.ask(bench.e2)
@@ -235,17 +235,17 @@
         virtual_time.run(go())
 
 
-class WithoutClaim(saves.SaveRunner):
+class WithoutClaim(save_runner.SaveRunner):
     """Runs every save without a claim."""
 
-    async def claim(self, attempt: saves.Attempt) -> ledger.Outcome:
+    async def claim(self, attempt: save_runner.Attempt) -> ledger.Outcome:
         return ledger.Outcome("held")
 
 
-class LeaseClaim(saves.SaveRunner):
+class LeaseClaim(save_runner.SaveRunner):
     """Takes over a claim after a fixed lease time."""
 
-    async def claim(self, attempt: saves.Attempt) -> ledger.Outcome:
+    async def claim(self, attempt: save_runner.Attempt) -> ledger.Outcome:
         outcome = await self.reserve(attempt)
         while outcome.kind == "pending" and outcome.claim is not None:
             await asyncio.sleep(0.5)
@@ -258,23 +258,23 @@
         return outcome
 
 
-class ResendAfterLostReply(saves.SaveRunner):
+class ResendAfterLostReply(save_runner.SaveRunner):
     """Sends a save again if its reply was lost."""
 
     async def execute(
-        self, attempt: saves.Attempt, execute: saves.Execute
-    ) -> saves.Outcome | errors.RefusalError:
-        async def twice() -> saves.Outcome:
+        self, attempt: save_runner.Attempt, execute: save_runner.Execute
+    ) -> save_runner.Outcome | errors.RefusalError:
+        async def twice() -> save_runner.Outcome:
             outcome = await execute()
             return outcome if outcome.ran != "unknown" else await execute()
 
         return await super().execute(attempt, twice)
 
 
-class OptimisticClaim(saves.SaveRunner):
+class OptimisticClaim(save_runner.SaveRunner):
     """Runs a save although its claim was not confirmed."""
 
-    async def reserve(self, attempt: saves.Attempt) -> ledger.Outcome:
+    async def reserve(self, attempt: save_runner.Attempt) -> ledger.Outcome:
         try:
             return await super().reserve(attempt)
         except errors.NotReadyError:
@@ -301,10 +301,12 @@
         asked: list[save_histories.CallerRequest],
         choose: save_histories.ChoiceFunction,
         faults: int,
-        kind: type[saves.SaveRunner] = saves.SaveRunner,
+        kind: type[save_runner.SaveRunner] = save_runner.SaveRunner,
         forwards_claims: bool = False,
     ) -> list[str]:
-        def make(store: saves.ClaimStore, name: str) -> saves.SaveRunner:
+        def make(
+            store: save_runner.ClaimStore, name: str
+        ) -> save_runner.SaveRunner:
             made = save_histories.create_saves(store, name)
             return kind(made.store, made.wall_ms, made.new_id)
 
@@ -317,7 +319,7 @@
         self,
         faults: int,
         limit: int,
-        kind: type[saves.SaveRunner] = saves.SaveRunner,
+        kind: type[save_runner.SaveRunner] = save_runner.SaveRunner,
     ) -> tuple[int, list[str]]:
         """Returns the number of histories run and the first violations."""
         count = 0
@@ -337,7 +339,7 @@
     def check_seeds(
         self,
         seeds: range,
-        kind: type[saves.SaveRunner] = saves.SaveRunner,
+        kind: type[save_runner.SaveRunner] = save_runner.SaveRunner,
         forwards_claims: bool = False,
     ) -> list[str]:
         """Returns the violations in the first bad history of some seeds."""
