Limit the responses that a process receives

Cause: adapters/http_client.py bounded neither the head nor the body of a searcher's response, and the aiohttp clients no body.

Ruled out: a limit per response alone, which ten searchers reach together; pausing the connection, which keeps its bytes in memory while the searcher counts against the VM's link.

Change: adapters/reply_budget.py limits head, framing, header fields, interim and foreign responses, the body, and the sum over all responses of a process (a sixteenth of its memory); the longest one is cut off. The call then counts as possibly run, and the second such response in a row ejects the searcher. Trailers are no longer read as headers. adapters/limited_body.py does the same for the product's own clients.

--- a/fakes/shards.py
+++ b/fakes/shards.py
@@ -45,10 +45,15 @@
     Attributes:
         chunks: Chunks of bytes to send, each with the seconds to wait before.
         end: What happens to the connection after the chunks.
+        endless: Bytes that are sent over and over after the chunks, until the
+            client ends the connection; if empty, none are.
+        pace_s: Seconds to wait before each repetition.
     """
 
     chunks: tuple[tuple[float, bytes], ...] = ()
     end: ConnectionEnd = "keep"
+    endless: bytes = b""
+    pace_s: float = 0.0
 
 
 Script = collections.abc.Callable[
@@ -66,6 +71,7 @@
             is echoed.
         requests: Requests received so far.
         connections: Number of connections accepted so far.
+        endless_bytes: Number of bytes sent of endless responses.
         open: Open connections: the reader of each writer.
         server: Listening server, once started.
         address: Host and port on which it listens.
@@ -77,6 +83,7 @@
         self.records = records
         self.requests: list[Request] = []
         self.connections = 0
+        self.endless_bytes = 0
         self.open: dict[asyncio.StreamWriter, asyncio.StreamReader] = {}
         self.server: asyncio.Server | None = None
         self.address = ("", 0)
@@ -120,6 +127,11 @@
             await asyncio.sleep(wait_s)
             writer.write(chunk)
             await writer.drain()
+        while response.endless:
+            await asyncio.sleep(response.pace_s)
+            writer.write(response.endless)
+            await writer.drain()
+            self.endless_bytes += len(response.endless)
         if response.end == "hang":
             await asyncio.sleep(3600)
         if response.end == "reset":
--- a/laurelrock/adapters/admin.py
+++ b/laurelrock/adapters/admin.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from laurelrock import errors
+from laurelrock.adapters import limited_body
 
 __all__ = ["AdminClient", "Status", "open_admin"]
 
@@ -59,8 +60,13 @@
                 self.slots,
                 self.session.get(url, timeout=timeout) as response,
             ):
-                return _decoder.decode(await response.read())
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+                return _decoder.decode(await limited_body.read(response))
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            errors.ReplyTooLongError,
+        ) as error:
             reason = str(error) or type(error).__name__
             raise errors.PeerSilentError(f"{address}: {reason}") from None
         except msgspec.MsgspecError as error:
--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -15,6 +15,7 @@
 
 from laurelrock import errors
 from laurelrock.adapters import http_wire
+from laurelrock.adapters import reply_budget
 
 __all__ = ["Call", "Client", "Reply", "open_client"]
 
@@ -94,6 +95,7 @@
         address: Host and port of the server.
         limit: Maximum number of open connections.
         tcp_keepalive: Whether the kernel probes connections without traffic.
+        budget: Memory of the responses that are being received.
         opening_count: Number of connections that are being opened.
         connections: All open connections.
         idle: Open connections without a call, the most recently used last.
@@ -105,11 +107,16 @@
     """
 
     def __init__(
-        self, address: tuple[str, int], limit: int, tcp_keepalive: bool
+        self,
+        address: tuple[str, int],
+        limit: int,
+        tcp_keepalive: bool,
+        budget: reply_budget.ReplyBudget,
     ) -> None:
         self.address = address
         self.limit = limit
         self.tcp_keepalive = tcp_keepalive
+        self.budget = budget
         self.opening_count = 0
         self.connections: set[Connection] = set()
         self.idle: list[Connection] = []
@@ -135,7 +142,8 @@
 
         Returns:
             The call. Its future ends with a `Reply`, or raises `ConnectError`
-            (not sent), `CallBrokenError` or `CallGarbledError` (may have run).
+            (not sent), `CallBrokenError`, `CallGarbledError` or
+            `ReplyTooLongError` (may have run).
         """
         call = Call(encode, matches, bodiless, self.loop.create_future())
         connection = self.take_idle()
@@ -265,7 +273,10 @@
         call: Current call; None while the connection is idle.
         status: Status code of the response being received.
         headers: Header fields of the response being received.
-        body: Parts of the body received so far.
+        body: Body received so far.
+        received: Number of bytes received since the request.
+        other_responses: Number of responses since the request that are interim
+            or belong to another call.
         complete: Whether the response to the current call is complete.
         not_reusable: Whether the connection is closed after the current call.
         in_body: Whether the response's headers, but not yet all of its body,
@@ -283,7 +294,9 @@
         self.call: Call | None = None
         self.status = 0
         self.headers: http_wire.Headers = []
-        self.body: list[bytes] = []
+        self.body = bytearray()
+        self.received = 0
+        self.other_responses = 0
         self.complete = False
         self.not_reusable = False
         self.in_body = False
@@ -296,6 +309,8 @@
         call.connection = self
         call.sent_at_s = self.client.loop.time()
         self.complete = False
+        self.received = self.other_responses = 0
+        self.headers, self.body = [], bytearray()
         self.parser = httptools.HttpResponseParser(self)
         self.transport.write(call.encode())
 
@@ -311,6 +326,10 @@
         if self.call is None:
             self.transport.abort()
             return
+        self.received += len(data)
+        self.client.budget.add(self, len(data))
+        if self.call is None:
+            return
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -319,6 +338,18 @@
                 self.fail(errors.CallGarbledError("not an HTTP response"))
         if self.complete:
             self.finish()
+        elif self.call is not None:
+            self.check_length()
+
+    def check_length(self) -> None:
+        """Fails the call if its response exceeds a limit."""
+        excess = self.client.budget.find_excess(
+            self.received, len(self.body), self.other_responses
+        )
+        if not excess and len(self.headers) > reply_budget.MAX_HEADERS:
+            excess = f"{len(self.headers)} header fields"
+        if excess:
+            self.fail(errors.ReplyTooLongError(excess))
 
     def eof_received(self) -> bool:
         if (
@@ -341,11 +372,12 @@
             self.not_reusable = True
             return
         self.headers = []
-        self.body = []
+        self.body = bytearray()
         self.in_body = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.complete:
+        # Trailers, which follow the body, are dropped.
+        if not self.complete and not self.in_body:
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -359,18 +391,20 @@
 
     def on_body(self, data: bytes) -> None:
         if not self.complete:
-            self.body.append(data)
+            self.body += data
 
     def on_message_complete(self) -> None:
         if self.complete or self.call is None:
             return
         self.in_body = False
         if self.status < 200:
+            self.other_responses += 1
             return
         if not self.call.matches(self.headers):
             # A late response to an earlier request; this call's own response
             # may still follow.
             self.not_reusable = True
+            self.other_responses += 1
             return
         if not self.parser.should_keep_alive():
             self.not_reusable = True
@@ -400,6 +434,7 @@
         call, self.call = self.call, None
         if call is None:
             return
+        self.client.budget.release(self)
         early = self.transport.get_write_buffer_size() > 0
         self.record_keep_alive()
         if self.not_reusable or early or self.client.closed:
@@ -407,12 +442,15 @@
         else:
             self.client.release(self)
         if not call.future.done():
-            body = b"".join(self.body)
-            call.future.set_result(Reply(self.status, self.headers, body))
+            reply = Reply(self.status, self.headers, bytes(self.body))
+            call.future.set_result(reply)
+        self.headers, self.body = [], bytearray()
 
     def fail(self, error: errors.LaurelrockError) -> None:
         """Fails the call and resets the connection."""
         call, self.call = self.call, None
+        self.client.budget.release(self)
+        self.headers, self.body = [], bytearray()
         if not self.transport.is_closing():
             http_wire.reset(self.transport)
         if call is not None and not call.future.done():
@@ -430,7 +468,10 @@
 
 
 def open_client(
-    address: tuple[str, int], limit: int, tcp_keepalive: bool = False
+    address: tuple[str, int],
+    limit: int,
+    tcp_keepalive: bool = False,
+    budget: reply_budget.ReplyBudget | None = None,
 ) -> Client:
     """Returns a client, which opens connections on demand.
 
@@ -440,5 +481,8 @@
         tcp_keepalive: Whether the kernel probes connections without traffic.
             Calls that wait long for their response need it to detect that the
             server has become unreachable.
+        budget: Memory of the responses that are being received, which clients
+            may share; None for one of the default size.
     """
-    return Client(address, limit, tcp_keepalive)
+    budget = budget or reply_budget.create_reply_budget()
+    return Client(address, limit, tcp_keepalive, budget)
--- a/laurelrock/adapters/platform.py
+++ b/laurelrock/adapters/platform.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from laurelrock import errors
+from laurelrock.adapters import limited_body
 from laurelrock.ports import platform
 
 __all__ = ["HttpPlatform", "open_platform"]
@@ -92,10 +93,15 @@
                 data=body,
                 timeout=timeout,
             ) as response:
-                raw = await response.read()
+                raw = await limited_body.read(response)
                 etag = response.headers.get("ETag", "").strip('"')
                 result = Response(response.status, etag, raw)
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            errors.ReplyTooLongError,
+        ) as error:
             reason = str(error) or type(error).__name__
             raise errors.PlatformError(f"{method} {path}: {reason}") from None
         if result.status not in (200, 201, 204, 304, 404, 412, 413):
--- a/laurelrock/adapters/searcher.py
+++ b/laurelrock/adapters/searcher.py
@@ -14,6 +14,7 @@
 
 from laurelrock import errors
 from laurelrock import manifest
+from laurelrock.adapters import limited_body
 from laurelrock.ports import searcher as port
 
 __all__ = ["HttpSearcher", "open_searcher"]
@@ -192,13 +193,17 @@
                 headers=HEADERS,
                 timeout=timeout,
             ) as response:
-                raw = await response.read()
+                raw = await limited_body.read(response)
             return self.read_response(response.status, raw, read)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
             raise self.create_error(error, False) from None
+        except errors.ReplyTooLongError as error:
+            self.session = self.create_session()
+            message = f"{self.searcher.id}: {error.message}"
+            raise errors.SearcherProtocolError(message, True) from None
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise self.create_error(error, True) from None
         finally:
--- a/laurelrock/client.py
+++ b/laurelrock/client.py
@@ -16,6 +16,7 @@
 from laurelrock import errors
 from laurelrock import manifest
 from laurelrock import operators
+from laurelrock.adapters import limited_body
 from laurelrock.core import publish as publisher
 
 __all__ = ["new_key", "publish", "query", "save", "status", "validate"]
@@ -202,10 +203,15 @@
                 url, data=msgspec.json.encode(body), headers=headers
             ) as response,
         ):
-            raw = await response.read()
+            raw = await limited_body.read(response)
     except aiohttp.ClientConnectorError as error:
         raise errors.EntryError(str(error), "no") from None
-    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+    except (
+        TimeoutError,
+        aiohttp.ClientError,
+        OSError,
+        errors.ReplyTooLongError,
+    ) as error:
         reason = str(error) or type(error).__name__
         raise errors.EntryError(reason, "unknown") from None
     if response.status != 200:
--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -349,6 +349,12 @@
     code = "call-garbled"
 
 
+class ReplyTooLongError(CallGarbledError):
+    """The response exceeds a limit, or doesn't end; it was cut off."""
+
+    code = "reply-too-long"
+
+
 class StoreError(LaurelrockError):
     """The platform's store returned no usable response."""
 
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -84,12 +84,14 @@
         reply: The searcher's answer, with ANSWERED and ERRED.
         stamp: The server stamp of the answer.
         reason: The reason of the status, for logs.
+        endless: Whether the answer was cut off because it was too long.
     """
 
     status: CallStatus
     reply: http_client.Reply | None = None
     stamp: bytes = b""
     reason: str = ""
+    endless: bool = False
 
 
 class PendingCall:
@@ -238,7 +240,9 @@
             return CallResult(CallStatus.UNSENT, reason=error.message)
         if isinstance(error, errors.LaurelrockError):
             return CallResult(
-                CallStatus.BROKEN, reason=f"{error.code}: {error.message}"
+                CallStatus.BROKEN,
+                reason=f"{error.code}: {error.message}",
+                endless=isinstance(error, errors.ReplyTooLongError),
             )
         if error is not None:
             raise error
@@ -291,6 +295,9 @@
             replica.record_error()
         elif result.status is CallStatus.NOT_RUN:
             replica.full(now_s)
+        elif result.endless:
+            # The searcher would take this VM's link again with the next call.
+            self.eject_if_unresponsive(pending_call, result)
         elif result.status is CallStatus.BROKEN and result.reason != WITHDRAWN:
             replica.record_failure()
         elif result.reason != WITHDRAWN or pending_call.timed_out:
--- a/laurelrock/gateways/deployment.py
+++ b/laurelrock/gateways/deployment.py
@@ -23,6 +23,7 @@
         seeds: The `peers` addresses of some other VMs, which may be down.
         peer_links_port: The port of messages between VMs, the same on all VMs.
         cores: The number of processor cores available to the process.
+        memory_bytes: The memory in bytes above which the process is killed.
         link_bytes_per_s: The bandwidth of this VM's network link, in bytes per
             second.
         store: The address of the platform's store.
@@ -40,6 +41,7 @@
     seeds: tuple[Address, ...]
     peer_links_port: int
     cores: float
+    memory_bytes: float
     link_bytes_per_s: float
     store: Address
     extra_call_policy: retry_budget.Policy
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -48,6 +48,9 @@
 #: Interval in seconds at which a stopping process checks for requests in
 #: progress.
 DRAIN_CHECK_INTERVAL_S = 0.05
+#: Fraction of the process's memory for responses that are being received. A
+#: gateway takes about a tenth of the smallest VM's memory without them.
+REPLY_MEMORY_FRACTION = 0.0625
 #: Time in seconds after which a refused caller may retry: searchers are back,
 #: or another VM has the route, in about this time.
 RETRY_AFTER_S = 0.3
@@ -105,7 +108,10 @@
         self.platform = platform
         self.source = source
         self.loop = asyncio.get_running_loop()
-        self.known = upstreams.create_upstreams(options.failure_domain)
+        self.known = upstreams.create_upstreams(
+            options.failure_domain,
+            int(options.memory_bytes * REPLY_MEMORY_FRACTION),
+        )
         self.calls = calls.create_calls(platform, self.known)
         self.budget = retry_budget.create_budget(options.extra_call_policy)
         self.service_split = routes.WeightedSplit()
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -68,4 +68,9 @@
         lambda: sum(1 for row in known.by_id.values() if row.replica.ejections),
         "Searchers that fell silent",
     )
+    meters.gauge(
+        "laurelrock_reply_bytes",
+        lambda: known.replies.held_bytes,
+        "Bytes of searchers' answers that are being received",
+    )
     meters.gauge("laurelrock_vms", lambda: known.vms, "VMs that are listed")
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -6,6 +6,7 @@
 
 from laurelrock.adapters import http_client
 from laurelrock.adapters import logs
+from laurelrock.adapters import reply_budget
 from laurelrock.core import owners
 from laurelrock.core import registry
 from laurelrock.core import replicas
@@ -52,6 +53,7 @@
 
     Attributes:
         failure_domain: The failure domain of this VM.
+        replies: The memory of the responses that are being received.
         vms: The number of VMs that share the searchers.
         domains: The number of failure domains of those VMs.
         services: The configured services, by name.
@@ -63,8 +65,11 @@
         opened: The number of connections opened to searchers that are gone.
     """
 
-    def __init__(self, failure_domain: str) -> None:
+    def __init__(
+        self, failure_domain: str, replies: reply_budget.ReplyBudget
+    ) -> None:
         self.failure_domain = failure_domain
+        self.replies = replies
         self.vms = 0
         self.domains = 1
         self.sharded: set[str] = set()
@@ -184,7 +189,9 @@
             known.replica.warm_up_end_s = now_s + searcher.warm_up_left_s
             return
         client = http_client.open_client(
-            searcher.address, self.limit(searcher.service)
+            searcher.address,
+            self.limit(searcher.service),
+            budget=self.replies,
         )
         upstream = Upstream(replicas.create_replica(searcher, now_s), client)
         self.by_id[searcher.id] = upstream
@@ -250,6 +257,16 @@
     )
 
 
-def create_upstreams(failure_domain: str) -> Upstreams:
-    """Returns the state without searchers."""
-    return Upstreams(failure_domain)
+def create_upstreams(
+    failure_domain: str, reply_bytes: int = reply_budget.DEFAULT_BYTES
+) -> Upstreams:
+    """Returns the state without searchers.
+
+    Args:
+        failure_domain: Failure domain of this VM.
+        reply_bytes: Memory in bytes for the responses of all searchers that are
+            being received.
+    """
+    return Upstreams(
+        failure_domain, reply_budget.create_reply_budget(reply_bytes)
+    )
--- a/laurelrock/platform/settings.py
+++ b/laurelrock/platform/settings.py
@@ -37,6 +37,8 @@
 #: Network bandwidth of a VM whose settings lack it, in Mbit/s. Most VMs have
 #: this bandwidth.
 DEFAULT_LINK_MBPS = 1000.0
+#: Memory of a VM whose settings lack it, in MB: that of the smallest VMs.
+DEFAULT_MEMORY_MB = 200.0
 
 
 def load(path: pathlib.Path) -> deployment.Deployment:
@@ -106,6 +108,7 @@
         # The first of the ports that the project may use as it likes.
         peer_links_port=ports[0],
         cores=limits.number("cpu_share", 1.0) * limits.number("cpu_cores", 1),
+        memory_bytes=limits.number("memory_mb", DEFAULT_MEMORY_MB) * 1e6,
         link_bytes_per_s=limits.number("link_mbps", DEFAULT_LINK_MBPS)
         * 1e6
         / 8,
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -89,6 +89,7 @@
         seeds=(),
         peer_links_port=exchange_port,
         cores=1.0,
+        memory_bytes=200e6,
         link_bytes_per_s=125e6,
         store=store,
         extra_call_policy=retry_budget.Policy(0.2, 58, 10),
