Give no calls to searchers that leave or ask for a pause

Cause: no code read Server-Leaving, and a searcher that answered 503 with Retry-After was avoided for 30 ms only, and used all the same if all were full.

Ruled out: marking the searcher when the result of a call is classified. The next waiting call is sent on the connection before that, so that each response let one more call out; the client now checks a response before it releases the connection.

Change: a searcher that declares to leave, or asked for a pause, gets no first call, retry, hedge, single request or group run from this VM; calls that wait for a connection move to another one. It holds for one start of the searcher, also if its entry is deleted and returns. Owners tell the caller's VM which searchers leave, and after which time their shards accept calls. A query that can't reach its minimum of shards is refused without any call, and the time to retry after is not before the end of the pauses. A pause is limited to 300 s.

Before: the new tests fail, since the attributes don't exist. After: histories of one and of four VMs with leaving and pausing searchers, 500 each, without a call in a forbidden time.

--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -30,7 +30,7 @@
 #: noticed while the connection is idle.
 DEFAULT_MAX_IDLE_S = 30.0
 
-HeadersCheck = collections.abc.Callable[[http_wire.Headers], bool]
+ReplyCheck = collections.abc.Callable[[int, http_wire.Headers], bool]
 
 
 class Reply(typing.NamedTuple):
@@ -53,8 +53,9 @@
     Attributes:
         encode: Function that returns the request's bytes, called right before
             they are sent.
-        matches: Function that tells whether a response's headers belong to
-            this call.
+        matches: Function that tells by status and headers whether a response
+            belongs to this call. It is called before the connection is used
+            again.
         bodiless: Whether the response has no body because of the method.
         future: Future that ends with the response or the failure.
         connection: Connection that the request was written to; None before.
@@ -64,7 +65,7 @@
     def __init__(
         self,
         encode: collections.abc.Callable[[], bytes],
-        matches: HeadersCheck,
+        matches: ReplyCheck,
         bodiless: bool,
         future: asyncio.Future[Reply],
     ) -> None:
@@ -129,15 +130,16 @@
     def call(
         self,
         encode: collections.abc.Callable[[], bytes],
-        matches: HeadersCheck,
+        matches: ReplyCheck,
         bodiless: bool = False,
     ) -> Call:
         """Starts a call on an idle connection, or queues it for the next one.
 
         Args:
             encode: Function that returns the request's bytes.
-            matches: Function that tells whether a response's headers belong to
-                the call.
+            matches: Function that tells by status and headers whether a
+                response belongs to the call. It is called before the
+                connection is used again.
             bodiless: Whether responses to the method have no body.
 
         Returns:
@@ -218,7 +220,7 @@
             # The open connections may stay busy for long, so one call has to
             # fail now. The others wait for those connections.
             max_calls = 1 if self.connections else len(self.waiting_calls)
-            self.fail_waiting_calls(repr(error), max_calls)
+            self.fail_waiting_calls(errors.ConnectError(repr(error)), max_calls)
             return
         self.opening_count -= 1
         self.opened += 1
@@ -228,12 +230,20 @@
         self.connections.add(connection)
         self.release(connection)
 
-    def fail_waiting_calls(self, reason: str, max_calls: int) -> None:
+    def reject_waiting_calls(self, reason: str) -> None:
+        """Fails all calls that wait for a connection; they are not sent."""
+        self.fail_waiting_calls(
+            errors.NoMoreWorkError(reason), len(self.waiting_calls)
+        )
+
+    def fail_waiting_calls(
+        self, error: errors.ConnectError, max_calls: int
+    ) -> None:
         """Fails up to `max_calls` waiting calls, the oldest first."""
         while self.waiting_calls and max_calls:
             call = self.waiting_calls.popleft()
             if not call.future.done():
-                call.future.set_exception(errors.ConnectError(reason))
+                call.future.set_exception(error)
                 max_calls -= 1
 
     def release(self, connection: "Connection") -> None:
@@ -257,7 +267,9 @@
     def close(self) -> None:
         """Closes idle connections and fails waiting calls; sent calls go on."""
         self.closed = True
-        self.fail_waiting_calls("the client is closed", len(self.waiting_calls))
+        self.fail_waiting_calls(
+            errors.ConnectError("the client is closed"), len(self.waiting_calls)
+        )
         for connection in self.idle:
             connection.transport.close()
         self.idle.clear()
@@ -400,7 +412,7 @@
         if self.status < 200:
             self.other_responses += 1
             return
-        if not self.call.matches(self.headers):
+        if not self.call.matches(self.status, self.headers):
             # A late response to an earlier request; this call's own response
             # may still follow.
             self.not_reusable = True
@@ -422,7 +434,7 @@
             and http_wire.header_value(self.headers, b"transfer-encoding")
             is None
             and self.call is not None
-            and self.call.matches(self.headers)
+            and self.call.matches(self.status, self.headers)
         )
 
     def finish(self) -> None:
@@ -437,14 +449,15 @@
         self.client.budget.release(self)
         early = self.transport.get_write_buffer_size() > 0
         self.record_keep_alive()
+        # A call that waits for the connection begins when it is released.
+        reply = Reply(self.status, self.headers, bytes(self.body))
+        self.headers, self.body = [], bytearray()
         if self.not_reusable or early or self.client.closed:
             self.transport.close()
         else:
             self.client.release(self)
         if not call.future.done():
-            reply = Reply(self.status, self.headers, bytes(self.body))
             call.future.set_result(reply)
-        self.headers, self.body = [], bytearray()
 
     def fail(self, error: errors.LaurelrockError) -> None:
         """Fails the call and resets the connection."""
--- a/laurelrock/core/registry.py
+++ b/laurelrock/core/registry.py
@@ -8,7 +8,14 @@
 import collections.abc
 import typing
 
-__all__ = ["Change", "Registry", "Searcher", "State", "create_registry"]
+__all__ = [
+    "Change",
+    "Registry",
+    "Searcher",
+    "Start",
+    "State",
+    "create_registry",
+]
 
 State = typing.Literal["live", "draining"]
 
@@ -46,6 +53,18 @@
     state: State = "live"
     warm_up_left_s: float = 0.0
 
+    @property
+    def start(self) -> "Start":
+        """What identifies this start of the searcher."""
+        return Start(self.id, self.started_ms)
+
+
+class Start(typing.NamedTuple):
+    """Identifies one start of a searcher; see `Searcher`."""
+
+    id: str
+    started_ms: int
+
 
 class Change(typing.NamedTuple):
     """A changed entry; `searcher` is None if it was deleted or is unusable."""
--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -7,11 +7,20 @@
 """
 
 import collections.abc
+import math
 import typing
 
 from laurelrock.core import registry
 
-__all__ = ["LatencyStats", "Replica", "choose", "create_replica", "usable"]
+__all__ = [
+    "LatencyStats",
+    "Replica",
+    "choose",
+    "create_replica",
+    "resume_in_s",
+    "retry_in_s",
+    "usable",
+]
 
 #: Weight of a new value in an exponential moving average.
 MEAN_WEIGHT = 0.15
@@ -45,6 +54,9 @@
 #: Time for which a searcher that refused a call because it was full is avoided,
 #: in seconds.
 OVERLOAD_PAUSE_S = 0.03
+#: Longest time for which a searcher that asked for a pause gets no calls, in
+#: seconds. A longer one would exclude it for good by mistake.
+MAX_PAUSE_S = 300.0
 #: Latency factor of a searcher that has just started.
 WARM_UP_FACTOR = 1.6
 #: Latency added for a searcher in another failure domain, as a fraction of the
@@ -117,6 +129,8 @@
         reported_at_s: Time of the last load report, in seconds.
         warm_up_end_s: Loop time at which its warm-up ends, in seconds.
         misplaced: Whether a different searcher responded at its address.
+        leaving: Whether it declared that it is about to leave.
+        resume_s: Loop time until which it asked for no calls, in seconds.
     """
 
     def __init__(self, searcher: registry.Searcher, now_s: float) -> None:
@@ -135,6 +149,8 @@
         self.reported_at_s = 0.0
         self.warm_up_end_s = now_s + searcher.warm_up_left_s
         self.misplaced = False
+        self.leaving = False
+        self.resume_s = 0.0
 
     def begin_call(self, now_s: float) -> int:
         """Records the start of a call and returns the call's number."""
@@ -197,6 +213,11 @@
         self.record_response()
         self.overloaded_until_s = now_s + OVERLOAD_PAUSE_S
 
+    def record_pause(self, pause_s: float, now_s: float) -> None:
+        """Records that the searcher asked for no calls for a time."""
+        end_s = now_s + min(pause_s, MAX_PAUSE_S)
+        self.resume_s = max(self.resume_s, end_s)
+
     def record_load(self, running: int, waiting: int, now_s: float) -> None:
         """Records the load reported by the searcher."""
         self.reported_calls = running + waiting
@@ -253,14 +274,14 @@
 
 
 def usable(
-    replicas: collections.abc.Iterable[Replica],
+    replicas: collections.abc.Iterable[Replica], now_s: float
 ) -> list[Replica]:
-    """Returns the searchers that accept new work.
+    """Returns the searchers that accept new work at present.
 
     An ejected searcher that passed a probe gets one call at a time until it
     responds. If all searchers are ejected, all of them are returned.
     """
-    live = [row for row in replicas if accepts_work(row)]
+    live = [row for row in replicas if accepts_work(row, now_s)]
     working = [
         row
         for row in live
@@ -270,14 +291,50 @@
     return working or live
 
 
-def accepts_work(row: Replica) -> bool:
+def stays(row: Replica) -> bool:
     """Tells whether a searcher is live and its address is correct."""
-    return row.searcher.state == "live" and not row.misplaced
+    return (
+        row.searcher.state == "live" and not row.misplaced and not row.leaving
+    )
+
 
+def accepts_work(row: Replica, now_s: float) -> bool:
+    """Tells whether a searcher stays and has not asked for a pause."""
+    return stays(row) and now_s >= row.resume_s
 
-def any_reachable(replicas: collections.abc.Iterable[Replica]) -> bool:
+
+def any_reachable(
+    replicas: collections.abc.Iterable[Replica], now_s: float
+) -> bool:
     """Tells whether any searcher of a service may be reachable."""
-    return any(accepts_work(row) and row.reachable for row in replicas)
+    return any(accepts_work(row, now_s) and row.reachable for row in replicas)
+
+
+def resume_in_s(
+    replicas: collections.abc.Iterable[Replica], now_s: float
+) -> float:
+    """Returns the time until a searcher of a service accepts work, in seconds.
+
+    It is 0 if one does so now, and infinite if nothing says when one will.
+    """
+    ends = [row.resume_s - now_s for row in replicas if stays(row)]
+    return max(0.0, min(ends, default=math.inf))
+
+
+def retry_in_s(waits: collections.abc.Iterable[float], needed: int) -> float:
+    """Returns the time until enough shards accept work, in seconds.
+
+    Args:
+        waits: Time until each shard does so, in seconds; infinite if unknown.
+        needed: Number of shards that a query needs.
+
+    Returns:
+        The time, or 0 if it is unknown.
+    """
+    ranked = sorted(waits)
+    if not 0 < needed <= len(ranked) or math.isinf(ranked[needed - 1]):
+        return 0.0
+    return ranked[needed - 1]
 
 
 def remote_domains_silent(
@@ -290,7 +347,9 @@
     may then be partitioned from the others.
     """
     remote = [
-        row for row in replicas if accepts_work(row) and not is_local(row)
+        row
+        for row in replicas
+        if accepts_work(row, now_s) and not is_local(row)
     ]
     unresponsive = sum(
         not row.reachable or row.oldest_call_age_s(now_s) > REMOTE_SILENCE_S
--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -337,6 +337,12 @@
     code = "connect-failed"
 
 
+class NoMoreWorkError(ConnectError):
+    """An upstream leaves or asked for a pause; the call was not sent."""
+
+    code = "no-more-work"
+
+
 class CallBrokenError(LaurelrockError):
     """A connection ended before the response; the call may have executed."""
 
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -34,6 +34,9 @@
 
 #: Reason of a call that this side ended.
 WITHDRAWN = "withdrawn"
+#: Reason of a call that had not been sent when its searcher left or asked for a
+#: pause.
+NO_MORE_WORK = "searcher accepts no more work"
 
 _log = logs.get_logger(__name__)
 
@@ -184,9 +187,12 @@
                 request.body,
             )
 
-        def accept(headers: http_wire.Headers) -> bool:
-            found = self.platform.read_searcher_headers(0, headers).request_id
-            return found is None or found == request_id
+        def accept(status: int, headers: http_wire.Headers) -> bool:
+            found = self.platform.read_searcher_headers(status, headers)
+            if found.request_id not in (None, request_id):
+                return False
+            self.restrict(upstream, found)
+            return True
 
         call = upstream.client.call(
             encode,
@@ -208,6 +214,19 @@
         )
         return pending_call
 
+    def restrict(
+        self,
+        upstream: upstreams.Upstream,
+        searcher_headers: header_codec.SearcherHeaders,
+    ) -> None:
+        """Gives a searcher no more calls if it asked for none."""
+        if searcher_headers.leaving:
+            self.upstreams.mark_leaving(upstream.searcher.start)
+        if searcher_headers.pause_s is not None:
+            self.upstreams.pause(
+                upstream, searcher_headers.pause_s, self.loop.time()
+            )
+
     def settle(
         self,
         pending_call: PendingCall,
@@ -236,6 +255,8 @@
             )
             return CallResult(call_status, reason=WITHDRAWN)
         error = future.exception()
+        if isinstance(error, errors.NoMoreWorkError):
+            return CallResult(CallStatus.UNSENT, reason=NO_MORE_WORK)
         if isinstance(error, errors.ConnectError):
             return CallResult(CallStatus.UNSENT, reason=error.message)
         if isinstance(error, errors.LaurelrockError):
@@ -300,7 +321,10 @@
             self.eject_if_unresponsive(pending_call, result)
         elif result.status is CallStatus.BROKEN and result.reason != WITHDRAWN:
             replica.record_failure()
-        elif result.reason != WITHDRAWN or pending_call.timed_out:
+        elif (
+            result.reason not in (WITHDRAWN, NO_MORE_WORK)
+            or pending_call.timed_out
+        ):
             self.eject_if_unresponsive(pending_call, result)
 
     def eject_if_unresponsive(
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -377,9 +377,8 @@
             return http_server.Response(200, headers, body)
         headers = self.platform.gateway_response_headers(context.caller_headers)
         if outcome.status == 503:
-            headers.append(
-                retry_after_header(outcome.retry_after_s or RETRY_AFTER_S)
-            )
+            wait_s = outcome.retry_after_s or RETRY_AFTER_S
+            headers.append(retry_after_header(wait_s, outcome.resume_in_s))
         return http_server.Response(outcome.status, headers)
 
     def refuse(
@@ -484,11 +483,19 @@
     return owners.Vm(row["vm"], row["failure_domain"], host, row["cores"])
 
 
-def retry_after_header(seconds: float) -> tuple[bytes, bytes]:
+def retry_after_header(
+    seconds: float, earliest_s: float = 0.0
+) -> tuple[bytes, bytes]:
     """Returns the header with the time after which a caller may retry.
 
     The time is randomized, so that callers refused together don't retry
     together.
+
+    Args:
+        seconds: The typical time.
+        earliest_s: The time before which a retry is in vain.
     """
     randomized_s = seconds * (0.75 + random.random() / 2)
+    if earliest_s:
+        randomized_s = earliest_s + seconds * random.random() / 2
     return b"retry-after", b"%.2f" % randomized_s
--- a/laurelrock/gateways/group_messages.py
+++ b/laurelrock/gateways/group_messages.py
@@ -6,6 +6,7 @@
 import typing
 
 from laurelrock.adapters import http_client
+from laurelrock.core import registry
 from laurelrock.gateways import outcomes
 
 __all__ = [
@@ -76,11 +77,14 @@
             reach at present.
         remote_domains_silent: Whether the owner gets no answer from any other
             failure domain.
+        resume_in_s: The time in seconds until the shards whose searchers asked
+            for a pause accept calls; 0 if there are none.
     """
 
     number: int
     unreachable: int = 0
     remote_domains_silent: bool = False
+    resume_in_s: float = 0.0
 
 
 class GroupDeclined(typing.NamedTuple):
@@ -105,6 +109,7 @@
         records: The highest-ranked records of the parts.
         pending: The number of parts that may still complete.
         calls: The number of calls made for the group so far.
+        leaving: The searchers of the group's services that declared to leave.
     """
 
     number: int
@@ -113,6 +118,7 @@
     records: bytes
     pending: int
     calls: int
+    leaving: tuple[registry.Start, ...] = ()
 
 
 class SingleResult(typing.NamedTuple):
@@ -128,6 +134,8 @@
         body: The body of the searcher's answer.
         attempts: The number of calls made.
         reason: The reason of a failure, for logs.
+        resume_in_s: See `outcomes.Outcome`.
+        leaving: The searchers of the service that declared to leave.
     """
 
     number: int
@@ -138,9 +146,13 @@
     body: bytes
     attempts: int
     reason: str
+    resume_in_s: float = 0.0
+    leaving: tuple[registry.Start, ...] = ()
 
 
-def encode_outcome(number: int, outcome: outcomes.Outcome) -> SingleResult:
+def encode_outcome(
+    number: int, outcome: outcomes.Outcome, leaving: tuple[registry.Start, ...]
+) -> SingleResult:
     """Returns the message for an outcome."""
     reply = outcome.reply
     return SingleResult(
@@ -152,6 +164,8 @@
         reply.body if reply else b"",
         outcome.attempts,
         outcome.reason,
+        outcome.resume_in_s,
+        leaving,
     )
 
 
@@ -166,6 +180,7 @@
         reply,
         attempts=message.attempts,
         reason=message.reason,
+        resume_in_s=message.resume_in_s,
     )
 
 
@@ -200,11 +215,13 @@
         key: The first shard of the group.
         unreachable: The number of shards that the owner can't reach.
         remote_domains_silent: See `GroupAccepted`.
+        resume_in_s: See `GroupAccepted`.
     """
 
     key: str
     unreachable: int
     remote_domains_silent: bool
+    resume_in_s: float = 0.0
 
 
 class PartitionHint(typing.NamedTuple):
--- a/laurelrock/gateways/group_runs.py
+++ b/laurelrock/gateways/group_runs.py
@@ -114,6 +114,7 @@
                 ),
                 self.pending,
                 sum(row.attempts for row in self.group_parts),
+                self.placement.known.leaving(self.group_request.services),
             )
         )
 
--- a/laurelrock/gateways/outcomes.py
+++ b/laurelrock/gateways/outcomes.py
@@ -24,6 +24,8 @@
         reason: The reason of a failure, for logs.
         retry_after_s: The time in seconds after which a refused caller may
             retry; 0 for the default.
+        resume_in_s: The time in seconds before which a retry is certainly in
+            vain, because searchers asked for no calls; 0 if unknown.
     """
 
     kind: Kind
@@ -36,3 +38,4 @@
     missing: tuple[str, ...] = ()
     reason: str = ""
     retry_after_s: float = 0.0
+    resume_in_s: float = 0.0
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -127,15 +127,20 @@
             for row in self.known.searchers_of(part.service)
             if row.searcher.id not in part.tried
         }
-        working = replicas.usable(rows)
+        working = replicas.usable(rows, self.calls.loop.time())
         return [rows[replica] for replica in working]
 
     def reachable(self, service: str) -> bool:
         """Returns whether any searcher of a service may be reached."""
         return replicas.any_reachable(
-            row.replica for row in self.known.searchers_of(service)
+            (row.replica for row in self.known.searchers_of(service)),
+            self.calls.loop.time(),
         )
 
+    def resume_in_s(self, service: str) -> float:
+        """Returns the time until a service accepts calls, in seconds."""
+        return self.known.resume_in_s(service, self.calls.loop.time())
+
     def choose_fastest(
         self, part: Part, rows: list[upstreams.Upstream]
     ) -> upstreams.Upstream:
--- a/laurelrock/gateways/peers.py
+++ b/laurelrock/gateways/peers.py
@@ -146,7 +146,7 @@
             b"",
         )
         client = http_client.open_client(address, 1)
-        call = client.call(lambda: raw, lambda headers: True)
+        call = client.call(lambda: raw, lambda status, headers: True)
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 reply = await call.future
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -158,7 +158,13 @@
     if reachable < route.min_shards:
         group_state.reachability.query_owners(route)
         reason = f"searchers of only {reachable} of {count} shards reachable"
-        return outcomes.Outcome("refused", 503, shards=count, reason=reason)
+        return outcomes.Outcome(
+            "refused",
+            503,
+            shards=count,
+            reason=reason,
+            resume_in_s=group_state.reachability.resume_in_s(route),
+        )
     schedule = create_schedule(context, link_bytes_per_s)
     own, remote = group_state.split_shards(route)
     if not remote:
@@ -283,6 +289,21 @@
     )
 
 
+def refuse_single(
+    service: str, placement: parts.CallPlacer
+) -> outcomes.Outcome:
+    """Returns the refusal of a request that no searcher accepts."""
+    resume_in_s = replicas.retry_in_s([placement.resume_in_s(service)], 1)
+    reason = (
+        f"searchers asked for no calls for {resume_in_s * 1000:.0f} ms"
+        if resume_in_s
+        else "no searcher"
+    )
+    return outcomes.Outcome(
+        "refused", 503, reason=reason, resume_in_s=resume_in_s
+    )
+
+
 async def run_single(
     context: calls.RequestContext, service: str, placement: parts.CallPlacer
 ) -> outcomes.Outcome:
@@ -295,7 +316,7 @@
     typical = placement.known.typical_latencies[context.route.name]
     try:
         if not placement.reachable(service) or not placement.start(part):
-            return outcomes.Outcome("refused", 503, reason="no searcher")
+            return refuse_single(service, placement)
         await wait_until_ready(progress, placement, schedule, typical)
         sent = any(
             pending_call.call.sent for pending_call in part.pending_calls
--- a/laurelrock/gateways/reachability_reports.py
+++ b/laurelrock/gateways/reachability_reports.py
@@ -8,9 +8,11 @@
 
 import asyncio
 import collections.abc
+import math
 import typing
 
 from laurelrock.core import owners
+from laurelrock.core import replicas
 from laurelrock.core import routes
 from laurelrock.gateways import assignment
 from laurelrock.gateways import group_messages
@@ -71,6 +73,17 @@
         reachable = self.placement.reachable
         return sum(1 for name in services if not reachable(name))
 
+    def resume_times_s(
+        self, services: collections.abc.Iterable[str]
+    ) -> list[float]:
+        """Returns the time until each service accepts this VM's calls."""
+        return [self.placement.resume_in_s(name) for name in services]
+
+    def latest_resume_s(self, services: collections.abc.Iterable[str]) -> float:
+        """Returns the longest of these times that is known; 0 if none is."""
+        known = filter(math.isfinite, self.resume_times_s(services))
+        return max(known, default=0.0)
+
     def remote_domains_silent(self) -> bool:
         """Returns whether no other failure domain responds to this VM."""
         return self.placement.known.remote_domains_silent(self.loop.time())
@@ -82,7 +95,10 @@
         services = query.services
         unreachable = self.count_unreachable(services)
         return group_messages.ReachabilityReport(
-            services[0], unreachable, self.remote_domains_silent()
+            services[0],
+            unreachable,
+            self.remote_domains_silent(),
+            self.latest_resume_s(services),
         )
 
     def record(self, report: group_messages.ReachabilityReport) -> None:
@@ -102,6 +118,26 @@
                 unreachable += report.unreachable if report else 0
         return len(route.shards) - unreachable
 
+    def resume_in_s(self, route: routes.Route) -> float:
+        """Returns the time until enough shards of a query accept calls.
+
+        It is 0 if that is unknown.
+        """
+        if not self.assignment.uses_owners(route):
+            waits = self.resume_times_s(route.shards)
+            return replicas.retry_in_s(waits, route.min_shards)
+        waits = []
+        for group in owners.split_into_groups(route.shards):
+            if self.owner_of(group) == self.assignment.me:
+                waits += self.resume_times_s(group)
+                continue
+            report = self.recent_report(group[0])
+            unreachable = report.unreachable if report else 0
+            wait_s = report.resume_in_s if report else 0.0
+            waits += [0.0] * (len(group) - unreachable)
+            waits += [wait_s or math.inf] * unreachable
+        return replicas.retry_in_s(waits, route.min_shards)
+
     def recent_report(
         self, key: str
     ) -> group_messages.ReachabilityReport | None:
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -309,10 +309,12 @@
         unreachable = self.reachability.count_unreachable(
             group_request.services
         )
-        remote_domains_silent = self.reachability.remote_domains_silent()
         link.send(
             group_messages.GroupAccepted(
-                group_request.number, unreachable, remote_domains_silent
+                group_request.number,
+                unreachable,
+                self.reachability.remote_domains_silent(),
+                self.reachability.latest_resume_s(group_request.services),
             )
         )
 
@@ -348,6 +350,8 @@
         if isinstance(message, group_messages.GroupAccepted):
             self.start_remote(group, message)
             return
+        for start in message.leaving:
+            self.placement.known.mark_leaving(start)
         if isinstance(message, group_messages.SingleResult):
             del self.remote[message.number]
             group.reply = message
@@ -379,6 +383,7 @@
                     group.services[0],
                     accepted.unreachable,
                     accepted.remote_domains_silent,
+                    accepted.resume_in_s,
                 )
             )
             group.unreachable = accepted.unreachable
@@ -417,8 +422,11 @@
             outcome = await self.run_single(
                 context, group_request.services[0], self.placement
             )
+            leaving = self.placement.known.leaving(group_request.services)
             link.send(
-                group_messages.encode_outcome(group_request.number, outcome)
+                group_messages.encode_outcome(
+                    group_request.number, outcome, leaving
+                )
             )
             return
         served = group_runs.GroupRun(
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import typing
 
 from laurelrock.adapters import http_client
 from laurelrock.adapters import logs
@@ -25,9 +26,24 @@
 #: Interval in seconds between connections that are opened in advance.
 WARM_INTERVAL_S = 0.02
 
+#: Maximum number of searchers without an entry whose restrictions are kept.
+MAX_RESTRICTIONS = 4096
+
 _log = logs.get_logger(__name__)
 
 
+class Restriction(typing.NamedTuple):
+    """What a searcher said that holds even if its entry is deleted.
+
+    Attributes:
+        leaving: Whether it declared that it is about to leave.
+        resume_s: Loop time until which it asked for no calls, in seconds.
+    """
+
+    leaving: bool
+    resume_s: float
+
+
 class Upstream:
     """One searcher, with its state and its connections.
 
@@ -62,6 +78,8 @@
         by_service: All searchers, by service and id.
         typical_latencies: The typical latencies, by route.
         throughputs: The rates at which calls end, by service.
+        restrictions: What searchers without an entry said, by start. Their
+            entries may return, for example when the platform restores a copy.
         opened: The number of connections opened to searchers that are gone.
     """
 
@@ -84,6 +102,7 @@
         self.throughputs: dict[str, throughput.CompletionRate] = (
             collections.defaultdict(throughput.create_completion_rate)
         )
+        self.restrictions: dict[registry.Start, Restriction] = {}
         self.opened = 0
 
     def is_local(self, replica: replicas.Replica) -> bool:
@@ -186,6 +205,8 @@
         )
         if known is not None:
             known.replica.searcher = searcher
+            if searcher.state == "draining":
+                known.client.reject_waiting_calls("the searcher is draining")
             known.replica.warm_up_end_s = now_s + searcher.warm_up_left_s
             return
         client = http_client.open_client(
@@ -193,17 +214,76 @@
             self.limit(searcher.service),
             budget=self.replies,
         )
-        upstream = Upstream(replicas.create_replica(searcher, now_s), client)
+        replica = replicas.create_replica(searcher, now_s)
+        restriction = self.restrictions.pop(searcher.start, None)
+        if restriction is not None:
+            replica.leaving, replica.resume_s = restriction
+        upstream = Upstream(replica, client)
         self.by_id[searcher.id] = upstream
         self.by_service[searcher.service][searcher.id] = upstream
 
     def remove(self, upstream: Upstream) -> None:
         """Removes a searcher; its calls in flight continue."""
         upstream.client.close()
+        replica = upstream.replica
+        if replica.leaving or replica.resume_s:
+            self.restrict(
+                upstream.searcher.start,
+                Restriction(replica.leaving, replica.resume_s),
+            )
         self.opened += upstream.client.opened
         del self.by_id[upstream.searcher.id]
         del self.by_service[upstream.searcher.service][upstream.searcher.id]
 
+    def restrict(self, start: registry.Start, restriction: Restriction) -> None:
+        """Keeps what a searcher without an entry said."""
+        self.restrictions[start] = restriction
+        if len(self.restrictions) > MAX_RESTRICTIONS:
+            del self.restrictions[next(iter(self.restrictions))]
+
+    def mark_leaving(self, start: registry.Start) -> None:
+        """Gives a searcher that declared that it leaves no more calls."""
+        upstream = self.by_id.get(start.id)
+        if upstream is None or upstream.searcher.start != start:
+            self.restrict(start, Restriction(True, 0.0))
+            return
+        if upstream.replica.leaving:
+            return
+        upstream.replica.leaving = True
+        upstream.client.reject_waiting_calls("the searcher leaves")
+        _log.info(
+            "searcher-leaving", searcher=start.id, started_ms=start.started_ms
+        )
+
+    def leaving(
+        self, services: collections.abc.Iterable[str]
+    ) -> tuple[registry.Start, ...]:
+        """Returns the searchers of some services that declared to leave."""
+        return tuple(
+            row.searcher.start
+            for name in services
+            for row in self.searchers_of(name)
+            if row.replica.leaving
+        )
+
+    def pause(self, upstream: Upstream, pause_s: float, now_s: float) -> None:
+        """Gives a searcher no calls for the time that it asked for."""
+        upstream.replica.record_pause(pause_s, now_s)
+        upstream.client.reject_waiting_calls("the searcher asked for a pause")
+        _log.info(
+            "searcher-paused",
+            searcher=upstream.searcher.id,
+            pause_ms=round(pause_s * 1000),
+        )
+
+    def resume_in_s(self, service: str, now_s: float) -> float:
+        """Returns the time until a service accepts calls.
+
+        See `replicas.resume_in_s`.
+        """
+        rows = (row.replica for row in self.searchers_of(service))
+        return replicas.resume_in_s(rows, now_s)
+
     async def probe(self) -> None:
         """Probes ejected searchers until they can be reached again, forever."""
         loop = asyncio.get_running_loop()
--- a/laurelrock/platform/header_codec.py
+++ b/laurelrock/platform/header_codec.py
@@ -3,6 +3,8 @@
 Implements `laurelrock.ports.header_codec`.
 """
 
+import math
+
 from laurelrock.adapters import http_wire
 from laurelrock.ports import header_codec
 
@@ -33,11 +35,17 @@
 #: Load of a searcher: running calls, waiting calls, slots.
 LOAD = b"x-server-load"
 ENCODING = b"content-encoding"
+#: Present with the value 1 in all responses of a searcher that leaves.
+LEAVING = b"server-leaving"
+#: Time in seconds, with a fraction, for which a searcher wants no requests.
+RETRY_AFTER = b"retry-after"
 
 #: Headers of a caller that are set anew for each call to a searcher.
 REWRITTEN_HEADERS = frozenset({DEADLINE, TARGET})
 #: Status of a searcher that rejects a call meant for another searcher.
 MISDIRECTED = 421
+#: Status of a searcher that refuses a call for lack of room.
+UNAVAILABLE = 503
 #: Upper bound for the time that a caller's deadline header may give, in
 #: seconds.
 MAX_TIME_LEFT_S = 3600.0
@@ -87,6 +95,12 @@
         misplaced=misplaced,
         content_encoded=ENCODING in found,
         load=_read_load(found.get(LOAD)),
+        leaving=found.get(LEAVING, b"").strip() == b"1",
+        pause_s=(
+            _read_seconds(found.get(RETRY_AFTER))
+            if status == UNAVAILABLE
+            else None
+        ),
     )
 
 
@@ -124,3 +138,12 @@
     if len(fields) < 2 or not all(f.strip().isdigit() for f in fields[:2]):
         return None
     return int(fields[0]), int(fields[1])
+
+
+def _read_seconds(text: bytes | None) -> float | None:
+    """Returns a time in seconds, or None if there is none that is valid."""
+    try:
+        seconds = float(text) if text is not None else math.nan
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds > 0 else None
--- a/laurelrock/platform/store.py
+++ b/laurelrock/platform/store.py
@@ -95,7 +95,7 @@
         raw = http_wire.encode_request(
             method.encode(), path.encode(), head, body
         )
-        call = self.client.call(lambda: raw, lambda headers: True)
+        call = self.client.call(lambda: raw, lambda status, headers: True)
         try:
             async with asyncio.timeout(wait_s + TIMEOUT_S):
                 reply = await call.future
--- a/laurelrock/ports/header_codec.py
+++ b/laurelrock/ports/header_codec.py
@@ -34,6 +34,9 @@
         content_encoded: Whether the body has a content encoding, and so isn't
             the searcher's plain bytes.
         load: Numbers of running and of waiting calls; None if not reported.
+        leaving: Whether the searcher declares that it is about to leave.
+        pause_s: Time in seconds for which the searcher, which refused the
+            request, wants none; None if it didn't say.
     """
 
     request_id: bytes | None
@@ -42,6 +45,8 @@
     misplaced: bool
     content_encoded: bool
     load: tuple[int, int] | None
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 class HeaderCodec(typing.Protocol):
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import math
 import typing
 import unittest.mock
 
@@ -33,15 +34,21 @@
 PORT = 7000
 #: Kinds of outcome of a call to a searcher. A call of kind `unsent` fails
 #: before it is written; one of kind `lost` is written but never read; one of
+#: kind `leaving` is answered by a searcher that says that it leaves, and one of
+#: kind `pausing` refused by one that wants no calls for `PAUSE_S`; one of
 #: kind `silent` runs but gets no response; the response to one of kind
 #: `unstamped` has no X-Server-Stamp header; one of kind `queued` first waits
 #: for a connection.
 OUTCOME_KINDS = (
     *("answer", "error", "full", "unsent", "broken"),
-    *("lost", "silent", "unstamped", "queued"),
+    *("lost", "silent", "unstamped", "queued", "leaving", "pausing"),
 )
+#: Time in seconds for which a pausing searcher wants no calls.
+PAUSE_S = 0.5
 #: Kinds of outcome where the searcher runs the request.
-EXECUTED_KINDS = frozenset({"answer", "error", "broken", "silent", "unstamped"})
+EXECUTED_KINDS = frozenset(
+    {"answer", "error", "broken", "silent", "unstamped", "leaving"}
+)
 
 
 class ScriptedCall(typing.NamedTuple):
@@ -63,6 +70,7 @@
         request_id: Value of its X-Request-Id header.
         service: Service of the searcher.
         searcher: Id of the searcher.
+        client: Client that sent the call.
         received_s: Virtual time of the call, in seconds.
         ran: Whether the searcher runs the request.
         stamp: Value of X-Server-Stamp in the response.
@@ -72,6 +80,7 @@
     request_id: bytes
     service: str
     searcher: str
+    client: "Client"
     received_s: float
     ran: bool
     stamp: bytes
@@ -94,6 +103,20 @@
     prior_call_count: int
 
 
+class Restriction(typing.NamedTuple):
+    """Time in which a searcher wants no calls from one VM.
+
+    Attributes:
+        client: Client of the VM, one for each start of a searcher.
+        begun_s: Virtual time at which the searcher said so, in seconds.
+        ended_s: Virtual time at which it ends, in seconds.
+    """
+
+    client: "Client"
+    begun_s: float
+    ended_s: float
+
+
 class Call:
     """Fake of `http_client.Call`."""
 
@@ -101,6 +124,7 @@
         self.future = future
         self.sent = False
         self.sent_at_s = 0.0
+        self.accept: http_client.ReplyCheck = lambda status, headers: True
 
     def abort(self) -> None:
         self.future.cancel()
@@ -119,6 +143,13 @@
         self.idle: list[object] = []
         self.connections: set[object] = set()
         self.opened = 0
+        self.waiting_calls: list[Call] = []
+
+    def reject_waiting_calls(self, reason: str) -> None:
+        for call in self.waiting_calls:
+            if not call.future.done() and not call.sent:
+                call.future.set_exception(errors.NoMoreWorkError(reason))
+        self.waiting_calls.clear()
 
     def close(self) -> None:
         """Does nothing: calls in flight continue."""
@@ -129,10 +160,12 @@
     def call(self, encode, accept, bodiless=False) -> Call:
         loop = asyncio.get_running_loop()
         call = Call(loop.create_future())
+        call.accept = accept
         behaviour = next(self.simulation.behaviours)
         if behaviour.kind == "unsent":
             loop.call_later(behaviour.delay_s, self.fail, call)
         elif behaviour.kind == "queued":
+            self.waiting_calls.append(call)
             loop.call_later(
                 behaviour.delay_s, self.send, call, encode, "answer"
             )
@@ -157,7 +190,7 @@
         request_id = request_id_of(encode())
         self.simulation.received_calls.append(
             ReceivedCall(
-                *(request_id, self.service, self.searcher, loop.time()),
+                *(request_id, self.service, self.searcher, self, loop.time()),
                 *(kind in EXECUTED_KINDS, stamp, body),
             )
         )
@@ -172,12 +205,23 @@
         if kind == "broken":
             call.future.set_exception(errors.CallBrokenError("reset"))
             return
-        status = {"error": 500, "full": 503}.get(kind, 200)
+        status = {"error": 500, "full": 503, "pausing": 503}.get(kind, 200)
         headers = [(b"x-request-id", request_id)]
-        if kind == "full":
+        now_s = asyncio.get_running_loop().time()
+        if kind in ("leaving", "pausing"):
+            length_s = PAUSE_S if kind == "pausing" else math.inf
+            self.simulation.restrictions.append(
+                Restriction(self, now_s, now_s + length_s)
+            )
+        if kind == "leaving":
+            headers.append((b"server-leaving", b"1"))
+        if kind == "pausing":
+            headers.append((b"retry-after", b"%.3f" % PAUSE_S))
+        if kind in ("full", "pausing"):
             headers.append((b"x-not-executed", b"1"))
         elif kind != "unstamped":
             headers.append((b"x-server-stamp", stamp))
+        assert call.accept(status, headers)
         call.future.set_result(http_client.Reply(status, headers, body))
 
 
@@ -302,6 +346,7 @@
         call_numbers: Numbers that make the responses unique.
         client_class: Class of the fake clients of searchers.
         received_calls: Calls that searchers received, in order.
+        restrictions: Times in which searchers wanted no calls, in order.
         state_changes: Changes of searchers' states, in order.
         nodes: Gateways, in the order in which they were added.
         nodes_by_host: Gateways by IP address.
@@ -322,6 +367,7 @@
         self.call_numbers = itertools.count(1)
         self.client_class = Client
         self.received_calls: list[ReceivedCall] = []
+        self.restrictions: list[Restriction] = []
         self.state_changes: list[StateChange] = []
         self.nodes: list[GatewayNode] = []
         self.nodes_by_host: dict[str, GatewayNode] = {}
@@ -351,7 +397,7 @@
         with unittest.mock.patch.object(
             http_client,
             "open_client",
-            lambda address, limit: self.client_class(self, service, searcher),
+            lambda *_, **__: self.client_class(self, service, searcher),
         ):
             node.known.apply([registry.Change(searcher, row)], now_s)
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -82,7 +82,7 @@
 )  # fmt: skip
 
 
-def accept(headers):
+def accept(status, headers):
     found = http_wire.header_value(headers, b"x-request-id")
     return found in (None, b"id-1")
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -182,7 +182,7 @@
             connection.connection_made(Transport())
             client.connections.add(connection)
             future = client.loop.create_future()
-            call = http_client.Call(lambda: b"", lambda _: True, False, future)
+            call = http_client.Call(lambda: b"", lambda *_: True, False, future)
             connection.send_request(call)
             for piece in stream:
                 if not connection.transport.is_closing():
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -95,7 +95,7 @@
 )  # fmt: skip
 
 
-def accept(headers):
+def accept(status, headers):
     found = http_wire.header_value(headers, b"x-request-id")
     return found in (None, b"id-1")
 
@@ -191,7 +191,8 @@
         slow = sends(matching, wait_s=0.02)
         client = await self.open(lambda _, r: slow(r), limit=2)
         calls = [self.call(client) for _ in range(10)]
-        await asyncio.gather(*[self.result(call) for call in calls])
+        replies = await asyncio.gather(*[self.result(call) for call in calls])
+        self.assertEqual([row.body for row in replies], [b"good"] * 10)
         self.assertEqual(self.searcher.connections, 2)
 
     async def test_call_fails_if_connecting_fails_beside_a_busy_connection(
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -282,6 +282,7 @@
         self.assertLessEqual(row.ended_s - row.begun_s, limit_s + 0.01)
 
     def check(self, simulation, played):
+        self.check_restrictions(simulation)
         for row in played:
             self.check_attempts(simulation, row)
             self.check_no_late_calls(simulation, row)
@@ -297,6 +298,18 @@
             if row.outcome.reply is not None:
                 self.check_response(simulation, row)
 
+    def check_restrictions(self, simulation):
+        """A searcher that leaves or pauses gets no calls from that VM."""
+        for restriction in simulation.restrictions:
+            late = [
+                arrival
+                for arrival in simulation.received_calls
+                if arrival.client is restriction.client
+                and restriction.begun_s < arrival.received_s
+                and arrival.received_s < restriction.ended_s
+            ]
+            self.assertEqual(late, [])
+
     def check_budget(self, simulation):
         """The extra calls of a service stay within the budget in any window."""
         by_service = collections.defaultdict(list)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -115,7 +115,9 @@
 
     def test_second_unanswered_call_ejects(self):
         self.assertEqual(self.eject(), [False, True])
-        self.assertEqual(replicas.usable([self.row, self.other]), [self.other])
+        self.assertEqual(
+            replicas.usable([self.row, self.other], 10.0), [self.other]
+        )
 
     def test_response_in_between_prevents_ejection(self):
         self.row.record_no_response(1.0)
@@ -131,11 +133,11 @@
         self.eject()
         self.row.probe_succeeded = True
         both = [self.row, self.other]
-        self.assertEqual(replicas.usable(both), both)
+        self.assertEqual(replicas.usable(both, 10.0), both)
         self.row.begin_call(2.0)
-        self.assertEqual(replicas.usable(both), [self.other])
+        self.assertEqual(replicas.usable(both, 10.0), [self.other])
         self.row.record_response()
-        self.assertEqual(replicas.usable(both), both)
+        self.assertEqual(replicas.usable(both, 10.0), both)
 
     def test_ejection_time_grows_to_its_maximum(self):
         self.eject()
@@ -148,13 +150,13 @@
 
     def test_all_are_used_if_all_are_ejected(self):
         self.eject()
-        self.assertEqual(replicas.usable([self.row]), [self.row])
-        self.assertFalse(replicas.any_reachable([self.row]))
+        self.assertEqual(replicas.usable([self.row], 10.0), [self.row])
+        self.assertFalse(replicas.any_reachable([self.row], 10.0))
 
     def test_draining_and_misplaced_searchers_are_never_used(self):
         leaving = build.replica("three", state="draining")
         self.other.misplaced = True
-        self.assertEqual(replicas.usable([leaving, self.other]), [])
+        self.assertEqual(replicas.usable([leaving, self.other], 10.0), [])
 
 
 class RemoteSilenceTest(unittest.TestCase):
