Follow a platform that comes back from a copy

Cause: the store may come back from a copy some seconds old; revisions go back and are given out again. A poll that continued from its revision missed the changes that had got the number anew, a searcher that had left was used again because the copy listed it, and a VM that started read an older configuration than the others had in force.

Ruled out: noticing it in the watches alone.

Change: the client of the store reads Store-Era from each response. An older era is no usable response; a newer one ends the waiting watches; a kind is watched only in the era in which it was read; lists of several pages belong to one era; a VM is not removed by a revision of an earlier one. The registry remembers the last write of deleted entries and takes an entry of the same start with an older write as outdated; it lists anew while such an entry may turn out to live. A VM that starts, or that notices the restore, asks two others for a newer configuration.

--- a/fakes/objects.py
+++ b/fakes/objects.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import copy
 import typing
 
 from aiohttp import web
@@ -32,6 +33,18 @@
     delay_s: float = 0.0
 
 
+class Copy(typing.NamedTuple):
+    """Copy of the store's objects.
+
+    Attributes:
+        revision: Number of the latest change in it.
+        objects_by_kind: Objects by kind and name.
+    """
+
+    revision: int
+    objects_by_kind: dict[str, dict[str, dict[str, typing.Any]]]
+
+
 class ObjectStore:
     """State of the store.
 
@@ -44,6 +57,9 @@
         faults: Faults that are currently injected.
         calls: Method and kind of every request, in order.
         refused_host: Host header whose requests get status 503.
+        era: Number of the era, which rises when a copy is restored.
+        stale_copy: Copy that is returned, with its own era, to calls that allow
+            stale data; None for the present data.
         watch_epoch: Number of calls of `abandon_watches`.
         changed: Event that is set, and replaced, at every change.
     """
@@ -56,6 +72,8 @@
         self.faults = Faults()
         self.calls: list[tuple[str, str]] = []
         self.refused_host = ""
+        self.era = 1
+        self.stale_copy: tuple[Copy, int] | None = None
         self.watch_epoch = 0
         self.changed = asyncio.Event()
 
@@ -86,6 +104,20 @@
         self.changes.clear()
         self.dropped_through_revision = self.revision
 
+    def copy(self) -> Copy:
+        """Returns a copy of the present objects."""
+        return Copy(self.revision, copy.deepcopy(self.objects_by_kind))
+
+    def restore(self, saved: Copy) -> None:
+        """Comes back from a copy: later changes and revisions are lost."""
+        self.era += 1
+        self.revision, kinds = saved
+        self.objects_by_kind = copy.deepcopy(kinds)
+        self.changes = [row for row in self.changes if row[0] <= self.revision]
+        self.watch_epoch += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def abandon_watches(self) -> None:
         """Leaves pending watches unanswered; their connections stay open."""
         self.watch_epoch += 1
@@ -100,7 +132,7 @@
 
     async def watch(self, kind: str, after: int, wait_s: float) -> web.Response:
         """Responds as soon as there is a change, or after `wait_s`."""
-        if after < self.dropped_through_revision:
+        if not self.dropped_through_revision <= after <= self.revision:
             return web.json_response({}, status=410)
         epoch = self.watch_epoch
         with contextlib.suppress(TimeoutError):
@@ -125,16 +157,25 @@
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Handles one call, with the faults applied."""
-        self.calls.append((request.method, request.match_info["kind"]))
+        kind = request.match_info["kind"]
+        self.calls.append((request.method, kind))
         faults = self.faults
         await asyncio.sleep(3600 if faults.hang else faults.delay_s)
         if request.host == self.refused_host:
             return web.json_response({}, status=503)
         if faults.status:
             return web.json_response({}, status=faults.status)
+        era = self.era
         response = await self.serve(request)
         if faults.replacement_body:
-            return web.Response(body=faults.replacement_body)
+            response = web.Response(body=faults.replacement_body)
+        if self.stale_copy and "allow_stale" in request.query:
+            saved, era = self.stale_copy
+            items = list(saved.objects_by_kind.get(kind, {}).values())
+            response = web.json_response(
+                {"items": items, "has_more": False, "at": saved.revision}
+            )
+        response.headers["Store-Era"] = str(era)
         return response
 
     async def serve(self, request: web.Request) -> web.Response:
--- a/laurelrock/core/registry.py
+++ b/laurelrock/core/registry.py
@@ -3,6 +3,11 @@
 While the platform is reachable, a deleted entry is removed at once. Just after
 an outage the list may lack searchers that only failed to renew their entries,
 so missing entries are kept and used for a short time.
+
+The platform may also come back from a copy that is some seconds old. It then
+lists searchers that have left since, and calls searchers live that are
+draining. An entry is outdated if the searcher wrote a later one, or if it was
+deleted after this one.
 """
 
 import collections.abc
@@ -26,6 +31,8 @@
 #: taken as the end of an outage that this VM did not observe.
 MASS_REMOVAL_FRACTION = 0.25
 MASS_REMOVAL_MIN = 4
+#: Maximum number of deleted entries that are remembered.
+MAX_GONE = 4096
 
 
 class Searcher(typing.NamedTuple):
@@ -42,6 +49,8 @@
         state: State reported by the searcher.
         warm_up_left_s: Remaining time of slow operation after the start, in
             seconds.
+        seq: Number of the searcher's last write of its entry since its start;
+            0 if unknown. An entry that differs in it alone has not changed.
     """
 
     id: str
@@ -52,6 +61,7 @@
     slots: int
     state: State = "live"
     warm_up_left_s: float = 0.0
+    seq: int = 0
 
     @property
     def start(self) -> "Start":
@@ -67,10 +77,17 @@
 
 
 class Change(typing.NamedTuple):
-    """A changed entry; `searcher` is None if it was deleted or is unusable."""
+    """A changed entry.
+
+    Attributes:
+        id: Id of the searcher.
+        searcher: The entry; None if it was deleted or is unusable.
+        last_seq: Number of the last write of a deleted entry; 0 if unknown.
+    """
 
     id: str
     searcher: Searcher | None
+    last_seq: int = 0
 
 
 class Registry:
@@ -80,6 +97,10 @@
         searchers: Usable searchers, by id.
         missing: Loop time until which a missing entry is kept, in seconds, by
             id.
+        gone: Number of the last known write of searchers whose entry was
+            deleted, by start.
+        suspects: Starts that are listed although they are gone. A later write
+            shows that the searcher lives.
         retain_until_s: Loop time until which missing entries are kept after the
             last outage, in seconds.
     """
@@ -87,17 +108,77 @@
     def __init__(self) -> None:
         self.searchers: dict[str, Searcher] = {}
         self.missing: dict[str, float] = {}
+        self.gone: dict[Start, int] = {}
+        self.suspects: set[Start] = set()
         self.retain_until_s = 0.0
 
     def record_outage_end(self, now_s: float) -> None:
         """Records that the platform is reachable again."""
         self.retain_until_s = now_s + RETENTION_S
 
+    def record_gone(self, searcher: Searcher, last_seq: int) -> None:
+        """Records that an entry was deleted."""
+        if not searcher.started_ms:
+            return
+        self.gone[searcher.start] = max(searcher.seq, last_seq)
+        if len(self.gone) > MAX_GONE:
+            del self.gone[next(iter(self.gone))]
+
+    def is_outdated(self, searcher: Searcher) -> bool:
+        """Tells whether a later word of the same start is known."""
+        known = self.searchers.get(searcher.id)
+        if known is not None and known.start == searcher.start:
+            return 0 < searcher.seq < known.seq
+        last_seq = self.gone.get(searcher.start)
+        if last_seq is None or not searcher.seq:
+            return False
+        if searcher.seq > last_seq:
+            del self.gone[searcher.start]
+            return False
+        self.suspects.add(searcher.start)
+        return True
+
+    def accept(self, change: Change) -> bool:
+        """Stores an entry, or deletes it; returns whether that is a change."""
+        searcher, known = change.searcher, self.searchers.get(change.id)
+        if searcher is None:
+            if known is None:
+                return False
+            del self.searchers[change.id]
+            self.record_gone(known, change.last_seq)
+            return True
+        if self.is_outdated(searcher):
+            return False
+        self.searchers[change.id] = searcher
+        if known is None:
+            return True
+        if known.start != searcher.start:
+            self.record_gone(known, 0)
+        return known._replace(seq=0) != searcher._replace(seq=0)
+
     def replace(
-        self, rows: collections.abc.Iterable[Change], now_s: float
+        self,
+        rows: collections.abc.Iterable[Change],
+        now_s: float,
+        restored: bool = False,
     ) -> list[Change]:
-        """Applies a complete list and returns the changes in effect."""
+        """Applies a complete list and returns the changes in effect.
+
+        Args:
+            rows: All entries.
+            now_s: Loop time in seconds.
+            restored: Whether this is the first list since the platform came
+                back from a copy. Its entries of searchers that are gone are
+                from before they went.
+        """
         listed = {row.id: row for row in rows}
+        self.suspects.clear()
+        if restored:
+            self.record_outage_end(now_s)
+            for row in listed.values():
+                if row.searcher is not None and row.searcher.start in self.gone:
+                    start = row.searcher.start
+                    self.gone[start] = max(self.gone[start], row.searcher.seq)
         gone = [
             Change(name, None) for name in self.searchers if name not in listed
         ]
@@ -119,20 +200,12 @@
             self.record_outage_end(now_s)
         effective = []
         for change in changes:
-            known = self.searchers.get(change.id)
-            if change.searcher is None:
-                if known is None:
-                    continue
-                if now_s < self.retain_until_s:
-                    self.missing.setdefault(change.id, self.retain_until_s)
-                    continue
-                del self.searchers[change.id]
-                self.missing.pop(change.id, None)
-                effective.append(change)
+            kept = change.searcher is None and now_s < self.retain_until_s
+            if kept and change.id in self.searchers:
+                self.missing.setdefault(change.id, self.retain_until_s)
                 continue
             self.missing.pop(change.id, None)
-            if change.searcher != known:
-                self.searchers[change.id] = change.searcher
+            if self.accept(change):
                 effective.append(change)
         return effective
 
@@ -154,13 +227,8 @@
         effective = []
         for change in rows.values():
             self.missing.pop(change.id, None)
-            if change.searcher == self.searchers.get(change.id):
-                continue
-            if change.searcher is None:
-                del self.searchers[change.id]
-            else:
-                self.searchers[change.id] = change.searcher
-            effective.append(change)
+            if self.accept(change):
+                effective.append(change)
         return effective
 
     def remove_expired(self, now_s: float) -> list[Change]:
@@ -168,8 +236,8 @@
         late = [name for name, end in self.missing.items() if now_s >= end]
         for name in late:
             del self.missing[name]
-            self.searchers.pop(name, None)
-        return [Change(name, None) for name in late]
+        changes = [Change(name, None) for name in late]
+        return [change for change in changes if self.accept(change)]
 
 
 def create_registry() -> Registry:
--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -373,6 +373,12 @@
     code = "store-history-lost"
 
 
+class StoreEraError(StoreHistoryError):
+    """The store came back from a copy, so its revisions went back."""
+
+    code = "store-restored"
+
+
 class FieldError(StoreError):
     """An object in the platform's store has a missing or invalid field."""
 
--- a/laurelrock/gateways/peers.py
+++ b/laurelrock/gateways/peers.py
@@ -3,6 +3,9 @@
 The platform may refuse some VMs while it serves others. A refused VM asks two
 others for a newer configuration and for the searchers, and applies what is
 fresher than its own data. Nothing older than what is in force is ever applied.
+
+The platform may also come back from a copy that lacks the newest configuration.
+A VM that starts, or that notices it, asks two others for a newer one.
 """
 
 import asyncio
@@ -35,8 +38,12 @@
 #: Difference in age, in seconds, from which another VM's list of searchers
 #: counts as fresher.
 MIN_FRESHER_BY_S = 0.3
-#: Path of the query; the version in force follows it.
+#: Paths of the queries for the whole state and for the configuration alone; the
+#: version in force follows them.
 STATE_PATH = "/state?version="
+CONFIGURATION_PATH = "/configuration?version="
+#: Age in seconds that stands for no data on searchers.
+NO_SEARCHERS_AGE_S = 1e9
 
 _log = logs.get_logger(__name__)
 
@@ -111,12 +118,18 @@
     ) -> http_server.Response:
         """Answers the query of another VM."""
         target = request.target.decode("latin-1")
-        version = target.removeprefix(STATE_PATH)
-        if not target.startswith(STATE_PATH) or not version.isdecimal():
+        path, mark, version = target.partition("=")
+        path += mark
+        if path not in (STATE_PATH, CONFIGURATION_PATH) or (
+            not version.isdecimal()
+        ):
             return http_server.Response(404, [])
         if not self.known.searchers_read:
             return http_server.Response(503, [])
-        body = msgspec.json.encode(self.snapshot(int(version)))
+        snapshot = self.snapshot(int(version))
+        if path == CONFIGURATION_PATH:
+            snapshot = snapshot._replace(searchers=[], age_s=NO_SEARCHERS_AGE_S)
+        body = msgspec.json.encode(snapshot)
         kind = (b"content-type", b"application/json")
         return http_server.Response(200, [kind], body)
 
@@ -124,16 +137,21 @@
         """Queries others while this VM's data is stale; runs forever."""
         while True:
             await asyncio.sleep(QUERY_INTERVAL_S)
+            path = STATE_PATH
             if self.known.age_s() < STALE_AFTER_S:
-                continue
+                if self.loop.time() > self.known.ask_peers_until_s:
+                    continue
+                path = CONFIGURATION_PATH
             found = await asyncio.gather(
-                *[self.ask(address) for address in self.targets()]
+                *[self.ask(address, path) for address in self.targets()]
             )
             for snapshot in found:
                 if snapshot is not None:
                     self.apply_snapshot(snapshot)
 
-    async def ask(self, address: tuple[str, int]) -> Snapshot | None:
+    async def ask(
+        self, address: tuple[str, int], path: str = STATE_PATH
+    ) -> Snapshot | None:
         """Queries one VM; returns None if it doesn't answer."""
         self.queries_sent += 1
         table = self.known.table
@@ -141,7 +159,7 @@
         host = f"{address[0]}:{address[1]}".encode()
         raw = http_wire.encode_request(
             b"GET",
-            f"{STATE_PATH}{version}".encode(),
+            f"{path}{version}".encode(),
             http_wire.encode_headers([(b"host", host)]),
             b"",
         )
--- a/laurelrock/gateways/platform_follower.py
+++ b/laurelrock/gateways/platform_follower.py
@@ -46,6 +46,14 @@
 MAX_RETRY_PAUSE_S = 0.6
 #: Wait in seconds before a failed background loop is restarted.
 RESTART_DELAY_S = 0.5
+#: Time in seconds after a start, or after the platform came back from a copy,
+#: for which other VMs are asked for a newer configuration.
+ASK_PEERS_S = 1.2
+#: Time in seconds after the platform came back from a copy for which listed
+#: searchers that had left are looked at again, and the interval of that. The
+#: platform removes an entry after three heartbeats of its searcher.
+SUSPICION_S = 10.0
+RELIST_INTERVAL_S = 1.0
 #: Names of the polls.
 CONFIGURATION, SEARCHERS = "configuration", "searchers"
 
@@ -105,6 +113,10 @@
         started_s: The loop time of the start.
         failing_polls: The names of the polls that get no answer.
         registered: Whether this VM registered itself in the list of VMs.
+        ask_peers_until_s: The loop time until which other VMs are asked for a
+            newer configuration, although the platform answers.
+        eras: The era of the platform's data at the last read, by poll.
+        restored_s: The loop time at which it last came back from a copy.
         confirmed_s: The loop time at which the searchers were last known to be
             up to date; while the poll of searchers is answered, that is now.
     """
@@ -136,6 +148,9 @@
         self.direct = False
         self.loop = asyncio.get_running_loop()
         self.started_s = self.loop.time()
+        self.ask_peers_until_s = self.started_s + ASK_PEERS_S
+        self.eras: dict[str, int] = {}
+        self.restored_s = -math.inf
 
     @property
     def version(self) -> int:
@@ -218,6 +233,7 @@
     async def read_configuration(self) -> int:
         """Reads the configuration and returns its revision."""
         found = await self.source.read_configuration()
+        self.check_restored(CONFIGURATION, found.era)
         self.apply_configuration(found.configuration)
         return found.revision
 
@@ -235,12 +251,24 @@
         found = await self.source.read_searchers()
         if SEARCHERS in self.failing_polls:
             self.registry.record_outage_end(self.loop.time())
-        self.apply_changes(self.registry.replace(found.rows, self.loop.time()))
+        restored = self.check_restored(SEARCHERS, found.era)
+        self.apply_changes(
+            self.registry.replace(found.rows, self.loop.time(), restored)
+        )
         self.searchers_read = True
         return found.revision
 
     async def watch_searchers(self, revision: int) -> int:
-        """Waits for changed entries; returns the revision reached."""
+        """Waits for changed entries; returns the revision reached.
+
+        After the platform came back from a copy, searchers that had left are
+        listed until the platform notices. Only a whole list shows whether one
+        of them lives, since a mere heartbeat is no change.
+        """
+        restored_ago_s = self.loop.time() - self.restored_s
+        if self.registry.suspects and restored_ago_s < SUSPICION_S:
+            await asyncio.sleep(RELIST_INTERVAL_S)
+            return await self.read_searchers()
         found = await self.source.watch_searchers(revision, POLL_WAIT_S)
         self.apply_changes(self.registry.apply(found.rows, self.loop.time()))
         return found.revision
@@ -271,6 +299,19 @@
                 self.record_poll_success(poll)
                 await asyncio.sleep(POLL_GAP_S)
 
+    def check_restored(self, name: str, era: int) -> bool:
+        """Returns whether the platform came back from a copy since a read.
+
+        Other VMs may then hold a newer configuration than the platform.
+        """
+        restored = era > self.eras.get(name, era)
+        self.eras[name] = era
+        if restored:
+            _log.warning("platform-read-anew", poll=name, era=era)
+            self.restored_s = self.loop.time()
+            self.ask_peers_until_s = self.restored_s + ASK_PEERS_S
+        return restored
+
     def record_poll_failure(self, poll: Poll, error: errors.StoreError) -> None:
         """Records a poll without an answer."""
         if poll.name in self.failing_polls:
--- a/laurelrock/platform/objects.py
+++ b/laurelrock/platform/objects.py
@@ -103,6 +103,8 @@
         slots=slots,
         state=state,
         warm_up_left_s=max(0.0, fields.number("warmup_left_ms", 0) / 1000),
+        # Number of the searcher's last write, counted from its start.
+        seq=fields.integer("seq", 0),
     )
 
 
--- a/laurelrock/platform/store.py
+++ b/laurelrock/platform/store.py
@@ -35,14 +35,47 @@
 #: Maximum number of pages that are read of one list.
 MAX_PAGES = 200
 
+#: Header with the number of times that the store came back from a copy.
+ERA_HEADER = b"store-era"
+
 _log = logs.get_logger(__name__)
 
 
+class Response(typing.NamedTuple):
+    """A response of the store.
+
+    Attributes:
+        status: HTTP status code.
+        body: Decoded body; None if empty.
+        era: Era of the store's data, which rises each time that the store
+            comes back from a copy. Revisions of an earlier era mean nothing.
+    """
+
+    status: int
+    body: objects.Json
+    era: int
+
+
 class Page(typing.NamedTuple):
-    """Objects of one kind, as names and contents, and the store's revision."""
+    """Objects of one kind, as names and contents.
+
+    Attributes:
+        rows: Names and contents.
+        revision: Revision of the store.
+        era: See `Response`.
+    """
 
     rows: list[tuple[str, objects.Json]]
     revision: int
+    era: int
+
+
+class Event(typing.NamedTuple):
+    """A changed or deleted object, with its last content."""
+
+    name: str
+    spec: objects.Json
+    deleted: bool
 
 
 class Store:
@@ -52,6 +85,9 @@
         client: HTTP client with the connections to the store.
         host: Value of the requests' host header.
         calls: Number of requests made so far.
+        era: Newest era that a response had; None before the first response.
+        eras_read: Era in which each kind was last read as a whole, by kind.
+        watches: Watches that wait for their response.
         unreadable: Reasons why entries could not be decoded, by entry name.
     """
 
@@ -59,6 +95,9 @@
         self.client = client
         self.host = host
         self.calls = 0
+        self.era: int | None = None
+        self.eras_read: dict[str, int] = {}
+        self.watches: set[http_client.Call] = set()
         self.unreadable: dict[str, str] = {}
 
     async def request(
@@ -67,7 +106,7 @@
         path: str,
         document: objects.Json = None,
         wait_s: float = 0.0,
-    ) -> tuple[int, objects.Json]:
+    ) -> Response:
         """Sends one request.
 
         Args:
@@ -76,13 +115,11 @@
             document: Content of the JSON body; None for no body.
             wait_s: Time in seconds for which the store may hold the request.
 
-        Returns:
-            The status code and the decoded body, which is None if empty.
-
         Raises:
-            StoreError: There was no usable response.
+            StoreError: There was no usable response, or one of an earlier era.
             StoreHistoryError: The store no longer has the changes that a watch
                 asked for.
+            StoreEraError: The store came back from a copy while a watch waited.
         """
         self.calls += 1
         body = b"" if document is None else msgspec.json.encode(document)
@@ -96,6 +133,8 @@
             method.encode(), path.encode(), head, body
         )
         call = self.client.call(lambda: raw, lambda status, headers: True)
+        if wait_s:
+            self.watches.add(call)
         try:
             async with asyncio.timeout(wait_s + TIMEOUT_S):
                 reply = await call.future
@@ -104,7 +143,9 @@
         except (errors.ConnectError, errors.CallBrokenError) as error:
             raise errors.StoreError(f"{path}: {error.message}") from None
         finally:
+            self.watches.discard(call)
             call.abort()
+        era = self.read_era(path, reply)
         if reply.status == 410:
             raise errors.StoreHistoryError(
                 f"{path}: the store no longer has this revision's changes"
@@ -112,7 +153,28 @@
         if reply.status not in (200, 201, 204, 404, 409):
             raise errors.StoreError(f"{path}: status {reply.status}")
         found = objects.decode_body(reply.body) if reply.body else None
-        return reply.status, found
+        return Response(reply.status, found, era)
+
+    def read_era(self, path: str, reply: http_client.Reply) -> int:
+        """Returns the era of a response; raises `StoreError` if it is old.
+
+        Data of an earlier era may still arrive after the store came back from
+        a copy. A newer era ends the watches, which began in an earlier one.
+        """
+        text = http_wire.header_value(reply.headers, ERA_HEADER) or b""
+        era = int(text) if text.strip().isdigit() else self.era or 0
+        known = era if self.era is None else self.era
+        if era < known:
+            raise errors.StoreError(f"{path}: era {era}, but {known} is known")
+        self.era = era
+        if era > known:
+            _log.warning("platform-restored", era=era, before=known)
+            for call in self.watches:
+                if not call.future.done():
+                    call.future.set_exception(
+                        errors.StoreEraError(f"{path}: era {known} ended")
+                    )
+        return era
 
     async def list_all(self, kind: str, stale: bool = False) -> Page:
         """Returns all objects of a kind, with the first page's revision.
@@ -120,16 +182,23 @@
         Args:
             kind: Kind of the objects.
             stale: Whether the store may return an outdated list.
+
+        Raises:
+            StoreError: There was no usable response.
+            StoreEraError: The store came back from a copy between two pages.
         """
         rows: list[tuple[str, objects.Json]] = []
-        revision, after = 0, ""
+        revision, after, era = 0, "", None
         for _ in range(MAX_PAGES):
             query = {"allow_stale": "1"} if stale else {}
             if after:
                 query["after"] = after
             text = f"?{urllib.parse.urlencode(query)}" if query else ""
-            _, page = await self.request("GET", f"/api/objects/{kind}{text}")
-            fields = objects.Fields(page)
+            response = await self.request("GET", f"/api/objects/{kind}{text}")
+            if era not in (None, response.era):
+                raise errors.StoreEraError(f"{kind}: era {era} ended")
+            era = response.era
+            fields = objects.Fields(response.body)
             revision = revision or fields.integer("at")
             found = [
                 row for row in map(name_and_spec, fields.rows("items")) if row
@@ -138,26 +207,38 @@
             if not fields.row.get("has_more") or not found:
                 break
             after = found[-1][0]
-        return Page(rows, revision)
+        if not stale and era is not None:
+            self.eras_read[kind] = era
+        return Page(rows, revision, era or 0)
 
     async def watch(
         self, kind: str, revision: int, wait_s: float
-    ) -> tuple[list[tuple[str, objects.Json | None]], int]:
+    ) -> tuple[list[Event], int]:
         """Waits for changes of a kind's objects since a revision.
 
         Returns:
-            The changed objects by name and content, None for deleted ones,
-            and the revision to continue from.
+            The changed objects and the revision to continue from.
+
+        Raises:
+            StoreError: There was no usable response.
+            StoreHistoryError: The store no longer has these changes.
+            StoreEraError: The revision is of an earlier era.
         """
+        era = self.eras_read.get(kind, self.era)
+        if era != self.era:
+            raise errors.StoreEraError(f"{kind}: not read in era {self.era}")
         path = f"/api/objects/{kind}?watch={revision}"
         path += f"&wait_ms={int(wait_s * 1000)}"
-        _, page = await self.request("GET", path, wait_s=wait_s)
-        fields = objects.Fields(page)
-        rows: list[tuple[str, objects.Json | None]] = []
+        response = await self.request("GET", path, wait_s=wait_s)
+        if era is not None and response.era != era:
+            # The number may exist again, and stand for other changes.
+            raise errors.StoreEraError(f"{path}: era {response.era} began")
+        fields = objects.Fields(response.body)
+        rows: list[Event] = []
         for event in fields.rows("events"):
             row = name_and_spec(objects.Fields(event).row.get("object"))
             if row is not None:
-                rows.append((row[0], None if event.get("deleted") else row[1]))
+                rows.append(Event(*row, bool(event.get("deleted"))))
         return rows, fields.integer("at", revision)
 
     # ports.directory.Directory
@@ -170,9 +251,11 @@
         page = await self.list_all(CONFIGURATION_KIND)
         spec = dict(page.rows).get(CONFIGURATION_NAME)
         if spec is None:
-            return directory.VersionedConfiguration(None, 0)
+            return directory.VersionedConfiguration(None, 0, page.era)
         configuration = objects.read_configuration(spec)
-        return directory.VersionedConfiguration(configuration, page.revision)
+        return directory.VersionedConfiguration(
+            configuration, page.revision, page.era
+        )
 
     async def watch_configuration(
         self, revision: int, wait_s: float
@@ -180,11 +263,11 @@
         """Implements `Directory`."""
         rows, at = await self.watch(CONFIGURATION_KIND, revision, wait_s)
         newest = None
-        for name, spec in rows:
-            if name != CONFIGURATION_NAME or spec is None:
+        for event in rows:
+            if event.name != CONFIGURATION_NAME or event.deleted:
                 continue
             try:
-                newest = objects.read_configuration(spec)
+                newest = objects.read_configuration(event.spec)
             except errors.FieldError as error:
                 _log.warning("configuration-invalid", reason=error.message)
         return directory.VersionedConfiguration(newest, at)
@@ -193,25 +276,39 @@
         """Implements `Directory`."""
         page = await self.list_all(SEARCHERS_KIND)
         rows = [self.searcher(name, spec) for name, spec in page.rows]
-        return directory.SearcherEntries(rows, page.revision)
+        return directory.SearcherEntries(rows, page.revision, page.era)
 
     async def watch_searchers(
         self, revision: int, wait_s: float
     ) -> directory.SearcherEntries:
         """Implements `Directory`."""
         rows, at = await self.watch(SEARCHERS_KIND, revision, wait_s)
-        changes = [self.searcher(name, spec) for name, spec in rows]
+        changes = [
+            self.deleted_searcher(row.name, row.spec)
+            if row.deleted
+            else self.searcher(row.name, row.spec)
+            for row in rows
+        ]
         return directory.SearcherEntries(changes, at)
 
-    def searcher(self, name: str, spec: objects.Json | None) -> registry.Change:
-        """Decodes a searcher's entry, whose content is None if deleted.
+    def deleted_searcher(
+        self, name: str, spec: objects.Json
+    ) -> registry.Change:
+        """Returns the change that a searcher's deleted entry stands for."""
+        self.unreadable.pop(name, None)
+        last_seq = spec.get("seq") if isinstance(spec, dict) else None
+        return registry.Change(
+            name, None, last_seq if isinstance(last_seq, int) else 0
+        )
+
+    def searcher(self, name: str, spec: objects.Json) -> registry.Change:
+        """Decodes a searcher's entry.
 
         An entry that can't be decoded counts as deleted. It is logged when its
         reason is new.
         """
         if spec is None:
-            self.unreadable.pop(name, None)
-            return registry.Change(name, None)
+            return self.deleted_searcher(name, spec)
         try:
             searcher = objects.read_searcher(name, spec)
         except errors.FieldError as error:
@@ -228,10 +325,10 @@
         """Implements `Directory`."""
         name = row["vm"]
         document = {"meta": {"name": name}, "spec": row}
-        status, _ = await self.request(
+        response = await self.request(
             "POST", f"/api/objects/{VMS_KIND}", document
         )
-        if status == 409:
+        if response.status == 409:
             await self.request(
                 "PUT", f"/api/objects/{VMS_KIND}/{name}", document
             )
@@ -239,16 +336,19 @@
     async def remove_vm(self, vm: str, host: str) -> bool:
         """Implements `Directory`."""
         path = f"/api/objects/{VMS_KIND}/{urllib.parse.quote(vm, safe='')}"
-        status, found = await self.request("GET", path)
-        if status == 404:
+        found = await self.request("GET", path)
+        if found.status == 404:
             return False
-        fields = objects.Fields(found)
+        fields = objects.Fields(found.body)
         row = objects.Fields(fields.row.get("spec"))
         if row.text("address").rpartition(":")[0] != host:
             return False
         revision = objects.Fields(fields.row.get("meta")).integer("revision")
-        status, _ = await self.request("DELETE", f"{path}?revision={revision}")
-        return status not in (404, 409)
+        if found.era != self.era:
+            # The revision may now be that of another write.
+            return False
+        response = await self.request("DELETE", f"{path}?revision={revision}")
+        return response.status not in (404, 409)
 
     async def read_vms(self) -> list[directory.VmEntry]:
         """Implements `Directory`."""
--- a/laurelrock/ports/directory.py
+++ b/laurelrock/ports/directory.py
@@ -2,7 +2,7 @@
 
 Every method raises `StoreError` if the platform gives no usable response. The
 watches raise `StoreHistoryError` if the platform no longer has the changes
-since the given revision.
+since the given revision, and `StoreEraError` if it came back from a copy.
 """
 
 import typing
@@ -19,10 +19,13 @@
     Attributes:
         rows: All entries, or only the changed ones from a watch.
         revision: Revision of the platform's store, to continue watching from.
+        era: Era of the platform's data; it rises each time that the platform
+            comes back from a copy.
     """
 
     rows: list[registry.Change]
     revision: int
+    era: int = 0
 
 
 class VersionedConfiguration(typing.NamedTuple):
@@ -31,10 +34,12 @@
     Attributes:
         configuration: The configuration; None if there is none, or none newer.
         revision: Revision of the platform's store, to continue watching from.
+        era: See `SearcherEntries`.
     """
 
     configuration: routes.Configuration | None
     revision: int
+    era: int = 0
 
 
 class VmEntry(typing.TypedDict):
