Answer the first request of a connection accepted during a stop

Cause: when a stopping process closed its port, it also closed the connections without a request, among them those accepted a moment before whose first request was still on its way.

Ruled out: a longer notice, which only moves the moment.

Change: a connection that has sent no request yet is kept for a second after it was accepted. test_request_on_a_connection_accepted_last_is_answered failed before (IncompleteReadError) and passes now.

--- a/laurelrock/adapters/http_server.py
+++ b/laurelrock/adapters/http_server.py
@@ -26,6 +26,9 @@
 #: Time for a caller to read the last response before its connection is closed,
 #: in seconds.
 LINGER_S = 0.5
+#: Time for which a stopping process waits for the first request of a connection
+#: that it accepted, in seconds.
+FIRST_REQUEST_GRACE_S = 1.0
 #: Maximum number of connections that wait in the kernel to be accepted.
 BACKLOG = 1024
 
@@ -117,12 +120,22 @@
             self.listener = None
 
     def close_idle(self) -> None:
-        """Closes the connections without a request."""
+        """Closes the connections without a request.
+
+        The first request of a connection that was just accepted may still be
+        on its way; the caller gets no answer if it is closed.
+        """
+        now_s = asyncio.get_running_loop().time()
         for connection in list(self.connections):
+            age_s = now_s - connection.phase_start_s
+            expects_first = (
+                not connection.requests and age_s < FIRST_REQUEST_GRACE_S
+            )
             if (
                 not connection.task
                 and not connection.waiting
                 and not connection.receiving
+                and not expects_first
             ):
                 connection.transport.close()
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,10 +1,13 @@
 """Tests one gateway with fake searchers and a fake platform, on sockets."""
 
 import asyncio
+import unittest.mock
 
 from fakes import callers
 from fakes import objects
 from fakes import shards
+from laurelrock.adapters import http_server
+from laurelrock.gateways import gateway
 from laurelrock.gateways import platform_follower
 from laurelrock.platform import store
 from tests import gateway_builders as build
@@ -407,6 +410,35 @@
         await stop
         self.assertEqual(await idle_reader.read(), b"")
 
+    async def test_request_on_a_connection_accepted_last_is_answered(self):
+        searcher = await shards.start("s-0", records=b"file")
+        await self.start(
+            build.store_configuration(SINGLE), [("files", searcher)]
+        )
+        notice_s = 0.3
+        self.enterContext(
+            unittest.mock.patch.object(gateway, "SHUTDOWN_NOTICE_S", notice_s)
+        )
+        stop = asyncio.create_task(self.gateway.stop())
+        await asyncio.sleep(notice_s - 0.05)
+        reader, writer = await self.connect()
+        # The request is still on its way when the port is closed.
+        await asyncio.sleep(0.2)
+        writer.write(gateways.encode_request("/single/a"))
+        answer = await callers.read_response(reader)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["connection"], "close")
+        await stop
+
+    async def test_connection_without_a_request_does_not_delay_a_stop(self):
+        await self.start(build.store_configuration(SINGLE), [])
+        reader, _ = await self.connect()
+        async with asyncio.timeout(
+            gateway.SHUTDOWN_NOTICE_S + http_server.FIRST_REQUEST_GRACE_S
+        ):
+            await self.gateway.stop()
+        self.assertEqual(await reader.read(), b"")
+
     async def test_refused_vm_gets_state_from_another(self):
         searcher = await shards.start("s-0", records=b"file")
         await self.start(
