Play the new faults in the soak and check their promises

Cause: the soak knew neither searchers that leave or pause without a word of the store, nor responses without end, nor a store that comes back from a copy.

Change: faults leave and restore, behaviours pausing, endless-head and endless-body, promises left-searchers and paused-searchers, each with a history that breaks it. Entries of searchers count their writes. What a run records is in bench/soak_history.py.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,13 +17,21 @@
 
 from aiohttp import web
 
+from bench import soak_history
 from fakes import callers
 from fakes import link
 from fakes import objects
 from fakes import shards
 from laurelrock.core import answer_schedule
+from laurelrock.core import owners
 
-__all__ = ["Arrival", "Fleet", "Shape", "Vm", "open_fleet", "record_of"]
+__all__ = [
+    "Fleet",
+    "Shape",
+    "Vm",
+    "open_fleet",
+    "record_of",
+]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "soak.example"
@@ -60,23 +68,17 @@
     connections: int = 26
     retry_slack: int = 58
 
+    @property
+    def calls_directly(self) -> bool:
+        """Whether each gateway calls all searchers itself."""
+        return owners.all_vms_can_call(self.connections, self.vms)
 
-class Arrival(typing.NamedTuple):
-    """A request that arrived at a searcher.
-
-    Attributes:
-        request_id: Id of the caller's request.
-        service: Service of the searcher.
-        searcher: Id of the searcher.
-        at_s: Loop time of the arrival, in seconds.
-        ran: Whether the searcher ran the request.
-    """
 
-    request_id: str
-    service: str
-    searcher: str
-    at_s: float
-    ran: bool
+#: Time in seconds for which a pausing searcher wants no requests.
+PAUSE_S = 2.0
+#: Start of a response whose body never ends, and the bytes that follow.
+ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n\r\n"
+ENDLESS = b"x" * 16_384
 
 
 class Vm:
@@ -138,8 +140,12 @@
         self.service = service
         self.port = port
         self.started_ms = FIRST_START_MS
+        #: Number of the last write of its entry.
+        self.seq = 0
         #: How it responds to requests; see `Fleet.respond`.
         self.behaviour = "healthy"
+        #: Whether all of its responses say that it leaves.
+        self.leaving = False
 
 
 class Fleet:
@@ -165,7 +171,7 @@
         self.store = objects.ObjectStore()
         self.vms: dict[str, Vm] = {}
         self.servers: dict[str, Server] = {}
-        self.arrivals: list[Arrival] = []
+        self.arrivals: list[soak_history.Arrival] = []
         self.versions: dict[int, float] = {}
         self.shard_lists: dict[int, tuple[str, ...]] = {}
         self.searchers_started = 0
@@ -183,23 +189,36 @@
         target = request.headers.get("x-target-instance")
         if target not in (None, searcher.name):
             behaviour, ran = "misplaced", False
-        elif behaviour == "full":
+        elif behaviour in ("full", "pausing"):
             ran = False
+        pause_s = PAUSE_S if behaviour == "pausing" else 0.0
         self.arrivals.append(
-            Arrival(
+            soak_history.Arrival(
                 *(request.id, server.service, searcher.name),
                 *(self.loop.time(), ran),
+                server.leaving,
+                pause_s,
             )
         )
+        notice = ("Server-Leaving: 1",) if server.leaving else ()
         stamp = f"X-Server-Stamp: {server.service}.{searcher.name}.{request.id}"
         body = record_of(server.service, request.id)
-        success = shards.encode_response(request, "200 OK", body, stamp)
+        success = shards.encode_response(
+            request, "200 OK", body, stamp, *notice
+        )
         failure = shards.encode_response(
-            request, "500 Internal Server Error", b"", stamp
+            request, "500 Internal Server Error", b"", stamp, *notice
         )
         refusal = shards.encode_response(
             request, "503 Service Unavailable", b"", "X-Not-Executed: 1"
         )
+        pause = shards.encode_response(
+            request,
+            "503 Service Unavailable",
+            b"",
+            "X-Not-Executed: 1",
+            f"Retry-After: {PAUSE_S}",
+        )
         wrong = shards.encode_response(request, "421 Misdirected Request", b"")
         responses = {
             "healthy": shards.ScriptedResponse(((0.004, success),)),
@@ -209,6 +228,9 @@
             "mute": shards.ScriptedResponse((), "hang"),
             "resetting": shards.ScriptedResponse(((0.002, b""),), "reset"),
             "cut": shards.ScriptedResponse(((0.002, success[:-4]),), "reset"),
+            "pausing": shards.ScriptedResponse(((0, pause),)),
+            "endless-head": shards.endless(success[:20], ENDLESS),
+            "endless-body": shards.endless(ENDLESS_HEAD, ENDLESS),
             "misplaced": shards.ScriptedResponse(((0, wrong),)),
         }
         return responses[behaviour]
@@ -235,11 +257,13 @@
         server.searcher = await shards.start(name, self.respond)
         server.link.target = ":".join(map(str, server.searcher.address))
         server.started_ms += 1000
+        server.seq, server.leaving = 0, False
         self.list_searcher(name, "ready")
 
     def list_searcher(self, name: str, state: str) -> None:
         """Writes the entry of a searcher to the store."""
         server = self.servers[name]
+        server.seq += 1
         domain = f"d{server.port % 2}"
         spec = {
             "service": server.service,
@@ -249,7 +273,7 @@
             "capacity": 4,
             "state": state,
             "warmup_left_ms": 0,
-            "seq": 1,
+            "seq": server.seq,
             "born": server.started_ms,
         }
         self.store.put("servers", name, spec)
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -5,12 +5,12 @@
 """
 
 import collections
-import typing
 
 from bench import checker
 from bench import fleet
+from bench import soak_history
 
-__all__ = ["PROMISES", "FaultSpan", "History", "Record", "check"]
+__all__ = ["PROMISES", "check"]
 
 #: Time without faults after which promises with a time limit hold for a VM, in
 #: seconds; the smallest such time of the deployments.
@@ -20,6 +20,9 @@
 IN_FORCE_S = 3.0
 #: Maximum time until a draining searcher gets no new requests, in seconds.
 DRAIN_S = 3.0
+#: Time after a refusal from which its pause holds, in seconds, and the maximum
+#: number of requests that reach the searcher in it.
+PAUSE_GRACE_S, MAX_IN_PAUSE = 0.5, 2
 #: Time after a caller's timeout at which a missing response is a violation, in
 #: seconds.
 LATE_TOLERANCE_S = 0.5
@@ -32,92 +35,15 @@
 BUDGET_WINDOW_S, BUDGET_FRACTION = 10.0, 0.2
 
 
-class Record(typing.NamedTuple):
-    """A request of a caller with its response.
-
-    Attributes:
-        kind: "query", "read", "save" or "version".
-        request_id: Id of the request.
-        vm: Name of the VM that the request was sent to.
-        start_count: Number of processes that the VM had started when the
-            request was sent; it identifies the process.
-        sent_s: Loop time at which the request was sent, in seconds.
-        ended_s: Loop time of the response or the failure, in seconds.
-        timeout_s: Time limit in the request, in seconds.
-        status: HTTP status of the response; 0 if there was none.
-        headers: Headers of the response.
-        body: Body of the response.
-        version: Configuration version that a "version" request asked for.
-        caller_left: Whether the caller disconnected before the response.
-        new_connection: Whether the request opened a new connection.
-    """
-
-    kind: str
-    request_id: str
-    vm: str
-    start_count: int
-    sent_s: float
-    ended_s: float
-    timeout_s: float
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    version: int = 0
-    caller_left: bool = False
-    new_connection: bool = False
-
-
-class FaultSpan(typing.NamedTuple):
-    """A fault and the time that it lasted.
-
-    Attributes:
-        name: Name of the fault.
-        vm: Name of the affected VM; "" for all VMs, "-" for none.
-        started_s: Loop time at which the fault started, in seconds.
-        ended_s: Loop time at which the fault ended, in seconds.
-        planned: Whether it is a graceful stop, which must not break off
-            requests.
-    """
-
-    name: str
-    vm: str
-    started_s: float
-    ended_s: float
-    planned: bool = False
-
-
-class History(typing.NamedTuple):
-    """History of one soak run.
-
-    Attributes:
-        records: Requests of the callers.
-        arrivals: Requests that arrived at the searchers, in order of time.
-        fault_spans: Faults that were injected.
-        versions: Loop time at which each configuration version was written.
-        shard_lists: Services of the query's shards by configuration version.
-        drained: Loop time at which each searcher was set to drain, by id.
-        retry_slack: Extra calls to a service allowed in a window in addition
-            to the share of first calls.
-        ended_s: Loop time at which the load ended, in seconds.
-    """
-
-    records: list[Record]
-    arrivals: list[fleet.Arrival]
-    fault_spans: list[FaultSpan]
-    versions: dict[int, float]
-    shard_lists: dict[int, tuple[str, ...]]
-    drained: dict[str, float]
-    retry_slack: int
-    ended_s: float
-
-
-def _affects(span: FaultSpan, begin_s: float, end_s: float) -> bool:
+def _affects(
+    span: soak_history.FaultSpan, begin_s: float, end_s: float
+) -> bool:
     """Returns whether a fault overlaps a period or ended shortly before it."""
     return span.started_s <= end_s and span.ended_s + SETTLE_S >= begin_s
 
 
 def is_undisturbed(
-    history: History, vm: str, begin_s: float, end_s: float
+    history: soak_history.History, vm: str, begin_s: float, end_s: float
 ) -> bool:
     """Returns whether no fault affected a VM in a period or before it."""
     return not any(
@@ -127,15 +53,15 @@
 
 
 def _by_request(
-    history: History,
-) -> dict[str, list[fleet.Arrival]]:
+    history: soak_history.History,
+) -> dict[str, list[soak_history.Arrival]]:
     by_request = collections.defaultdict(list)
     for arrival in history.arrivals:
         by_request[arrival.request_id].append(arrival)
     return by_request
 
 
-def at_most_once(history: History) -> checker.CheckResult:
+def at_most_once(history: soak_history.History) -> checker.CheckResult:
     """A save runs at most once."""
     arrivals = _by_request(history)
     saves = [record for record in history.records if record.kind == "save"]
@@ -147,7 +73,7 @@
     return checker.CheckResult(len(saves), violations)
 
 
-def true_refusals(history: History) -> checker.CheckResult:
+def true_refusals(history: soak_history.History) -> checker.CheckResult:
     """A refused request never runs, neither before nor after the refusal."""
     arrivals = _by_request(history)
     refused = [
@@ -163,7 +89,7 @@
     return checker.CheckResult(len(refused), violations)
 
 
-def own_answers(history: History) -> checker.CheckResult:
+def own_answers(history: soak_history.History) -> checker.CheckResult:
     """A success is a searcher's complete response to the same request."""
     successes = [
         record
@@ -186,7 +112,9 @@
     return checker.CheckResult(len(successes), violations)
 
 
-def _coverage_fault(record: Record, shard_lists: set[tuple[str, ...]]) -> str:
+def _coverage_fault(
+    record: soak_history.Record, shard_lists: set[tuple[str, ...]]
+) -> str:
     stamps = record.headers.get("x-part-stamps", "").split(", ")
     parts = [stamp.split(".") for stamp in stamps]
     services = [part[0] for part in parts]
@@ -210,7 +138,7 @@
     return ""
 
 
-def true_coverage(history: History) -> checker.CheckResult:
+def true_coverage(history: soak_history.History) -> checker.CheckResult:
     """The response to a query lists its parts and counts missing ones."""
     shard_lists = set(history.shard_lists.values())
     successes = [
@@ -227,7 +155,7 @@
     return checker.CheckResult(len(successes), violations)
 
 
-def bounded_attempts(history: History) -> checker.CheckResult:
+def bounded_attempts(history: soak_history.History) -> checker.CheckResult:
     """A request reaches at most two searchers of a service."""
     counts = collections.Counter(
         (arrival.request_id, arrival.service) for arrival in history.arrivals
@@ -238,7 +166,7 @@
     return checker.CheckResult(len(counts), violations)
 
 
-def bounded_repeats(history: History) -> checker.CheckResult:
+def bounded_repeats(history: soak_history.History) -> checker.CheckResult:
     """Extra calls to a service stay within the budget in every window."""
     by_service = collections.defaultdict(list)
     for arrival in history.arrivals:
@@ -270,8 +198,8 @@
 
 
 def _served_versions(
-    history: History,
-) -> dict[tuple[str, int], list[Record]]:
+    history: soak_history.History,
+) -> dict[tuple[str, int], list[soak_history.Record]]:
     by_process = collections.defaultdict(list)
     for record in history.records:
         if record.kind == "version" and record.status == 200:
@@ -279,7 +207,7 @@
     return by_process
 
 
-def never_back(history: History) -> checker.CheckResult:
+def never_back(history: soak_history.History) -> checker.CheckResult:
     """A process never serves an older version than it served before."""
     violations, exercised = [], 0
     for (vm, _), records in _served_versions(history).items():
@@ -294,7 +222,7 @@
     return checker.CheckResult(exercised, violations)
 
 
-def in_force(history: History) -> checker.CheckResult:
+def in_force(history: soak_history.History) -> checker.CheckResult:
     """A configuration is in force in time on VMs without faults."""
     violations, exercised = [], 0
     for record in history.records:
@@ -328,7 +256,7 @@
     return checker.CheckResult(exercised, violations)
 
 
-def drained_searchers(history: History) -> checker.CheckResult:
+def drained_searchers(history: soak_history.History) -> checker.CheckResult:
     """A draining searcher gets no new requests after `DRAIN_S`."""
     by_id = {record.request_id: record for record in history.records}
     services = {
@@ -348,7 +276,80 @@
     return checker.CheckResult(exercised, violations)
 
 
-def nothing_cut(history: History) -> checker.CheckResult:
+def _later_arrivals(
+    history: soak_history.History,
+    since: soak_history.Arrival,
+    begin_s: float,
+    end_s: float,
+) -> tuple[int, list[soak_history.Arrival]]:
+    """Returns what a VM sent to a searcher in a time after its answer.
+
+    Returns:
+        The number of the VM's requests to the searcher's service in that time,
+        and those that reached the searcher itself.
+    """
+    by_id = {record.request_id: record for record in history.records}
+    told = by_id.get(since.request_id)
+    later = [
+        arrival
+        for arrival in history.arrivals
+        if told is not None
+        and begin_s < arrival.at_s < end_s
+        and arrival.service == since.service
+        and (record := by_id.get(arrival.request_id)) is not None
+        and (record.vm, record.start_count) == (told.vm, told.start_count)
+        and record.sent_s > begin_s
+    ]
+    return len(later), [a for a in later if a.searcher == since.searcher]
+
+
+def _was_told(
+    history: soak_history.History, arrival: soak_history.Arrival
+) -> bool:
+    """Returns whether a searcher's response reached the caller's VM."""
+    return any(
+        f".{arrival.searcher}." in value
+        for record in history.records
+        if record.request_id == arrival.request_id and record.status == 200
+        for name, value in record.headers.items()
+        if name in ("x-server-stamp", "x-part-stamps")
+    )
+
+
+def left_searchers(history: soak_history.History) -> checker.CheckResult:
+    """A searcher that said that it leaves gets no requests after `DRAIN_S`.
+
+    Where other VMs call, the records don't tell which VM sent a request.
+    """
+    violations, exercised = [], 0
+    for since in history.arrivals if history.direct else ():
+        if since.leaving and _was_told(history, since):
+            count, late = _later_arrivals(
+                history, since, since.at_s + DRAIN_S, history.ended_s
+            )
+            exercised += count
+            violations += [f"{a.searcher}: {a.request_id}" for a in late]
+    return checker.CheckResult(exercised, violations)
+
+
+def paused_searchers(history: soak_history.History) -> checker.CheckResult:
+    """A searcher that asked for a pause gets at most two requests in it."""
+    violations, exercised = [], 0
+    for since in history.arrivals if history.direct else ():
+        if since.pause_s:
+            count, late = _later_arrivals(
+                history,
+                since,
+                since.at_s + PAUSE_GRACE_S,
+                since.at_s + since.pause_s,
+            )
+            exercised += count
+            if len(late) > MAX_IN_PAUSE:
+                violations.append(f"{since.searcher}: {len(late)} requests")
+    return checker.CheckResult(exercised, violations)
+
+
+def nothing_cut(history: soak_history.History) -> checker.CheckResult:
     """A process that stops gracefully still responds to earlier requests.
 
     This also holds during faults of searchers and the store.
@@ -390,7 +391,7 @@
     return checker.CheckResult(exercised, violations)
 
 
-def answered_in_time(history: History) -> checker.CheckResult:
+def answered_in_time(history: soak_history.History) -> checker.CheckResult:
     """Callers get a final response within their timeout."""
     requests = [
         record
@@ -408,7 +409,7 @@
     return checker.CheckResult(len(requests), violations)
 
 
-def recovery(history: History) -> checker.CheckResult:
+def recovery(history: soak_history.History) -> checker.CheckResult:
     """Requests succeed again after the last fault."""
     last_s = max((span.ended_s for span in history.fault_spans), default=0.0)
     requests = [
@@ -436,12 +437,14 @@
     "never-back": never_back,
     "in-force": in_force,
     "drained-searchers": drained_searchers,
+    "left-searchers": left_searchers,
+    "paused-searchers": paused_searchers,
     "nothing-cut": nothing_cut,
     "answered-in-time": answered_in_time,
     "recovery": recovery,
 }
 
 
-def check(history: History) -> dict[str, checker.CheckResult]:
+def check(history: soak_history.History) -> dict[str, checker.CheckResult]:
     """Checks all promises over a history."""
     return {name: promise(history) for name, promise in PROMISES.items()}
--- a/bench/random_faults.py
+++ b/bench/random_faults.py
@@ -8,7 +8,7 @@
 import typing
 
 from bench import fleet
-from bench import promises
+from bench import soak_history
 from fakes import callers
 from fakes import link
 from fakes import objects
@@ -29,7 +29,16 @@
 STOP_TIMEOUT_S = 8.0
 #: Relative probability of each fault; 1 if not listed. Faults that exercise
 #: only one or two promises get a higher weight.
-FAULT_WEIGHTS = {"stop": 4, "drain": 3, "storm": 2, "reshard": 2, "kill": 2}
+FAULT_WEIGHTS = {
+    "stop": 4,
+    "drain": 3,
+    "storm": 2,
+    "reshard": 2,
+    "kill": 2,
+    "searcher": 3,
+    "leave": 3,
+    "restore": 2,
+}
 #: Faults of a network link to a VM; None black-holes its open connections.
 LINK_FAULTS = (
     ("cut", link.Faults(cut=True)),
@@ -37,7 +46,13 @@
     ("silent", None),
 )
 #: Faulty behaviours of a searcher; see `fleet.Fleet.respond`.
-BEHAVIOURS = ("slow", "failing", "full", "mute", "resetting", "cut")
+BEHAVIOURS = (
+    *("slow", "failing", "full", "mute", "resetting", "cut"),
+    *("pausing", "endless-head", "endless-body"),
+)
+#: Age of the copy that the store comes back from (range), and the time after
+#: which its writers write again, in seconds.
+COPY_AGES_S, REWRITE_S = (0.5, 3.0), 1.0
 
 
 class SoakRun:
@@ -65,8 +80,8 @@
         self.running = running
         self.rng = rng
         self.fault_names = fault_names
-        self.records: list[promises.Record] = []
-        self.fault_spans: list[promises.FaultSpan] = []
+        self.records: list[soak_history.Record] = []
+        self.fault_spans: list[soak_history.FaultSpan] = []
         self.drained: dict[str, float] = {}
         self.ready = set(running.vms)
         self.busy: set[str] = set()
@@ -107,7 +122,7 @@
 
     async def send_request(
         self, rng: random.Random, caller: callers.Caller, vm: fleet.Vm
-    ) -> promises.Record:
+    ) -> soak_history.Record:
         """Sends one request and returns its record."""
         self.requests += 1
         request_id = f"r{self.requests}"
@@ -130,7 +145,7 @@
             answer = await caller.ask(raw, wait_s)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             caller.close()
-        return promises.Record(
+        return soak_history.Record(
             *(kind, request_id, vm.name, start_count, sent_s, self.loop.time()),
             *(timeout_s, *answer, version),
             caller_left=disconnects and not answer.status,
@@ -145,7 +160,7 @@
         """Records a fault that ends now."""
         ended_s = self.loop.time()
         self.fault_spans.append(
-            promises.FaultSpan(name, vm, started_s, ended_s, planned)
+            soak_history.FaultSpan(name, vm, started_s, ended_s, planned)
         )
 
     def pick_vm(self) -> fleet.Vm | None:
@@ -314,6 +329,49 @@
         await server.link.close()
         self.record_fault("drain", "-", started_s)
 
+    async def leave(self) -> None:
+        """Makes a searcher say that it leaves, while it is listed as ready."""
+        server = self.pick_searcher()
+        name = server.searcher.name
+        if name in self.drained or server.leaving:
+            return
+        started_s, server.leaving = self.loop.time(), True
+        await self.running.add_searcher(server.service)
+        await asyncio.sleep(3.5)
+        self.drained[name] = self.loop.time()
+        self.running.store.delete("servers", name)
+        await server.searcher.stop()
+        await server.link.close()
+        self.record_fault("leave", "-", started_s)
+
+    async def restore_store(self) -> None:
+        """Makes the store come back from a copy some seconds old.
+
+        Its writers write what it lost again; deletions follow later.
+        """
+        store = self.running.store
+        started_s = self.loop.time()
+        saved = store.copy()
+        await asyncio.sleep(self.rng.uniform(*COPY_AGES_S))
+        present = store.copy()
+        store.faults = objects.Faults(status=503)
+        await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        store.restore(saved)
+        store.faults = objects.Faults()
+        await asyncio.sleep(REWRITE_S)
+        for kind in ("servers", "config"):
+            before = present.objects_by_kind.get(kind, {})
+            for name, row in before.items():
+                now = store.objects_by_kind.get(kind, {}).get(name)
+                if now is None or now["spec"] != row["spec"]:
+                    store.put(kind, name, row["spec"])
+        await asyncio.sleep(REWRITE_S)
+        for name in set(saved.objects_by_kind.get("servers", {})) - set(
+            present.objects_by_kind.get("servers", {})
+        ):
+            store.delete("servers", name)
+        self.record_fault("restore", "", started_s)
+
     async def configure(self, times: int) -> None:
         """Writes new configuration versions, one after another."""
         started_s = self.loop.time()
@@ -385,6 +443,8 @@
             "configure": lambda: self.configure(1),
             "storm": lambda: self.configure(5),
             "reshard": self.reshard,
+            "leave": self.leave,
+            "restore": self.restore_store,
         }
 
     async def inject_faults(self) -> list[str]:
@@ -409,7 +469,7 @@
 
     async def run(
         self, after_s: float = AFTER_S
-    ) -> tuple[list[str], promises.History]:
+    ) -> tuple[list[str], soak_history.History]:
         """Runs the load and injects the faults.
 
         Args:
@@ -432,8 +492,9 @@
         # Wait for refused requests that a searcher might still run.
         await asyncio.sleep(1.0)
         background.cancel()
-        return names, promises.History(
+        return names, soak_history.History(
             *(self.records, self.running.arrivals, self.fault_spans),
             *(self.running.versions, self.running.shard_lists, self.drained),
             *(self.running.shape.retry_slack, self.loop.time()),
+            direct=self.running.shape.calls_directly,
         )
--- a/fakes/shards.py
+++ b/fakes/shards.py
@@ -18,6 +18,7 @@
     "ScriptedResponse",
     "ScriptedSearcher",
     "encode_response",
+    "endless",
     "healthy",
     "start",
 ]
@@ -196,6 +197,16 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def endless(before: bytes, repeated: bytes) -> ScriptedResponse:
+    """Returns a response that never ends.
+
+    Args:
+        before: Bytes that are sent once.
+        repeated: Bytes that are sent over and over after them.
+    """
+    return ScriptedResponse(((0, before),), endless=repeated)
+
+
 def healthy(searcher: ScriptedSearcher, request: Request) -> ScriptedResponse:
     """Responds like a searcher without faults."""
     target = request.headers.get("x-target-instance")
--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -284,8 +284,7 @@
         parser: Parser of the responses to the current call.
         call: Current call; None while the connection is idle.
         status: Status code of the response being received.
-        headers: Header fields of the response being received.
-        body: Body received so far.
+        headers, body: Header fields and body received so far.
         received: Number of bytes received since the request.
         other_responses: Number of responses since the request that are interim
             or belong to another call.
@@ -356,10 +355,11 @@
     def check_length(self) -> None:
         """Fails the call if its response exceeds a limit."""
         excess = self.client.budget.find_excess(
-            self.received, len(self.body), self.other_responses
+            self.received,
+            len(self.body),
+            len(self.headers),
+            self.other_responses,
         )
-        if not excess and len(self.headers) > reply_budget.MAX_HEADERS:
-            excess = f"{len(self.headers)} header fields"
         if excess:
             self.fail(errors.ReplyTooLongError(excess))
 
@@ -491,9 +491,8 @@
     Args:
         address: Host and port of the server.
         limit: Maximum number of open connections.
-        tcp_keepalive: Whether the kernel probes connections without traffic.
-            Calls that wait long for their response need it to detect that the
-            server has become unreachable.
+        tcp_keepalive: Whether the kernel probes connections without traffic,
+            which calls that wait long need to detect an unreachable server.
         budget: Memory of the responses that are being received, which clients
             may share; None for one of the default size.
     """
--- a/laurelrock/adapters/reply_budget.py
+++ b/laurelrock/adapters/reply_budget.py
@@ -51,12 +51,15 @@
         self.held_bytes = 0
         self.shed = 0
 
-    def find_excess(self, received: int, body: int, others: int) -> str:
+    def find_excess(
+        self, received: int, body: int, headers: int, others: int
+    ) -> str:
         """Returns which limit a response exceeds; empty if none.
 
         Args:
             received: Number of bytes received since the request.
             body: Number of them that are the response's body.
+            headers: Number of header fields.
             others: Number of responses before this one.
         """
         if body > self.max_bytes * REPLY_FRACTION:
@@ -64,6 +67,8 @@
         framing = received - body
         if framing > MAX_HEAD_BYTES + MAX_FRAMING_RATIO * body:
             return f"{framing} bytes of headers and framing"
+        if headers > MAX_HEADERS:
+            return f"{headers} header fields"
         if others > MAX_OTHER_RESPONSES:
             return f"{others} other responses before the call's own"
         return ""
--- a/laurelrock/adapters/searcher.py
+++ b/laurelrock/adapters/searcher.py
@@ -68,6 +68,10 @@
 _reply_decoder = msgspec.json.Decoder(Reply)
 
 
+#: Failures of a call that may have reached the searcher.
+CALL_ERRORS = (TimeoutError, aiohttp.ClientError, OSError)
+
+
 class HttpSearcher:
     """Implements `ports.searcher.Searcher`.
 
@@ -200,11 +204,7 @@
             aiohttp.ConnectionTimeoutError,
         ) as error:
             raise self.create_error(error, False) from None
-        except errors.ReplyTooLongError as error:
-            self.session = self.create_session()
-            message = f"{self.searcher.id}: {error.message}"
-            raise errors.SearcherProtocolError(message, True) from None
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (*CALL_ERRORS, errors.ReplyTooLongError) as error:
             raise self.create_error(error, True) from None
         finally:
             self.calls_by_session[session] -= 1
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import collections.abc
-import random
 import typing
 
 from laurelrock.adapters import frames
@@ -378,7 +377,9 @@
         headers = self.platform.gateway_response_headers(context.caller_headers)
         if outcome.status == 503:
             wait_s = outcome.retry_after_s or RETRY_AFTER_S
-            headers.append(retry_after_header(wait_s, outcome.resume_in_s))
+            headers.append(
+                outcomes.retry_after_header(wait_s, outcome.resume_in_s)
+            )
         return http_server.Response(outcome.status, headers)
 
     def refuse(
@@ -399,7 +400,7 @@
         )
         headers = self.platform.gateway_response_headers(caller_headers)
         if retry_after_s:
-            headers.append(retry_after_header(retry_after_s))
+            headers.append(outcomes.retry_after_header(retry_after_s))
         return http_server.Response(status, headers)
 
     def decision_inputs(self) -> dict[str, int | None]:
@@ -481,21 +482,3 @@
     """Returns a VM from its entry in the list."""
     host = row["address"].rpartition(":")[0]
     return owners.Vm(row["vm"], row["failure_domain"], host, row["cores"])
-
-
-def retry_after_header(
-    seconds: float, earliest_s: float = 0.0
-) -> tuple[bytes, bytes]:
-    """Returns the header with the time after which a caller may retry.
-
-    The time is randomized, so that callers refused together don't retry
-    together.
-
-    Args:
-        seconds: The typical time.
-        earliest_s: The time before which a retry is in vain.
-    """
-    randomized_s = seconds * (0.75 + random.random() / 2)
-    if earliest_s:
-        randomized_s = earliest_s + seconds * random.random() / 2
-    return b"retry-after", b"%.2f" % randomized_s
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -2,6 +2,9 @@
 
 import typing
 
+from laurelrock.adapters import metrics
+from laurelrock.gateways import upstreams
+
 if typing.TYPE_CHECKING:
     from laurelrock.gateways import gateway as gateways
 
@@ -11,7 +14,6 @@
 def register(gateway: "gateways.Gateway") -> None:
     """Registers the values that are read at each export of the metrics."""
     meters = gateway.metrics
-    known = gateway.known
     meters.counters(
         "laurelrock_answers_total",
         lambda: dict(gateway.counts),
@@ -60,6 +62,13 @@
     meters.gauge(
         "laurelrock_ready", lambda: gateway.ready, "1 while callers may come"
     )
+    register_searchers(gateway.known, meters)
+
+
+def register_searchers(
+    known: upstreams.Upstreams, meters: metrics.Metrics
+) -> None:
+    """Registers the metrics of the searchers."""
     meters.gauge(
         "laurelrock_searchers", lambda: len(known.by_id), "Searchers known"
     )
--- a/laurelrock/gateways/outcomes.py
+++ b/laurelrock/gateways/outcomes.py
@@ -1,10 +1,11 @@
 """Outcomes of callers' requests."""
 
+import random
 import typing
 
 from laurelrock.adapters import http_client
 
-__all__ = ["Kind", "Outcome"]
+__all__ = ["Kind", "Outcome", "retry_after_header"]
 
 Kind = typing.Literal["answered", "partial", "refused", "failed", "late"]
 
@@ -39,3 +40,21 @@
     reason: str = ""
     retry_after_s: float = 0.0
     resume_in_s: float = 0.0
+
+
+def retry_after_header(
+    seconds: float, earliest_s: float = 0.0
+) -> tuple[bytes, bytes]:
+    """Returns the header with the time after which a caller may retry.
+
+    The time is randomized, so that callers refused together don't retry
+    together.
+
+    Args:
+        seconds: The typical time.
+        earliest_s: The time before which a retry is in vain.
+    """
+    randomized_s = seconds * (0.75 + random.random() / 2)
+    if earliest_s:
+        randomized_s = earliest_s + seconds * random.random() / 2
+    return b"retry-after", b"%.2f" % randomized_s
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -156,15 +156,7 @@
     count = len(route.shards)
     reachable = group_state.reachability.reachable(route)
     if reachable < route.min_shards:
-        group_state.reachability.query_owners(route)
-        reason = f"searchers of only {reachable} of {count} shards reachable"
-        return outcomes.Outcome(
-            "refused",
-            503,
-            shards=count,
-            reason=reason,
-            resume_in_s=group_state.reachability.resume_in_s(route),
-        )
+        return refuse_unreachable(route, reachable, group_state)
     schedule = create_schedule(context, link_bytes_per_s)
     own, remote = group_state.split_shards(route)
     if not remote:
@@ -201,6 +193,21 @@
     )
 
 
+def refuse_unreachable(
+    route: routes.Route, reachable: int, group_state: shard_groups.ShardGroups
+) -> outcomes.Outcome:
+    """Returns the refusal of a query that reaches too few shards."""
+    group_state.reachability.query_owners(route)
+    count = len(route.shards)
+    return outcomes.Outcome(
+        "refused",
+        503,
+        shards=count,
+        reason=f"searchers of only {reachable} of {count} shards reachable",
+        resume_in_s=group_state.reachability.resume_in_s(route),
+    )
+
+
 def start_parts(progress: GatherState, placement: parts.CallPlacer) -> None:
     """Makes the first calls of the parts that this VM calls."""
     progress.unreachable_parts = [
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from bench import fleet
 from bench import promises
+from bench import soak_history
 
 LISTS = {1: ("shard-0", "shard-1", "shard-2")}
 
@@ -21,7 +21,7 @@
         "headers": {"x-server-stamp": f"files.s-1.{request_id}"},
         "body": body_of("files", request_id),
     }
-    return promises.Record(**{**row, **fields})
+    return soak_history.Record(**{**row, **fields})
 
 
 def body_of(service, request_id):
@@ -38,7 +38,9 @@
 
 def arrival(request_id="r1", service="files", searcher="s-1", **fields):
     row = {"at_s": 10.0, "ran": True}
-    return fleet.Arrival(request_id, service, searcher, **{**row, **fields})
+    return soak_history.Arrival(
+        request_id, service, searcher, **{**row, **fields}
+    )
 
 
 def history(records=(), arrivals=(), **fields):
@@ -50,7 +52,9 @@
         "retry_slack": 1,
         "ended_s": 30.0,
     }
-    return promises.History(list(records), list(arrivals), **{**row, **fields})
+    return soak_history.History(
+        list(records), list(arrivals), **{**row, **fields}
+    )
 
 
 VALID = history(
@@ -104,12 +108,32 @@
             [record(sent_s=14.0)], [arrival(at_s=14.0)], drained={"s-1": 10.0}
         ),
     ),
+    (
+        "left-searchers",
+        history(
+            [record(), record(request_id="r2", sent_s=14.0)],
+            [arrival(leaving=True), arrival("r2", at_s=14.0)],
+        ),
+    ),
+    (
+        "paused-searchers",
+        history(
+            [
+                record(status=503),
+                *[record(request_id=f"r{n}", sent_s=11.0) for n in range(2, 5)],
+            ],
+            [
+                arrival(ran=False, pause_s=2.0),
+                *[arrival(f"r{n}", at_s=11.0) for n in range(2, 5)],
+            ],
+        ),
+    ),
     (
         "nothing-cut",
         history(
             [record(status=0)],
             fault_spans=[
-                promises.FaultSpan("stop", "vm-0", 9.9, 11.0, planned=True)
+                soak_history.FaultSpan("stop", "vm-0", 9.9, 11.0, planned=True)
             ],
         ),
     ),
@@ -118,7 +142,7 @@
         "recovery",
         history(
             [record(status=0, sent_s=20.0)],
-            fault_spans=[promises.FaultSpan("kill", "vm-1", 9.0, 10.0)],
+            fault_spans=[soak_history.FaultSpan("kill", "vm-1", 9.0, 10.0)],
         ),
     ),
 )
@@ -142,8 +166,15 @@
             {name for name, _ in VIOLATIONS}, set(promises.PROMISES)
         )
 
+    def test_searcher_whose_word_was_lost_may_be_called(self):
+        row = history(
+            [record(status=502), record(request_id="r2", sent_s=14.0)],
+            [arrival(leaving=True), arrival("r2", at_s=14.0)],
+        )
+        self.assertEqual(promises.left_searchers(row).violations, [])
+
     def test_vms_with_faults_are_exempt(self):
-        span = promises.FaultSpan("freeze", "vm-0", 9.0, 11.0)
+        span = soak_history.FaultSpan("freeze", "vm-0", 9.0, 11.0)
         broken = history(
             [record("version", version=1, sent_s=14.0, ended_s=14.1)],
             versions={1: 0.0, 2: 10.0},
