--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -26,9 +26,13 @@
 from laurelrock.gateways import vm_removal
 from laurelrock.platform import header_codec
 from laurelrock.platform import store
+from tests import builders
 from tests import gateway_builders as build
 
-HOST = "127.0.0.1"
+#: Address of the gateway under test. It differs between processes, so that runs
+#: beside each other don't take each other's ports, and between a listening port
+#: and the outgoing connections of other processes.
+HOST = builders.vm_address(0)
 #: Modules whose log events are captured.
 LOGGING_MODULES = (
     *(
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -13,6 +13,7 @@
 from laurelrock.adapters import bus
 from laurelrock.core import members
 from laurelrock.ports import platform
+from tests import builders
 
 #: Maximum time to wait for an expected state, in seconds.
 TIMEOUT_S = 30.0
@@ -62,7 +63,7 @@
     """Bus, membership and distribution services of one daemon."""
 
     def __init__(self, store, index: int, start_id: str) -> None:
-        address = f"127.0.30.{index}:7400"
+        address = f"{builders.vm_address(index)}:7400"
         me = members.Member(
             f"e{index}", "relay", address, "ab"[index % 2], "r", start_id
         )
@@ -95,7 +96,9 @@
     async def asyncSetUp(self):
         self.store = MemoryPlatform()
         self.store.rows = [
-            platform.Vm(f"e{index}", f"127.0.30.{index}", "ab"[index % 2])
+            platform.Vm(
+                f"e{index}", builders.vm_address(index), "ab"[index % 2]
+            )
             for index in range(1, 5)
         ]
         self.store.commit(1, simulated_fleet.manifest_with_text("first"))
--- a/tests/test_fleet_gateways.py
+++ b/tests/test_fleet_gateways.py
@@ -10,10 +10,11 @@
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import shard_groups
 from laurelrock.gateways import state_sharing
+from tests import builders
 from tests import gateway_builders as build
 from tests import gateways
 
-HOSTS = [f"127.0.0.{10 + n}" for n in range(4)]
+HOSTS = [builders.vm_address(10 + n) for n in range(4)]
 SHARDS = [f"shard-{n}" for n in range(8)]
 QUERY = build.store_query(
     SHARDS, target_latency_ms=4000, timeout_ms=9000, top_k=3
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -249,7 +249,7 @@
 
     async def test_no_configuration_yet(self):
         found = await self.store.read_configuration()
-        self.assertEqual(found, (None, 0))
+        self.assertEqual((found.configuration, found.revision), (None, 0))
 
     async def test_failures_have_types(self):
         self.fake.put("config", "main", build.store_configuration())
--- a/tests/test_single_requests.py
+++ b/tests/test_single_requests.py
@@ -7,10 +7,11 @@
 from laurelrock.gateways import calls
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import shard_groups
+from tests import builders
 from tests import gateway_builders as build
 from tests import gateways
 
-HOSTS = [f"127.0.0.{10 + n}" for n in range(4)]
+HOSTS = [builders.vm_address(10 + n) for n in range(4)]
 SAVE = build.store_single(
     name="r-save", path_prefix="/save/", type="non_idempotent"
 )
