Send the last write of a deleted entry to subscribers

Cause: a VM that follows the store through another one learned that an entry was deleted, but not the number of its last write, which heartbeats raise without an event. After a restore, a source that had just started listed the copy's entry, whose number was higher than the one known, and the VM used a searcher that had left. Found by reading.

Change: changes in effect carry the last write, and so do updates to subscribers.

test_subscribers_do_not_use_searchers_of_a_restored_copy failed before (8 searchers for 7) and passes now.

--- a/laurelrock/core/registry.py
+++ b/laurelrock/core/registry.py
@@ -120,7 +120,7 @@
         """Records that an entry was deleted."""
         if not searcher.started_ms:
             return
-        self.gone[searcher.start] = max(searcher.seq, last_seq)
+        self.gone[searcher.start] = last_seq
         if len(self.gone) > MAX_GONE:
             del self.gone[next(iter(self.gone))]
 
@@ -138,23 +138,25 @@
         self.suspects.add(searcher.start)
         return True
 
-    def accept(self, change: Change) -> bool:
-        """Stores an entry, or deletes it; returns whether that is a change."""
+    def accept(self, change: Change) -> list[Change]:
+        """Stores an entry, or deletes it; returns the change in effect."""
         searcher, known = change.searcher, self.searchers.get(change.id)
         if searcher is None:
             if known is None:
-                return False
+                return []
             del self.searchers[change.id]
-            self.record_gone(known, change.last_seq)
-            return True
+            last_seq = max(known.seq, change.last_seq)
+            self.record_gone(known, last_seq)
+            return [change._replace(last_seq=last_seq)]
         if self.is_outdated(searcher):
-            return False
+            return []
         self.searchers[change.id] = searcher
-        if known is None:
-            return True
-        if known.start != searcher.start:
-            self.record_gone(known, 0)
-        return known._replace(seq=0) != searcher._replace(seq=0)
+        if known is not None:
+            if known.start != searcher.start:
+                self.record_gone(known, known.seq)
+            elif known._replace(seq=searcher.seq) == searcher:
+                return []
+        return [change]
 
     def replace(
         self,
@@ -198,15 +200,14 @@
             MASS_REMOVAL_MIN, MASS_REMOVAL_FRACTION * len(self.searchers)
         ):
             self.record_outage_end(now_s)
-        effective = []
+        effective: list[Change] = []
         for change in changes:
             kept = change.searcher is None and now_s < self.retain_until_s
             if kept and change.id in self.searchers:
                 self.missing.setdefault(change.id, self.retain_until_s)
                 continue
             self.missing.pop(change.id, None)
-            if self.accept(change):
-                effective.append(change)
+            effective += self.accept(change)
         return effective
 
     def apply_peer_changes(
@@ -224,11 +225,10 @@
         if full:
             gone = [name for name in self.searchers if name not in rows]
             rows |= {name: Change(name, None) for name in gone}
-        effective = []
+        effective: list[Change] = []
         for change in rows.values():
             self.missing.pop(change.id, None)
-            if self.accept(change):
-                effective.append(change)
+            effective += self.accept(change)
         return effective
 
     def remove_expired(self, now_s: float) -> list[Change]:
@@ -236,8 +236,11 @@
         late = [name for name, end in self.missing.items() if now_s >= end]
         for name in late:
             del self.missing[name]
-        changes = [Change(name, None) for name in late]
-        return [change for change in changes if self.accept(change)]
+        return [
+            change
+            for name in late
+            for change in self.accept(Change(name, None))
+        ]
 
 
 def create_registry() -> Registry:
--- a/laurelrock/gateways/state_sharing.py
+++ b/laurelrock/gateways/state_sharing.py
@@ -75,6 +75,7 @@
         gone: The ids of searchers that are gone.
         vms: The listed VMs, if they changed.
         age_s: The age in seconds of the source's data on searchers.
+        gone_seqs: The numbers of the last writes of `gone`, in the same order.
     """
 
     configuration: routes.Configuration | None
@@ -83,6 +84,7 @@
     gone: list[str]
     vms: list[owners.Vm] | None
     age_s: float
+    gone_seqs: tuple[int, ...] = ()
 
 
 KINDS: dict[int, type] = {5: Subscribe, 6: StateUpdate}
@@ -271,7 +273,11 @@
             self.failed_sources.clear()
         self.known.apply_configuration(state.configuration)
         rows = [registry.Change(row.id, row) for row in state.searchers]
-        rows += [registry.Change(name, None) for name in state.gone]
+        seqs = dict(zip(state.gone, state.gone_seqs, strict=False))
+        rows += [
+            registry.Change(name, None, seqs.get(name, 0))
+            for name in state.gone
+        ]
         if self.known.platform_answers():
             rows.clear()
         self.known.accept_searchers(
@@ -325,9 +331,13 @@
     def share_changes(self, changes: list[registry.Change]) -> None:
         """Sends changes of the searchers to subscribers."""
         rows = [row.searcher for row in changes if row.searcher is not None]
-        gone = [row.id for row in changes if row.searcher is None]
+        gone = [row for row in changes if row.searcher is None]
+        names = [row.id for row in gone]
+        seqs = tuple(row.last_seq for row in gone)
         age_s = self.known.age_s()
-        self.push_update(StateUpdate(None, False, rows, gone, None, age_s))
+        self.push_update(
+            StateUpdate(None, False, rows, names, None, age_s, seqs)
+        )
 
     def set_vms(self, vms: list[owners.Vm]) -> None:
         """Sets the list of VMs and sends it to subscribers."""
--- a/tests/test_fleet_gateways.py
+++ b/tests/test_fleet_gateways.py
@@ -10,6 +10,7 @@
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import shard_groups
 from laurelrock.gateways import state_sharing
+from laurelrock.platform import objects as objects_adapter
 from tests import builders
 from tests import gateway_builders as build
 from tests import gateways
@@ -231,6 +232,23 @@
             lambda: all(len(vm.known.by_id) == 7 for vm in self.gateways), 2.0
         )
 
+    async def test_subscribers_do_not_use_searchers_of_a_restored_copy(self):
+        await self.start_shared()
+        # Heartbeats since the entry was read raise its number of writes.
+        row = self.store.objects_by_kind["servers"]["s-0"]
+        row["spec"] = {**row["spec"], "seq": 30}
+        entry = objects_adapter.read_searcher("s-0", row["spec"])
+        self.store.delete("servers", "s-0")
+        await self.until(
+            lambda: all(len(vm.known.by_id) == 7 for vm in self.gateways), 2.0
+        )
+        for vm in self.subscribers():
+            # A source that started after the restore lists the copy's entry.
+            vm.sharing.apply_update(
+                state_sharing.StateUpdate(None, False, [entry], [], None, 0.0)
+            )
+            self.assertEqual(len(vm.known.by_id), 7)
+
     async def test_subscribers_do_not_poll_the_platform(self):
         await self.start_shared()
         before = [vm.source.calls for vm in self.subscribers()]
