Limit what callers send before a request is complete

Cause: the server counted headers when the parser reports them, which it does for complete ones. A caller that sent one header, or one chunk extension, without end was read until the time limit of the headers, at full processor load (12 MB in 2 s, 24 MB more memory on one connection); headers beyond the limit were still collected within one read. Found by reading, while the same was tested for searchers.

Change: what arrives after the read in which a request began counts without its body; headers beyond the limit are dropped before they are stored, in the client as well. An oversized request is refused as such (431) before its headers are checked.

The messages of cut-off responses name size and limit.

--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -389,7 +389,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Trailers, which follow the body, are dropped.
-        if not self.complete and not self.in_body:
+        room = len(self.headers) <= reply_budget.MAX_HEADERS
+        if room and not self.complete and not self.in_body:
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -493,8 +494,7 @@
         limit: Maximum number of open connections.
         tcp_keepalive: Whether the kernel probes connections without traffic,
             which calls that wait long need to detect an unreachable server.
-        budget: Memory of the responses that are being received, which clients
-            may share; None for one of the default size.
+        budget: Memory of the responses that are being received; may be shared.
     """
     budget = budget or reply_budget.create_reply_budget()
     return Client(address, limit, tcp_keepalive, budget)
--- a/laurelrock/adapters/http_server.py
+++ b/laurelrock/adapters/http_server.py
@@ -19,6 +19,9 @@
 
 __all__ = ["Request", "Response", "Server", "open_server"]
 
+#: Maximum number of bytes, per byte of the body, that its transfer encoding may
+#: add, and the size of a request line and of the ends of lines, in bytes.
+MAX_FRAMING_RATIO, FRAMING_SLACK_BYTES = 8, 1024
 #: Number of waiting requests at which reading from a connection pauses.
 MAX_PIPELINED = 8
 #: Interval between two checks for idle and slow connections, in seconds.
@@ -169,6 +172,9 @@
         header_bytes: Size of target and header fields received so far.
         body: Parts of the body received so far.
         body_bytes: Size of the body received so far.
+        begun: Number of requests that began to arrive.
+        later_bytes: Size of what was received of the request after the read in
+            which it began.
     """
 
     transport: asyncio.Transport
@@ -192,6 +198,8 @@
         self.header_bytes = 0
         self.body: list[bytes] = []
         self.body_bytes = 0
+        self.begun = 0
+        self.later_bytes = 0
 
     # asyncio.Protocol
 
@@ -211,6 +219,7 @@
     def data_received(self, data: bytes) -> None:
         if self.input_closed:
             return
+        begun = self.begun
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -218,11 +227,21 @@
         except httptools.HttpParserError:
             self.refuse(400)
         if self.receiving and not self.input_closed:
+            if self.begun == begun:
+                self.later_bytes += len(data)
             self.check_size()
 
     def check_size(self) -> None:
-        """Refuses a request that exceeds the size limits."""
-        if self.header_bytes > self.server.limits.max_header_bytes:
+        """Refuses a request that exceeds the size limits.
+
+        The parser reports a header when it is complete, and the framing of a
+        body never; both may come without end.
+        """
+        max_bytes = self.server.limits.max_header_bytes
+        framing = self.later_bytes - self.body_bytes
+        max_framing = max_bytes + FRAMING_SLACK_BYTES
+        max_framing += MAX_FRAMING_RATIO * self.body_bytes
+        if self.header_bytes > max_bytes or framing > max_framing:
             self.refuse(431)
         elif self.body_bytes > self.server.limits.max_body_bytes:
             self.refuse(413)
@@ -235,17 +254,21 @@
         self.target = b""
         self.headers = []
         self.body = []
-        self.header_bytes = self.body_bytes = 0
+        self.header_bytes = self.body_bytes = self.later_bytes = 0
+        self.begun += 1
 
     def on_url(self, url: bytes) -> None:
         self.target += url
         self.header_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers.append((name.lower(), value))
         self.header_bytes += len(name) + len(value) + 4
+        if self.header_bytes <= self.server.limits.max_header_bytes:
+            self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
+        # Headers beyond the limit were dropped, so that others may seem faulty.
+        self.check_size()
         if self.input_closed:
             return
         fault = http_wire.find_header_fault(
@@ -254,7 +277,6 @@
         if fault or not self.target:
             self.refuse(400)
             return
-        self.check_size()
         length = http_wire.header_value(self.headers, b"content-length")
         if (
             length is not None
--- a/laurelrock/adapters/reply_budget.py
+++ b/laurelrock/adapters/reply_budget.py
@@ -62,8 +62,9 @@
             headers: Number of header fields.
             others: Number of responses before this one.
         """
-        if body > self.max_bytes * REPLY_FRACTION:
-            return f"body of more than {body} bytes"
+        max_body = int(self.max_bytes * REPLY_FRACTION)
+        if body > max_body:
+            return f"body of {body} bytes, more than {max_body}"
         framing = received - body
         if framing > MAX_HEAD_BYTES + MAX_FRAMING_RATIO * body:
             return f"{framing} bytes of headers and framing"
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -19,11 +19,13 @@
 from laurelrock import errors
 from laurelrock.adapters import admin
 from laurelrock.adapters import http_client
+from laurelrock.adapters import http_server
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import limited_body
 from laurelrock.adapters import platform
 from laurelrock.adapters import reply_budget
 from laurelrock.adapters import searcher
+from laurelrock.core import routes
 from tests import builders
 from tests import gateway_builders as build
 from tests import gateways
@@ -210,6 +212,60 @@
         self.assertEqual(budget.shed, 1)
 
 
+class CallersTest(unittest.IsolatedAsyncioTestCase):
+    """Callers that send a request without end to a gateway."""
+
+    LIMITS = routes.Limits(2048, 4096, 5.0, 5.0)
+    START = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+    ROWS = (
+        Row("in the method", b"G", b"E" * 4096),
+        Row("in the target", b"GET /", PIECE),
+        Row("in a header's name", START, PIECE),
+        Row("in a header's value", START + b"X: ", PIECE),
+        Row("header fields", START, b"A: b\r\n" * 1024),
+        Row("body with a length", START + b"Content-Length: 900000\r\n\r\n",
+            PIECE),
+        Row("body in chunks", START + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"4000\r\n" + PIECE + b"\r\n"),
+        Row("chunk extension", START
+            + b"Transfer-Encoding: chunked\r\n\r\n2;a=", PIECE),
+        Row("trailers", START + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"A: b\r\n" * 1024),
+    )  # fmt: skip
+
+    async def handle(self, request):
+        self.fail("an endless request was handled")
+
+    async def send(self, writer, row):
+        try:
+            writer.write(row.before)
+            while True:
+                writer.write(row.endless)
+                await writer.drain()
+        except ConnectionError:
+            return
+
+    async def test_request_is_refused_and_memory_is_limited(self):
+        server = await http_server.open_server(
+            self.handle, (gateways.HOST, 0), self.LIMITS
+        )
+        self.addCleanup(server.stop_listening)
+        address = server.listener.sockets[0].getsockname()
+        for row in self.ROWS:
+            with self.subTest(row.name):
+                reader, writer = await asyncio.open_connection(*address)
+                self.addCleanup(writer.transport.abort)
+                before_kb = resident_kb()
+                sending = asyncio.create_task(self.send(writer, row))
+                async with asyncio.timeout(self.LIMITS.header_timeout_s / 2):
+                    line = await reader.readline()
+                    await sending
+                self.assertIn(line.split()[1], (b"400", b"413", b"431"))
+                growth = (resident_kb() - before_kb) * 1024
+                self.assertLess(growth, MARGIN)
+                self.assertEqual(server.connections, set())
+
+
 class ProductClientsTest(unittest.IsolatedAsyncioTestCase):
     """The clients of the product's own roles, which use aiohttp."""
 
