--- a/laurelrock/core/registry.py
+++ b/laurelrock/core/registry.py
@@ -125,7 +125,7 @@
             del self.gone[next(iter(self.gone))]
 
     def is_outdated(self, searcher: Searcher) -> bool:
-        """Tells whether a later word of the same start is known."""
+        """Tells whether a later write of the same start is known."""
         known = self.searchers.get(searcher.id)
         if known is not None and known.start == searcher.start:
             return 0 < searcher.seq < known.seq
--- a/tests/test_leaving_and_pauses.py
+++ b/tests/test_leaving_and_pauses.py
@@ -148,7 +148,7 @@
         self.list(self.searcher._replace(started_ms=6))
         self.assertFalse(self.replica().leaving)
 
-    async def test_word_of_another_vm_before_the_entry(self):
+    async def test_notice_of_another_vm_before_the_entry(self):
         later = self.searcher._replace(started_ms=7)
         self.known.mark_leaving(later.start)
         self.assertFalse(self.replica().leaving)
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -166,7 +166,7 @@
             {name for name, _ in VIOLATIONS}, set(promises.PROMISES)
         )
 
-    def test_searcher_whose_word_was_lost_may_be_called(self):
+    def test_searcher_whose_notice_was_lost_may_be_called(self):
         row = history(
             [record(status=502), record(request_id="r2", sent_s=14.0)],
             [arrival(leaving=True), arrival("r2", at_s=14.0)],
