--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -217,6 +217,9 @@
             headers.append((b"server-leaving", b"1"))
         if kind == "pausing":
             headers.append((b"retry-after", b"%.3f" % PAUSE_S))
+        limit = self.simulation.limits.get(self.searcher)
+        if limit is not None:
+            headers.append((b"server-limit", b"%.2f" % limit))
         if kind in ("full", "pausing"):
             headers.append((b"x-not-executed", b"1"))
         elif kind != "unstamped":
@@ -285,6 +288,15 @@
         #: Whether messages to it are lost while its connections stay open.
         self.drops_messages = False
 
+    def set_vms(self, vms: list[owners.Vm]) -> None:
+        """Sets the list of VMs, as `gateway.Gateway.set_vms` does."""
+        configuration = self.simulation.configuration
+        self.groups.assignment.set_vms(vms)
+        self.known.set_vms(len(vms), len({vm.failure_domain for vm in vms}))
+        self.lending.set_vms(vms)
+        self.groups.assignment.configure(configuration)
+        self.lending.set_groups(self.groups.assignment.groups)
+
     def handle_message(self, link: FakeLink, message: typing.Any) -> None:
         """Handles a message from another VM."""
         if isinstance(message, lending.BorrowRequest | lending.BorrowReply):
@@ -347,6 +359,8 @@
         client_class: Class of the fake clients of searchers.
         received_calls: Calls that searchers received, in order.
         restrictions: Times in which searchers wanted no calls, in order.
+        limits: Requests per second that searchers name as their limit, by
+            searcher.
         state_changes: Changes of searchers' states, in order.
         nodes: Gateways, in the order in which they were added.
         nodes_by_host: Gateways by IP address.
@@ -368,6 +382,7 @@
         self.client_class = Client
         self.received_calls: list[ReceivedCall] = []
         self.restrictions: list[Restriction] = []
+        self.limits: dict[str, float] = {}
         self.state_changes: list[StateChange] = []
         self.nodes: list[GatewayNode] = []
         self.nodes_by_host: dict[str, GatewayNode] = {}
