Keep to the limit that a searcher names, over all VMs

Cause: nothing read Server-Limit. Each VM keeping to the limit alone would not do: VMs don't see each other's calls.

Why the fix works: each VM has a share, enforced by a token bucket where a call begins, whatever its kind; the shares add up to the whole by construction, also with silent keepers and in partitions, since a keeper redistributes only the equal shares of the VMs that report to it. A searcher without a token counts like one that pauses, so requests that can't be served are refused before any call, each with its own turn as the time to return.

--- a/laurelrock/core/owners.py
+++ b/laurelrock/core/owners.py
@@ -9,6 +9,7 @@
 connections, but never give a wrong response.
 """
 
+import collections
 import collections.abc
 import math
 import typing
@@ -17,9 +18,11 @@
 
 __all__ = [
     "Vm",
+    "all_callers",
     "all_vms_can_call",
     "local_caller_count",
     "max_callers_per_searcher",
+    "rank",
     "rank_callers",
     "rank_owners",
     "split_into_groups",
@@ -98,6 +101,25 @@
     ]
 
 
+def rank(key: str, vms: collections.abc.Iterable[Vm]) -> list[Vm]:
+    """Ranks VMs for a key, the same way on all VMs."""
+    seed = _key_hash(key)
+    return sorted(vms, key=lambda vm: (-_rendezvous_score(seed, vm), vm.name))
+
+
+def all_callers(
+    key: str, vms: collections.abc.Iterable[Vm], local_count: int
+) -> list[Vm]:
+    """Returns the top VMs of each failure domain for a key."""
+    counts: collections.Counter[str] = collections.Counter()
+    rows = []
+    for vm in rank(key, vms):
+        counts[vm.failure_domain] += 1
+        if counts[vm.failure_domain] <= local_count:
+            rows.append(vm)
+    return rows
+
+
 def rank_owners(
     key: str,
     vms: collections.abc.Iterable[Vm],
@@ -116,8 +138,7 @@
         The owner in the failure domain and its stand-bys, followed by the owner
         in each other failure domain.
     """
-    seed = _key_hash(key)
-    rows = sorted(vms, key=lambda vm: (-_rendezvous_score(seed, vm), vm.name))
+    rows = rank(key, vms)
     local = [vm for vm in rows if vm.failure_domain == domain]
     remote: dict[str, Vm] = {}
     for vm in rows:
--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -11,6 +11,7 @@
 import typing
 
 from laurelrock.core import registry
+from laurelrock.core import request_limit
 
 __all__ = [
     "LatencyStats",
@@ -131,6 +132,9 @@
         misplaced: Whether a different searcher responded at its address.
         leaving: Whether it declared that it is about to leave.
         resume_s: Loop time until which it asked for no calls, in seconds.
+        limit: The limit of requests that it named; None if there is none.
+        unlimited_s: Loop time of its last response that named no limit, in
+            seconds.
     """
 
     def __init__(self, searcher: registry.Searcher, now_s: float) -> None:
@@ -151,11 +155,15 @@
         self.misplaced = False
         self.leaving = False
         self.resume_s = 0.0
+        self.limit: request_limit.RequestLimit | None = None
+        self.unlimited_s = -math.inf
 
     def begin_call(self, now_s: float) -> int:
         """Records the start of a call and returns the call's number."""
         self.call_count += 1
         self.calls_in_flight[self.call_count] = now_s
+        if self.limit is not None:
+            self.limit.take(now_s)
         return self.call_count
 
     def end_call(self, number: int) -> None:
@@ -298,11 +306,23 @@
     )
 
 
-def accepts_work(row: Replica, now_s: float) -> bool:
+def has_resumed(row: Replica, now_s: float) -> bool:
     """Tells whether a searcher stays and has not asked for a pause."""
     return stays(row) and now_s >= row.resume_s
 
 
+def accepts_work(row: Replica, now_s: float) -> bool:
+    """Tells whether a searcher takes a call of this VM now."""
+    return has_resumed(row, now_s) and (
+        row.limit is None or not row.limit.wait_s(now_s)
+    )
+
+
+def takes_extra_work(row: Replica, now_s: float) -> bool:
+    """Tells whether a searcher takes a call that isn't needed yet."""
+    return row.limit is None or row.limit.is_plentiful(now_s)
+
+
 def any_reachable(
     replicas: collections.abc.Iterable[Replica], now_s: float
 ) -> bool:
@@ -317,8 +337,24 @@
 
     It is 0 if one does so now, and infinite if nothing says when one will.
     """
-    ends = [row.resume_s - now_s for row in replicas if stays(row)]
-    return max(0.0, min(ends, default=math.inf))
+    waits = [
+        max(row.resume_s - now_s, row.limit.wait_s(now_s) if row.limit else 0.0)
+        for row in replicas
+        if stays(row)
+    ]
+    return max(0.0, min(waits, default=math.inf))
+
+
+def limited_per_s(replicas: collections.abc.Iterable[Replica]) -> float:
+    """Returns the requests per second that a service takes from this VM.
+
+    It is infinite if one of its searchers has no limit.
+    """
+    return math.fsum(
+        row.limit.own_per_s if row.limit else math.inf
+        for row in replicas
+        if stays(row)
+    )
 
 
 def retry_in_s(waits: collections.abc.Iterable[float], needed: int) -> float:
@@ -347,9 +383,7 @@
     may then be partitioned from the others.
     """
     remote = [
-        row
-        for row in replicas
-        if accepts_work(row, now_s) and not is_local(row)
+        row for row in replicas if has_resumed(row, now_s) and not is_local(row)
     ]
     unresponsive = sum(
         not row.reachable or row.oldest_call_age_s(now_s) > REMOTE_SILENCE_S
--- a/laurelrock/core/throughput.py
+++ b/laurelrock/core/throughput.py
@@ -10,9 +10,10 @@
 import math
 import typing
 
+from laurelrock.core import event_rate
+
 __all__ = [
     "Backlog",
-    "CompletionRate",
     "create_completion_rate",
     "expected_s",
     "is_in_time",
@@ -30,31 +31,6 @@
 MAX_CALL_FRACTION = 0.7
 
 
-class CompletionRate:
-    """Rate at which the calls of one service complete.
-
-    Attributes:
-        weight: Exponentially decayed number of completed calls.
-        last_end_s: Time at which the last call completed, in seconds.
-    """
-
-    def __init__(self) -> None:
-        self.weight = 0.0
-        self.last_end_s = -math.inf
-
-    def record_end(self, now_s: float) -> None:
-        """Records the completion of a call."""
-        self.weight = self.weight * self._decay(now_s) + 1.0
-        self.last_end_s = now_s
-
-    def per_s(self, now_s: float) -> float:
-        """Returns the number of calls completed per second."""
-        return self.weight * self._decay(now_s) / TIME_CONSTANT_S
-
-    def _decay(self, now_s: float) -> float:
-        return math.exp(-(now_s - self.last_end_s) / TIME_CONSTANT_S)
-
-
 class Backlog(typing.NamedTuple):
     """Calls ahead of a new one at a shard, and calls completed per second."""
 
@@ -87,6 +63,6 @@
     return wait_s <= objective_s * MAX_CALL_FRACTION
 
 
-def create_completion_rate() -> CompletionRate:
+def create_completion_rate() -> event_rate.EventRate:
     """Returns the rate of a service without completed calls."""
-    return CompletionRate()
+    return event_rate.create_event_rate(TIME_CONSTANT_S)
--- a/laurelrock/gateways/assignment.py
+++ b/laurelrock/gateways/assignment.py
@@ -12,6 +12,10 @@
 __all__ = ["Assignment", "create_assignment"]
 
 
+#: Maximum number of rankings that are cached.
+MAX_RANKINGS = 256
+
+
 class Assignment:
     """The assignment of services to VMs, as this VM sees it.
 
@@ -23,6 +27,8 @@
         keys: The first shard of its group, by shard.
         ranked_owners: Cached owners, by key and number of VMs in this failure
             domain.
+        callers: Cached VMs that call a service, by service.
+        rankings: Cached rankings of all VMs, by key.
     """
 
     def __init__(self, known: upstreams.Upstreams, me: owners.Vm) -> None:
@@ -32,11 +38,15 @@
         self.groups: list[tuple[str, ...]] = []
         self.keys: dict[str, str] = {}
         self.ranked_owners: dict[tuple[str, int], list[owners.Vm]] = {}
+        self.callers: dict[str, list[owners.Vm]] = {}
+        self.rankings: dict[str, list[owners.Vm]] = {}
 
     def set_vms(self, vms: list[owners.Vm]) -> None:
         """Sets the list of VMs."""
         self.vms = vms
         self.ranked_owners.clear()
+        self.callers.clear()
+        self.rankings.clear()
 
     def configure(self, configuration: routes.Configuration) -> None:
         """Applies the groups of a configuration; call `set_vms` first."""
@@ -48,6 +58,7 @@
         ]
         self.keys = {name: row[0] for row in self.groups for name in row}
         self.ranked_owners.clear()
+        self.callers.clear()
 
     def uses_owners(self, route: routes.Route) -> bool:
         """Returns whether owners call the shards of a query."""
@@ -80,6 +91,31 @@
             for name in group
         ]
 
+    def callers_of(self, service: str) -> list[owners.Vm]:
+        """Returns the VMs of all failure domains that call a service."""
+        rows = self.callers.get(service)
+        if rows is None:
+            key = self.keys.get(service, service)
+            local_count = (
+                owners.CALLERS_PER_DOMAIN
+                if service in self.keys
+                else self.known.local_caller_count(service)
+            )
+            rows = self.vms
+            if local_count:
+                rows = owners.all_callers(key, self.vms, local_count)
+            self.callers[service] = rows
+        return rows
+
+    def rank(self, key: str) -> list[owners.Vm]:
+        """Ranks all VMs for a key, the same way on all VMs."""
+        rows = self.rankings.get(key)
+        if rows is None:
+            if len(self.rankings) >= MAX_RANKINGS:
+                self.rankings.clear()
+            rows = self.rankings[key] = owners.rank(key, self.vms)
+        return rows
+
     def owners_to_ask(self, service: str) -> list[owners.Vm]:
         """Returns the VMs to ask for single requests, in order of preference.
 
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -105,6 +105,7 @@
         kind: The name of the route, under which the latency is recorded.
         call: The call in the HTTP client, sent or waiting for a connection.
         number: The number of the call among those of the searcher.
+        limit: The limit of the searcher that counted the call, if any.
         begun_s: The loop time at which the call began.
         limit_s: The loop time at which the call is ended.
         on_end: Called with the result; None once the call is abandoned.
@@ -124,6 +125,7 @@
         self.kind = kind
         self.call = call
         self.number = upstream.replica.begin_call(begun_s)
+        self.limit = upstream.replica.limit
         self.begun_s = begun_s
         self.limit_s = limit_s
         self.timed_out = False
@@ -191,7 +193,7 @@
             found = self.platform.read_searcher_headers(status, headers)
             if found.request_id not in (None, request_id):
                 return False
-            self.restrict(upstream, found)
+            self.restrict(upstream, found, call.sent_at_s)
             return True
 
         call = upstream.client.call(
@@ -218,14 +220,28 @@
         self,
         upstream: upstreams.Upstream,
         searcher_headers: header_codec.SearcherHeaders,
+        sent_s: float,
     ) -> None:
-        """Gives a searcher no more calls if it asked for none."""
+        """Gives a searcher fewer calls, or none, if it asked for that.
+
+        Args:
+            upstream: The searcher.
+            searcher_headers: The headers of its response.
+            sent_s: The loop time at which the request was sent.
+        """
         if searcher_headers.leaving:
             self.upstreams.mark_leaving(upstream.searcher.start)
         if searcher_headers.pause_s is not None:
             self.upstreams.pause(
                 upstream, searcher_headers.pause_s, self.loop.time()
             )
+        if not searcher_headers.misplaced:
+            self.upstreams.record_limit(
+                upstream,
+                searcher_headers.limit_per_s,
+                sent_s,
+                self.loop.time(),
+            )
 
     def settle(
         self,
@@ -237,6 +253,8 @@
         pending_call.upstream.replica.end_call(pending_call.number)
         result = self.classify(pending_call, future)
         self.counts[result.status.value] += 1
+        if result.status is CallStatus.UNSENT and pending_call.limit:
+            pending_call.limit.give_back()
         self.update_statistics(pending_call, result)
         if pending_call.on_end is not None:
             pending_call.on_end(pending_call, result)
@@ -304,9 +322,7 @@
         replica = pending_call.upstream.replica
         now_s = self.loop.time()
         if result.status in (CallStatus.ANSWERED, CallStatus.ERRED):
-            self.upstreams.throughputs[replica.searcher.service].record_end(
-                now_s
-            )
+            self.upstreams.throughputs[replica.searcher.service].record(now_s)
         if result.status is CallStatus.ANSWERED:
             sent_s = pending_call.call.sent_at_s or pending_call.begun_s
             typical = self.upstreams.typical_latencies[pending_call.kind]
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -19,6 +19,7 @@
 from laurelrock.gateways import deployment
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import lending
+from laurelrock.gateways import limit_sharing
 from laurelrock.gateways import outcomes
 from laurelrock.gateways import partition_detector
 from laurelrock.gateways import parts
@@ -81,6 +82,7 @@
         sharing: The subscriptions by which VMs share the platform's state.
         groups: The shard groups that other VMs call for this one, and that it
             calls for them.
+        limit_sharing: The shares of the limits that searchers named.
         follower: The configuration and the registry of searchers.
         vm_removal: Removes VMs that are gone from the platform's list.
         partition_detector: Detects whether this VM reaches the other failure
@@ -117,7 +119,12 @@
         row = create_vm_entry(options)
         me, port = create_vm(row), options.peer_links_port
         self.peer_links = frames.create_peer_links(
-            {**group_messages.KINDS, **state_sharing.KINDS, **lending.KINDS},
+            {
+                **group_messages.KINDS,
+                **state_sharing.KINDS,
+                **lending.KINDS,
+                **limit_sharing.KINDS,
+            },
             self.handle_message,
             self.link_ended,
         )
@@ -131,6 +138,9 @@
             *(self.placement, platform, self.peer_links, me, port),
             queries.run_single,
         )
+        self.limit_sharing = limit_sharing.create_limit_sharing(
+            self.known, self.groups.assignment, self.peer_links, me, port
+        )
         self.follower = platform_follower.PlatformFollower(
             *(source, row, self.known, self.apply_configuration),
             *(self.apply_vm_entries, self.share_searchers),
@@ -182,6 +192,7 @@
         """Applies a new configuration's limits and searchers."""
         self.service_split.retain(configuration.routes)
         self.budget.drop_idle_services(self.loop.time())
+        self.placement.return_times.drop_past(self.loop.time())
         if self.servers:
             self.servers[0].limits = configuration.limits
         self.apply_assignment(configuration)
@@ -201,6 +212,10 @@
             self.sharing.handle_message(link, message)
         elif isinstance(message, lending.BorrowRequest | lending.BorrowReply):
             self.lending.handle_message(link, message)
+        elif isinstance(
+            message, limit_sharing.LimitReport | limit_sharing.LimitShares
+        ):
+            self.limit_sharing.handle_message(link, message)
         else:
             if isinstance(message, group_messages.Pong):
                 self.vm_removal.record_reply(message.owner)
@@ -241,6 +256,7 @@
         """Sets the number of VMs that share budgets and connections."""
         _log.info("vm-count-set", count=count, before=self.known.vms)
         self.known.set_vms(count, domains)
+        self.known.share_limits(self.loop.time())
         self.budget.set_vms(count)
 
     def apply_vm_entries(self, rows: list[directory.VmEntry]) -> None:
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -77,6 +77,11 @@
         lambda: sum(1 for row in known.by_id.values() if row.replica.ejections),
         "Searchers that fell silent",
     )
+    meters.gauge(
+        "laurelrock_searchers_limited",
+        lambda: len(known.limited),
+        "Searchers that name a limit of requests",
+    )
     meters.gauge(
         "laurelrock_reply_bytes",
         lambda: known.replies.held_bytes,
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -11,6 +11,7 @@
 from laurelrock.adapters import logs
 from laurelrock.core import replicas
 from laurelrock.core import retry_budget
+from laurelrock.core import return_times
 from laurelrock.gateways import calls
 from laurelrock.gateways import upstreams
 
@@ -104,6 +105,7 @@
         budget: The budget of extra calls.
         borrow: Asks another VM for an extra call of a service; returns whether
             there is a VM to ask.
+        return_times: The times at which refused callers may return.
         counts: The number of decisions by kind, for the metrics.
     """
 
@@ -118,6 +120,7 @@
         self.known = known
         self.budget = budget
         self.borrow = borrow
+        self.return_times = return_times.create_return_times()
         self.counts = {"first": 0, "retry": 0, "hedge": 0, "no-budget": 0}
 
     def candidates(self, part: Part) -> list[upstreams.Upstream]:
@@ -141,6 +144,35 @@
         """Returns the time until a service accepts calls, in seconds."""
         return self.known.resume_in_s(service, self.calls.loop.time())
 
+    def record_refusal(
+        self,
+        kind: str,
+        services: collections.abc.Sequence[str],
+        needed: int,
+        resume_in_s: float,
+    ) -> float:
+        """Records a request that is refused because services take no calls.
+
+        Args:
+            kind: The name of the route.
+            services: The services that the request needs and this VM calls.
+            needed: The number of them that have to answer.
+            resume_in_s: The time in seconds until they accept calls; 0 if
+                unknown.
+
+        Returns:
+            The time in seconds until the caller may return; 0 if unknown.
+        """
+        now_s = self.calls.loop.time()
+        for service in services:
+            self.known.record_demand(service, now_s)
+        if not resume_in_s or not 0 < needed <= len(services):
+            return resume_in_s
+        rates = sorted(map(self.known.limited_per_s, services), reverse=True)
+        return self.return_times.reserve(
+            kind, resume_in_s, rates[needed - 1], now_s
+        )
+
     def choose_fastest(
         self, part: Part, rows: list[upstreams.Upstream]
     ) -> upstreams.Upstream:
@@ -163,10 +195,12 @@
         Returns:
             Whether there was a searcher to call.
         """
+        now_s = self.calls.loop.time()
+        self.known.record_demand(part.service, now_s)
         rows = self.candidates(part)
         if not rows:
             return False
-        self.budget.record_request(part.service, self.calls.loop.time())
+        self.budget.record_request(part.service, now_s)
         self.counts["first"] += 1
         self.call(part, self.choose_fastest(part, rows))
         return True
@@ -294,6 +328,7 @@
             for row in rows
             if not row.replica.is_stalled(typical, now_s)
             and not row.replica.ejections
+            and replicas.takes_extra_work(row.replica, now_s)
         ]
 
     def handle_lender_reply(self, part: Part, kind: str, granted: bool) -> None:
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -156,7 +156,7 @@
     count = len(route.shards)
     reachable = group_state.reachability.reachable(route)
     if reachable < route.min_shards:
-        return refuse_unreachable(route, reachable, group_state)
+        return refuse_unreachable(route, reachable, placement, group_state)
     schedule = create_schedule(context, link_bytes_per_s)
     own, remote = group_state.split_shards(route)
     if not remote:
@@ -194,17 +194,27 @@
 
 
 def refuse_unreachable(
-    route: routes.Route, reachable: int, group_state: shard_groups.ShardGroups
+    route: routes.Route,
+    reachable: int,
+    placement: parts.CallPlacer,
+    group_state: shard_groups.ShardGroups,
 ) -> outcomes.Outcome:
     """Returns the refusal of a query that reaches too few shards."""
     group_state.reachability.query_owners(route)
     count = len(route.shards)
+    own, _ = group_state.split_shards(route)
+    needed = route.min_shards - (count - len(own))
     return outcomes.Outcome(
         "refused",
         503,
         shards=count,
         reason=f"searchers of only {reachable} of {count} shards reachable",
-        resume_in_s=group_state.reachability.resume_in_s(route),
+        resume_in_s=placement.record_refusal(
+            route.name,
+            own,
+            needed,
+            group_state.reachability.resume_in_s(route),
+        ),
     )
 
 
@@ -297,12 +307,17 @@
 
 
 def refuse_single(
-    service: str, placement: parts.CallPlacer
+    service: str, kind: str, placement: parts.CallPlacer
 ) -> outcomes.Outcome:
     """Returns the refusal of a request that no searcher accepts."""
-    resume_in_s = replicas.retry_in_s([placement.resume_in_s(service)], 1)
+    resume_in_s = placement.record_refusal(
+        kind,
+        [service],
+        1,
+        replicas.retry_in_s([placement.resume_in_s(service)], 1),
+    )
     reason = (
-        f"searchers asked for no calls for {resume_in_s * 1000:.0f} ms"
+        f"searchers take no calls for {resume_in_s * 1000:.0f} ms"
         if resume_in_s
         else "no searcher"
     )
@@ -323,7 +338,7 @@
     typical = placement.known.typical_latencies[context.route.name]
     try:
         if not placement.reachable(service) or not placement.start(part):
-            return refuse_single(service, placement)
+            return refuse_single(service, context.route.name, placement)
         await wait_until_ready(progress, placement, schedule, typical)
         sent = any(
             pending_call.call.sent for pending_call in part.pending_calls
--- a/laurelrock/gateways/reachability_reports.py
+++ b/laurelrock/gateways/reachability_reports.py
@@ -143,10 +143,11 @@
     ) -> group_messages.ReachabilityReport | None:
         """Returns an owner's recent report, if there is one."""
         timed = self.reports.get(key)
-        if (
-            timed is None
-            or self.loop.time() - timed.received_s > REPORT_VALID_S
-        ):
+        if timed is None:
+            return None
+        # After that time the shards that it calls unreachable accept calls.
+        valid_s = min(timed.report.resume_in_s or math.inf, REPORT_VALID_S)
+        if self.loop.time() - timed.received_s > valid_s:
             return None
         return timed.report
 
--- a/laurelrock/gateways/runner.py
+++ b/laurelrock/gateways/runner.py
@@ -46,6 +46,7 @@
         opened.follower.expire_entries,
         opened.follower.maintain_vm_list,
         opened.sharing.run,
+        opened.limit_sharing.run,
         opened.vm_removal.run,
         opened.peers.run,
         opened.known.probe,
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -8,9 +8,11 @@
 from laurelrock.adapters import http_client
 from laurelrock.adapters import logs
 from laurelrock.adapters import reply_budget
+from laurelrock.core import event_rate
 from laurelrock.core import owners
 from laurelrock.core import registry
 from laurelrock.core import replicas
+from laurelrock.core import request_limit
 from laurelrock.core import routes
 from laurelrock.core import throughput
 
@@ -28,6 +30,8 @@
 
 #: Maximum number of searchers without an entry whose restrictions are kept.
 MAX_RESTRICTIONS = 4096
+#: Time constant of the demand for services with a limit, in seconds.
+DEMAND_TIME_CONSTANT_S = 2.0
 
 _log = logs.get_logger(__name__)
 
@@ -38,10 +42,17 @@
     Attributes:
         leaving: Whether it declared that it is about to leave.
         resume_s: Loop time until which it asked for no calls, in seconds.
+        limit: The limit of requests that it named, if any.
     """
 
     leaving: bool
     resume_s: float
+    limit: request_limit.RequestLimit | None = None
+
+
+ShareOf = collections.abc.Callable[
+    [registry.Searcher, float], request_limit.Share
+]
 
 
 class Upstream:
@@ -81,6 +92,11 @@
         restrictions: What searchers without an entry said, by start. Their
             entries may return, for example when the platform restores a copy.
         opened: The number of connections opened to searchers that are gone.
+        limited: The searchers that named a limit of requests, by id.
+        demands: The rates at which requests need the services of these, by
+            service.
+        share_of: Returns this VM's share of a searcher's limit, given the
+            requests per second that the searcher takes from all VMs.
     """
 
     def __init__(
@@ -99,11 +115,14 @@
         self.typical_latencies: dict[str, replicas.LatencyStats] = (
             collections.defaultdict(replicas.LatencyStats)
         )
-        self.throughputs: dict[str, throughput.CompletionRate] = (
+        self.throughputs: dict[str, event_rate.EventRate] = (
             collections.defaultdict(throughput.create_completion_rate)
         )
         self.restrictions: dict[registry.Start, Restriction] = {}
         self.opened = 0
+        self.limited: dict[str, Upstream] = {}
+        self.demands: dict[str, event_rate.EventRate] = {}
+        self.share_of: ShareOf = self.equal_share
 
     def is_local(self, replica: replicas.Replica) -> bool:
         """Returns whether a searcher is in this VM's failure domain."""
@@ -216,9 +235,11 @@
         )
         replica = replicas.create_replica(searcher, now_s)
         restriction = self.restrictions.pop(searcher.start, None)
-        if restriction is not None:
-            replica.leaving, replica.resume_s = restriction
         upstream = Upstream(replica, client)
+        if restriction is not None:
+            replica.leaving, replica.resume_s, replica.limit = restriction
+            if replica.limit is not None:
+                self.limited[searcher.id] = upstream
         self.by_id[searcher.id] = upstream
         self.by_service[searcher.service][searcher.id] = upstream
 
@@ -226,11 +247,12 @@
         """Removes a searcher; its calls in flight continue."""
         upstream.client.close()
         replica = upstream.replica
-        if replica.leaving or replica.resume_s:
+        if replica.leaving or replica.resume_s or replica.limit:
             self.restrict(
                 upstream.searcher.start,
-                Restriction(replica.leaving, replica.resume_s),
+                Restriction(replica.leaving, replica.resume_s, replica.limit),
             )
+        self.limited.pop(upstream.searcher.id, None)
         self.opened += upstream.client.opened
         del self.by_id[upstream.searcher.id]
         del self.by_service[upstream.searcher.service][upstream.searcher.id]
@@ -276,6 +298,113 @@
             pause_ms=round(pause_s * 1000),
         )
 
+    def equal_share(
+        self, searcher: registry.Searcher, per_s: float
+    ) -> request_limit.Share:
+        """Returns an equal share of a searcher's limit.
+
+        A VM that doesn't know how many there are has none.
+        """
+        callers = self.callers(searcher.service) if self.vms else 0
+        if not callers:
+            return request_limit.Share(0.0, turn=1)
+        return request_limit.Share(1.0 / callers)
+
+    def limit_requests(
+        self, upstream: Upstream, per_s: float, named_s: float, now_s: float
+    ) -> None:
+        """Limits the requests to a searcher.
+
+        Args:
+            upstream: The searcher.
+            per_s: The requests per second that it takes from all VMs.
+            named_s: The loop time of the response that named the limit.
+            now_s: The loop time.
+        """
+        replica, searcher = upstream.replica, upstream.searcher
+        limit = replica.limit
+        if limit is None:
+            share = self.share_of(searcher, per_s)
+            replica.limit = request_limit.create_request_limit(
+                per_s, share, named_s, now_s
+            )
+            self.limited[searcher.id] = upstream
+            _log.info(
+                "searcher-limited",
+                searcher=searcher.id,
+                service=searcher.service,
+                per_s=per_s,
+                share=round(share.fraction, 4),
+            )
+            return
+        limit.named_s = max(limit.named_s, named_s)
+        if per_s != limit.named_per_s:
+            limit.change(per_s, self.share_of(searcher, per_s), now_s)
+
+    def share_limits(self, now_s: float) -> None:
+        """Applies this VM's shares of all limits and ends those that lapsed."""
+        for upstream in list(self.limited.values()):
+            limit = upstream.replica.limit
+            if limit is None or limit.has_lapsed(now_s):
+                self.end_limit(upstream, "not named for a long time")
+                continue
+            per_s = limit.named_per_s
+            limit.change(per_s, self.share_of(upstream.searcher, per_s), now_s)
+
+    def record_limit(
+        self,
+        upstream: Upstream,
+        per_s: float | None,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Applies what a searcher's response says about its limit.
+
+        Args:
+            upstream: The searcher.
+            per_s: The limit that the response names; None if it names none,
+                which ends the limit.
+            sent_s: The loop time at which the request was sent. Responses may
+                overtake each other on different connections.
+            now_s: The loop time.
+        """
+        if per_s is not None:
+            self.limit_requests(upstream, per_s, now_s, now_s)
+            return
+        limit = upstream.replica.limit
+        if limit is None or sent_s > limit.named_s:
+            upstream.replica.unlimited_s = now_s
+            self.end_limit(upstream, "no longer named")
+
+    def end_limit(self, upstream: Upstream, reason: str) -> None:
+        """Ends the limit of a searcher, if it has one."""
+        if self.limited.pop(upstream.searcher.id, None) is None:
+            return
+        upstream.replica.limit = None
+        _log.info(
+            "searcher-limit-ended",
+            searcher=upstream.searcher.id,
+            reason=reason,
+        )
+
+    def record_demand(self, service: str, now_s: float) -> None:
+        """Records a request that needs a service, whether it is served."""
+        if not self.limited:
+            return
+        if service not in self.demands:
+            self.demands[service] = event_rate.create_event_rate(
+                DEMAND_TIME_CONSTANT_S
+            )
+        self.demands[service].record(now_s)
+
+    def limited_per_s(self, service: str) -> float:
+        """Returns the requests per second that a service takes from this VM.
+
+        See `replicas.limited_per_s`.
+        """
+        rows = (row.replica for row in self.searchers_of(service))
+        return replicas.limited_per_s(rows)
+
     def resume_in_s(self, service: str, now_s: float) -> float:
         """Returns the time until a service accepts calls.
 
--- a/laurelrock/platform/header_codec.py
+++ b/laurelrock/platform/header_codec.py
@@ -39,6 +39,8 @@
 LEAVING = b"server-leaving"
 #: Time in seconds, with a fraction, for which a searcher wants no requests.
 RETRY_AFTER = b"retry-after"
+#: Requests per second, with a fraction, that a searcher takes from all VMs.
+LIMIT = b"server-limit"
 
 #: Headers of a caller that are set anew for each call to a searcher.
 REWRITTEN_HEADERS = frozenset({DEADLINE, TARGET})
@@ -97,10 +99,11 @@
         load=_read_load(found.get(LOAD)),
         leaving=found.get(LEAVING, b"").strip() == b"1",
         pause_s=(
-            _read_seconds(found.get(RETRY_AFTER))
+            _read_positive(found.get(RETRY_AFTER))
             if status == UNAVAILABLE
             else None
         ),
+        limit_per_s=_read_number(found.get(LIMIT)),
     )
 
 
@@ -140,10 +143,15 @@
     return int(fields[0]), int(fields[1])
 
 
-def _read_seconds(text: bytes | None) -> float | None:
-    """Returns a time in seconds, or None if there is none that is valid."""
+def _read_number(text: bytes | None) -> float | None:
+    """Returns a number of at least 0, or None if there is no valid one."""
     try:
-        seconds = float(text) if text is not None else math.nan
+        number = float(text) if text is not None else math.nan
     except ValueError:
         return None
-    return seconds if math.isfinite(seconds) and seconds > 0 else None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
+def _read_positive(text: bytes | None) -> float | None:
+    """Returns a number above 0, or None if there is no valid one."""
+    return _read_number(text) or None
--- a/laurelrock/ports/header_codec.py
+++ b/laurelrock/ports/header_codec.py
@@ -37,6 +37,8 @@
         leaving: Whether the searcher declares that it is about to leave.
         pause_s: Time in seconds for which the searcher, which refused the
             request, wants none; None if it didn't say.
+        limit_per_s: Requests per second that the searcher takes from all VMs
+            together; None if it names no limit.
     """
 
     request_id: bytes | None
@@ -47,6 +49,7 @@
     load: tuple[int, int] | None
     leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class HeaderCodec(typing.Protocol):
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -6,11 +6,15 @@
 """
 
 import asyncio
+import collections
+import collections.abc
 import itertools
 import math
 import typing
 import unittest.mock
 
+import msgspec
+
 from laurelrock import errors
 from laurelrock.adapters import http_client
 from laurelrock.adapters import http_server
@@ -20,6 +24,7 @@
 from laurelrock.core import routes
 from laurelrock.gateways import calls
 from laurelrock.gateways import lending
+from laurelrock.gateways import limit_sharing
 from laurelrock.gateways import outcomes
 from laurelrock.gateways import parts
 from laurelrock.gateways import queries
@@ -245,9 +250,11 @@
         self.arrival_s = 0.0
 
     def send(self, message: typing.Any) -> None:
-        if self.ended:
+        if self.ended or self.remote_node.me.host in self.node.unreachable:
             return
         loop = asyncio.get_running_loop()
+        size = len(msgspec.msgpack.encode(message))
+        self.simulation.sent_bytes[self.node.me.name] += size
         delay_s = next(self.simulation.delays)
         self.arrival_s = max(self.arrival_s, loop.time() + delay_s)
         loop.call_at(self.arrival_s, self.deliver, message)
@@ -284,7 +291,12 @@
         self.groups = shard_groups.create_shard_groups(
             self.placement, platform_wire, self, me, PORT, queries.run_single
         )
+        self.limit_sharing = limit_sharing.create_limit_sharing(
+            self.known, self.groups.assignment, self, me, PORT
+        )
         self.links: dict[str, FakeLink] = {}
+        #: Hosts to which its messages are lost.
+        self.unreachable: set[str] = set()
         #: Whether messages to it are lost while its connections stay open.
         self.drops_messages = False
 
@@ -301,6 +313,10 @@
         """Handles a message from another VM."""
         if isinstance(message, lending.BorrowRequest | lending.BorrowReply):
             self.lending.handle_message(link, message)
+        elif isinstance(
+            message, limit_sharing.LimitReport | limit_sharing.LimitShares
+        ):
+            self.limit_sharing.handle_message(link, message)
         else:
             self.groups.handle_message(link, message)
 
@@ -362,6 +378,8 @@
         limits: Requests per second that searchers name as their limit, by
             searcher.
         state_changes: Changes of searchers' states, in order.
+        sent_bytes: Bytes of the messages that VMs sent, by VM.
+        tasks: Coroutines that run in the background.
         nodes: Gateways, in the order in which they were added.
         nodes_by_host: Gateways by IP address.
     """
@@ -384,9 +402,16 @@
         self.restrictions: list[Restriction] = []
         self.limits: dict[str, float] = {}
         self.state_changes: list[StateChange] = []
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
+        self.tasks: set[asyncio.Task] = set()
         self.nodes: list[GatewayNode] = []
         self.nodes_by_host: dict[str, GatewayNode] = {}
 
+    def run(self, coroutine: collections.abc.Coroutine) -> None:
+        """Runs a coroutine in the background."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+
     def add_node(self, number: int, domain: str, vms: int) -> GatewayNode:
         """Adds a gateway that assumes a number of VMs in the deployment."""
         host = f"10.0.0.{number}"
--- a/tests/test_throughput.py
+++ b/tests/test_throughput.py
@@ -34,13 +34,13 @@
     def test_steady_rate(self):
         rate = throughput.create_completion_rate()
         for n in range(400):
-            rate.record_end(n / 100)
+            rate.record(n / 100)
         self.assertAlmostEqual(rate.per_s(4.0), 100.0, delta=5.0)
 
     def test_rate_decays(self):
         rate = throughput.create_completion_rate()
         self.assertEqual(rate.per_s(0.0), 0.0)
-        rate.record_end(1.0)
+        rate.record(1.0)
         self.assertLess(
             rate.per_s(1.0 + 10 * throughput.TIME_CONSTANT_S), 0.001
         )
