--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -5,6 +5,8 @@
 import enum
 import typing
 
+import xxhash
+
 from laurelrock import errors
 from laurelrock.adapters import http_client
 from laurelrock.adapters import http_server
@@ -21,6 +23,7 @@
     "PendingCall",
     "RequestContext",
     "create_calls",
+    "fingerprint_of",
 ]
 
 #: Time in seconds for which an abandoned call may continue. Most calls end by
@@ -51,6 +54,8 @@
         version: The version of the configuration that holds the route.
         head: The encoded header lines that all calls of the request share.
         end_s: The loop time at which the caller or the route times out.
+        fingerprint: Identifies the request when it comes again; see
+            `fingerprint_of`.
     """
 
     request: http_server.Request
@@ -59,6 +64,26 @@
     version: int
     head: bytes
     end_s: float
+    fingerprint: int = 0
+
+
+def fingerprint_of(request: http_server.Request) -> int:
+    """Returns a hash of what a repeated request has in common.
+
+    These are the method, host, target, caller's credentials and body. Each
+    attempt of a caller has an id and a deadline of its own.
+    """
+    digest = xxhash.xxh3_64()
+    for value in (
+        request.method,
+        http_wire.header_value(request.headers, b"host") or b"",
+        request.target,
+        http_wire.header_value(request.headers, b"authorization") or b"",
+        request.body,
+    ):
+        digest.update(b"%d:" % len(value))
+        digest.update(value)
+    return digest.intdigest()
 
 
 class CallStatus(enum.Enum):
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -355,6 +355,7 @@
                 request.headers, caller_headers
             ),
             request.received_s + time_limit_s,
+            calls.fingerprint_of(request),
         )
 
     async def run_request(
--- a/laurelrock/gateways/group_runs.py
+++ b/laurelrock/gateways/group_runs.py
@@ -151,5 +151,6 @@
     head = platform.encode_common_headers(group_request.headers, caller_headers)
     end_s = now_s + group_request.remaining_s
     return calls.RequestContext(
-        request, caller_headers, route, group_request.version, head, end_s
+        *(request, caller_headers, route, group_request.version, head, end_s),
+        fingerprint=calls.fingerprint_of(request),
     )
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -257,6 +257,7 @@
             request=part.context.caller_headers.request_id.decode("latin-1"),
             service=part.service,
             searcher=pending_call.upstream.searcher.id,
+            fingerprint=f"{part.context.fingerprint:016x}",
             result=end.status.value,
             reason=end.reason,
             attempts=part.attempts,
