--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -50,6 +50,9 @@
 )
 #: Time in seconds for which a pausing searcher wants no calls.
 PAUSE_S = 0.5
+#: Time in seconds after which the platform removes a searcher that crashed, and
+#: after which the searcher is back.
+NOTICE_S, RESTART_S = 1.0, 3.0
 #: Kinds of outcome where the searcher runs the request.
 EXECUTED_KINDS = frozenset(
     {"answer", "error", "broken", "silent", "unstamped", "leaving"}
@@ -162,10 +165,17 @@
     def drop_idle(self) -> None:
         """Does nothing: there are no idle connections."""
 
+    async def can_connect(self) -> bool:
+        await asyncio.sleep(0.001)
+        return self.searcher not in self.simulation.down
+
     def call(self, encode, accept, bodiless=False) -> Call:
         loop = asyncio.get_running_loop()
         call = Call(loop.create_future())
         call.accept = accept
+        if self.searcher in self.simulation.down:
+            loop.call_later(0.001, self.fail, call)
+            return call
         behaviour = next(self.simulation.behaviours)
         if behaviour.kind == "unsent":
             loop.call_later(behaviour.delay_s, self.fail, call)
@@ -192,14 +202,22 @@
         number = next(self.simulation.call_numbers)
         stamp = b"proof-%d" % number
         body = number.to_bytes(16, "big")
-        request_id = request_id_of(encode())
+        raw = encode()
+        request_id = request_id_of(raw)
         self.simulation.received_calls.append(
             ReceivedCall(
                 *(request_id, self.service, self.searcher, self, loop.time()),
                 *(kind in EXECUTED_KINDS, stamp, body),
             )
         )
-        if kind not in ("silent", "lost"):
+        simulation = self.simulation
+        simulation.running[self.searcher].add(call)
+        call.future.add_done_callback(
+            lambda _: simulation.running[self.searcher].discard(call)
+        )
+        if target_of(raw) in simulation.crashing:
+            loop.call_later(delay_s, simulation.crash, self.searcher)
+        elif kind not in ("silent", "lost"):
             loop.call_later(
                 delay_s, self.respond, call, kind, request_id, stamp, body
             )
@@ -335,20 +353,25 @@
         return self.links[host]
 
     async def run(
-        self, route: routes.Route, request_id: bytes, timeout_s: float
+        self,
+        route: routes.Route,
+        request_id: bytes,
+        timeout_s: float,
+        target: bytes = b"/x",
     ) -> outcomes.Outcome:
         """Runs one request of a caller and returns its outcome."""
         loop = asyncio.get_running_loop()
         headers = [(b"x-request-id", request_id)]
         now_s = loop.time()
         request = http_server.Request(
-            b"GET", b"/x", headers, b"", now_s, now_s, 0.0
+            b"GET", target, headers, b"", now_s, now_s, 0.0
         )
         caller_headers = header_codec.CallerHeaders(request_id, timeout_s)
         context = calls.RequestContext(
             *(request, caller_headers, route, 1),
             platform_wire.encode_common_headers(headers, caller_headers),
             loop.time() + min(timeout_s, route.timeout_s),
+            calls.fingerprint_of(request),
         )
         if route.shards:
             return await queries.run_query(
@@ -375,6 +398,10 @@
         client_class: Class of the fake clients of searchers.
         received_calls: Calls that searchers received, in order.
         restrictions: Times in which searchers wanted no calls, in order.
+        crashing: Targets of requests that crash each searcher that runs them.
+        down: Searchers that crashed and are not back yet.
+        crashes: Searchers that crashed, with the times in seconds, in order.
+        running: Calls that searchers run, by searcher.
         limits: Requests per second that searchers name as their limit, by
             searcher.
         state_changes: Changes of searchers' states, in order.
@@ -400,6 +427,10 @@
         self.client_class = Client
         self.received_calls: list[ReceivedCall] = []
         self.restrictions: list[Restriction] = []
+        self.crashing: set[bytes] = set()
+        self.down: set[str] = set()
+        self.crashes: list[tuple[str, float]] = []
+        self.running: dict[str, set[Call]] = collections.defaultdict(set)
         self.limits: dict[str, float] = {}
         self.state_changes: list[StateChange] = []
         self.sent_bytes: collections.Counter[str] = collections.Counter()
@@ -422,14 +453,47 @@
         self.nodes_by_host[host] = node
         return node
 
+    def crash(self, searcher: str) -> None:
+        """Ends a searcher with all of its calls, and starts it again later.
+
+        The platform notices the end after `NOTICE_S`.
+        """
+        if searcher in self.down:
+            return
+        loop = asyncio.get_running_loop()
+        self.crashes.append((searcher, loop.time()))
+        self.down.add(searcher)
+        for call in list(self.running.pop(searcher, ())):
+            if not call.future.done():
+                call.future.set_exception(errors.CallBrokenError("closed"))
+        for node in self.nodes:
+            loop.call_later(
+                NOTICE_S, self.change_searcher, node, searcher, None
+            )
+        loop.call_later(RESTART_S, self.restart, searcher)
+
+    def restart(self, searcher: str) -> None:
+        """Starts a searcher that crashed, as a new start of the same id."""
+        self.down.discard(searcher)
+        for node in self.nodes:
+            self.change_searcher(
+                node, searcher, "live", started_ms=len(self.crashes) + 1
+            )
+
     def change_searcher(
-        self, node: GatewayNode, searcher: str, state: str | None
+        self,
+        node: GatewayNode,
+        searcher: str,
+        state: str | None,
+        started_ms: int = 1,
     ) -> None:
         """Changes a searcher's state at a gateway; None removes it."""
         service = searcher.rpartition("-")[0]
         row = None
         if state is not None:
-            row = build.searcher(searcher, service=service, state=state)
+            row = build.searcher(
+                searcher, service=service, state=state, started_ms=started_ms
+            )
         now_s = asyncio.get_running_loop().time()
         self.state_changes.append(
             StateChange(searcher, state, now_s, len(self.received_calls))
@@ -448,6 +512,11 @@
         ]
 
 
+def target_of(raw: bytes) -> bytes:
+    """Returns the target in the bytes of a call."""
+    return raw.split(b" ", 2)[1]
+
+
 def request_id_of(raw: bytes) -> bytes:
     """Returns the value of X-Request-Id in the bytes of a call."""
     for line in raw.lower().split(b"\r\n"):
