Quarantine requests that crash searchers, over all VMs

Cause: the request comes again under new ids at any VM, and each VM judged it by its own single call. Ruled out: retries within an attempt ("not idempotent").

Why the fix works: attempts without any answer, whose searchers no longer listen, are told to all VMs; three crashes in two attempts quarantine the request's fingerprint everywhere, and its callers get a true 503 at once. Innocent requests are cleared by any answer, crashes are explained by the quarantined request, and reports are considered after 50 ms, when those of requests that ran beside it are there. Within one attempt, two lost calls without an answer hold back the other ones.

Found while testing this change: two requests at the same searchers, the first report decided (hence the delay); evidence that was not reported to others for lack of room was never cleared by their answers (now it isn't used).

--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -125,7 +125,7 @@
         self.opened = 0
         self.closed = False
         self.loop = asyncio.get_running_loop()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[typing.Any]] = set()
 
     def call(
         self,
@@ -179,10 +179,13 @@
 
     async def can_connect(self) -> bool:
         """Tries to open a connection; returns whether that succeeded."""
-        before = self.opened
         self.opening_count += 1
-        await self.connect()
-        return self.opened > before
+        return await self.connect() is None
+
+    async def is_refused(self) -> bool:
+        """Tries to open a connection; returns whether nothing listens."""
+        self.opening_count += 1
+        return isinstance(await self.connect(), ConnectionRefusedError)
 
     def drop_idle(self) -> None:
         """Resets the idle connections, whose server may be unresponsive."""
@@ -204,11 +207,14 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def connect(self) -> None:
+    async def connect(self) -> OSError | TimeoutError | None:
         """Opens one connection and assigns a waiting call to it.
 
         If it fails, one waiting call fails when other connections are open,
         otherwise all waiting calls fail.
+
+        Returns:
+            The failure, if any.
         """
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -221,14 +227,15 @@
             # fail now. The others wait for those connections.
             max_calls = 1 if self.connections else len(self.waiting_calls)
             self.fail_waiting_calls(errors.ConnectError(repr(error)), max_calls)
-            return
+            return error
         self.opening_count -= 1
         self.opened += 1
         if self.closed:
             connection.transport.abort()
-            return
+            return None
         self.connections.add(connection)
         self.release(connection)
+        return None
 
     def reject_waiting_calls(self, reason: str) -> None:
         """Fails all calls that wait for a connection; they are not sent."""
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -13,6 +13,7 @@
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
 from laurelrock.core import routes
+from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
 from laurelrock.ports import header_codec
 
@@ -56,6 +57,7 @@
         end_s: The loop time at which the caller or the route times out.
         fingerprint: Identifies the request when it comes again; see
             `fingerprint_of`.
+        trial: What the calls of the request show about crashes.
     """
 
     request: http_server.Request
@@ -64,7 +66,8 @@
     version: int
     head: bytes
     end_s: float
-    fingerprint: int = 0
+    fingerprint: int
+    trial: trials.Trial
 
 
 def fingerprint_of(request: http_server.Request) -> int:
@@ -113,6 +116,7 @@
         stamp: The server stamp of the answer.
         reason: The reason of the status, for logs.
         endless: Whether the answer was cut off because it was too long.
+        lost: Whether the connection ended before a complete answer.
     """
 
     status: CallStatus
@@ -120,6 +124,7 @@
     stamp: bytes = b""
     reason: str = ""
     endless: bool = False
+    lost: bool = False
 
 
 class PendingCall:
@@ -134,6 +139,7 @@
         begun_s: The loop time at which the call began.
         limit_s: The loop time at which the call is ended.
         on_end: Called with the result; None once the call is abandoned.
+        trial: The trial of the request.
         timed_out: Whether the call was ended because it passed its limit.
     """
 
@@ -144,6 +150,7 @@
         call: http_client.Call,
         begun_s: float,
         limit_s: float,
+        trial: trials.Trial,
         on_end: collections.abc.Callable[["PendingCall", CallResult], None],
     ) -> None:
         self.upstream = upstream
@@ -153,6 +160,7 @@
         self.limit = upstream.replica.limit
         self.begun_s = begun_s
         self.limit_s = limit_s
+        self.trial = trial
         self.timed_out = False
         self.on_end: (
             collections.abc.Callable[[PendingCall, CallResult], None] | None
@@ -233,8 +241,10 @@
             call,
             now_s,
             context.end_s + TIMEOUT_MARGIN_S,
+            context.trial,
             on_end,
         )
+        context.trial.begin_call()
         self.in_flight[pending_call] = None
         call.future.add_done_callback(
             lambda future: self.settle(pending_call, future)
@@ -281,8 +291,15 @@
         if result.status is CallStatus.UNSENT and pending_call.limit:
             pending_call.limit.give_back()
         self.update_statistics(pending_call, result)
+        trial = pending_call.trial
+        trial.end_call(
+            pending_call.upstream,
+            result.status in (CallStatus.ANSWERED, CallStatus.ERRED),
+            result.lost,
+        )
         if pending_call.on_end is not None:
             pending_call.on_end(pending_call, result)
+        trial.settle()
 
     def classify(
         self,
@@ -307,6 +324,7 @@
                 CallStatus.BROKEN,
                 reason=f"{error.code}: {error.message}",
                 endless=isinstance(error, errors.ReplyTooLongError),
+                lost=isinstance(error, errors.CallBrokenError),
             )
         if error is not None:
             raise error
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -16,6 +16,7 @@
 from laurelrock.core import retry_budget
 from laurelrock.core import routes
 from laurelrock.gateways import calls
+from laurelrock.gateways import crash_watch
 from laurelrock.gateways import deployment
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import lending
@@ -23,12 +24,14 @@
 from laurelrock.gateways import outcomes
 from laurelrock.gateways import partition_detector
 from laurelrock.gateways import parts
+from laurelrock.gateways import peer_messages
 from laurelrock.gateways import peers
 from laurelrock.gateways import platform_follower
 from laurelrock.gateways import queries
 from laurelrock.gateways import shard_groups
 from laurelrock.gateways import single_requests
 from laurelrock.gateways import state_sharing
+from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
 from laurelrock.gateways import vm_removal
 from laurelrock.ports import directory
@@ -84,10 +87,12 @@
             calls for them.
         limit_sharing: The shares of the limits that searchers named.
         follower: The configuration and the registry of searchers.
+        crash_watch: The requests that crash searchers.
         vm_removal: Removes VMs that are gone from the platform's list.
         partition_detector: Detects whether this VM reaches the other failure
             domains.
         peers: Queries to other VMs for their state.
+        handlers: The handlers of messages from other VMs, by type.
         servers: The servers for callers, readiness, other VMs and metrics.
         counts: The number of answers by outcome.
         stopping_s: The loop time of SIGTERM; 0 before.
@@ -119,12 +124,7 @@
         row = create_vm_entry(options)
         me, port = create_vm(row), options.peer_links_port
         self.peer_links = frames.create_peer_links(
-            {
-                **group_messages.KINDS,
-                **state_sharing.KINDS,
-                **lending.KINDS,
-                **limit_sharing.KINDS,
-            },
+            peer_messages.KINDS,
             self.handle_message,
             self.link_ended,
         )
@@ -148,6 +148,13 @@
         self.sharing = state_sharing.create_state_sharing(
             self.follower, self.peer_links, me, port, self.set_vms
         )
+        self.crash_watch = crash_watch.create_crash_watch(
+            *(self.known, self.peer_links, me, port),
+            lambda message: self.peer_links.broadcast(
+                self.sharing.subscribers, message
+            ),
+        )
+        self.placement.crash_guard = self.crash_watch
         self.vm_removal = vm_removal.create_vm_removal(
             source, self.peer_links, me, port
         )
@@ -158,6 +165,7 @@
             *(self.follower, options.peers, list(options.seeds)),
             self.set_vm_count,
         )
+        self.handlers = peer_messages.create_handlers(self)
         self.servers: list[http_server.Server] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.stopping_s = 0.0
@@ -204,22 +212,9 @@
 
     def handle_message(self, link: frames.Link, message: typing.Any) -> None:
         """Handles a message from another VM."""
-        if isinstance(message, group_messages.PartitionHint):
-            self.partition_detector.record_hint()
-        elif isinstance(
-            message, state_sharing.Subscribe | state_sharing.StateUpdate
-        ):
-            self.sharing.handle_message(link, message)
-        elif isinstance(message, lending.BorrowRequest | lending.BorrowReply):
-            self.lending.handle_message(link, message)
-        elif isinstance(
-            message, limit_sharing.LimitReport | limit_sharing.LimitShares
-        ):
-            self.limit_sharing.handle_message(link, message)
-        else:
-            if isinstance(message, group_messages.Pong):
-                self.vm_removal.record_reply(message.owner)
-            self.groups.handle_message(link, message)
+        if isinstance(message, group_messages.Pong):
+            self.vm_removal.record_reply(message.owner)
+        self.handlers[type(message)](link, message)
 
     def link_ended(self, link: frames.Link) -> None:
         """Handles the end of a connection to another VM."""
@@ -274,6 +269,7 @@
             (vm.host, self.deployment.peers[1]) for vm in vms
         ]
         self.lending.set_vms(vms)
+        self.crash_watch.set_vms(vms)
         self.set_vm_count(len(vms), len({vm.failure_domain for vm in vms}))
         self.sharing.set_vms(vms)
         if self.follower.table is not None:
@@ -356,6 +352,7 @@
             ),
             request.received_s + time_limit_s,
             calls.fingerprint_of(request),
+            trials.create_trial(),
         )
 
     async def run_request(
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -44,6 +44,11 @@
         lambda: dict(gateway.lending.counts),
         "Extra calls asked of another VM, by its reply",
     )
+    meters.counters(
+        "laurelrock_crashing_requests_total",
+        lambda: dict(gateway.crash_watch.counts),
+        "Attempts that crashed searchers, quarantines, and refusals by these",
+    )
     meters.counters(
         "laurelrock_departures_total",
         lambda: dict(gateway.vm_removal.counts),
--- a/laurelrock/gateways/group_runs.py
+++ b/laurelrock/gateways/group_runs.py
@@ -8,6 +8,7 @@
 from laurelrock.gateways import calls
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import parts
+from laurelrock.gateways import trials
 from laurelrock.ports import header_codec
 
 __all__ = ["GroupRun", "create_context"]
@@ -63,11 +64,13 @@
         now_s = self.loop.time()
         for part in self.group_parts:
             part.abandon(now_s)
+        self.placement.end_request(self.context)
 
     async def run(self) -> None:
         """Calls the searchers and sends the results."""
         placement = self.placement
         loop = self.loop
+        placement.begin_request(self.context)
         for part in self.group_parts:
             if not placement.start(part):
                 part.reason = "no searcher"
@@ -153,4 +156,5 @@
     return calls.RequestContext(
         *(request, caller_headers, route, group_request.version, head, end_s),
         fingerprint=calls.fingerprint_of(request),
+        trial=trials.create_trial(),
     )
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -7,12 +7,15 @@
 
 import collections.abc
 import enum
+import typing
 
 from laurelrock.adapters import logs
 from laurelrock.core import replicas
 from laurelrock.core import retry_budget
 from laurelrock.core import return_times
 from laurelrock.gateways import calls
+from laurelrock.gateways import outcomes
+from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
 
 __all__ = ["CallPlacer", "Part", "PartState", "create_part", "hedge_late_parts"]
@@ -49,6 +52,7 @@
         reason: The reason of the last failure, for logs.
         asked_lender: Whether another VM was asked for an extra call.
         awaiting_lender: Whether that VM's reply is outstanding.
+        parked: Whether a call waits until the request was answered elsewhere.
         on_finish: Called when the final state is set.
     """
 
@@ -70,6 +74,7 @@
         self.reason = ""
         self.asked_lender = False
         self.awaiting_lender = False
+        self.parked = False
         self.on_finish = on_finish
 
     def finish(self, state: PartState) -> None:
@@ -96,6 +101,22 @@
 ]
 
 
+class CrashGuard(typing.Protocol):
+    """Knows the requests that crash searchers."""
+
+    def is_suspect(self, fingerprint: int) -> bool:
+        """Returns whether a request crashed a searcher before."""
+
+    def is_quarantined(self, fingerprint: int) -> bool:
+        """Returns whether a request may not be sent any more."""
+
+    def refusal(self, fingerprint: int) -> outcomes.Outcome | None:
+        """Returns the refusal of a request that is quarantined, else None."""
+
+    def finish(self, context: calls.RequestContext) -> None:
+        """Draws the conclusions from an attempt that has ended."""
+
+
 class CallPlacer:
     """Chooses searchers for parts and calls them.
 
@@ -105,6 +126,7 @@
         budget: The budget of extra calls.
         borrow: Asks another VM for an extra call of a service; returns whether
             there is a VM to ask.
+        crash_guard: Knows the requests that crash searchers, if any does.
         return_times: The times at which refused callers may return.
         counts: The number of decisions by kind, for the metrics.
     """
@@ -120,9 +142,32 @@
         self.known = known
         self.budget = budget
         self.borrow = borrow
+        self.crash_guard: CrashGuard | None = None
         self.return_times = return_times.create_return_times()
         self.counts = {"first": 0, "retry": 0, "hedge": 0, "no-budget": 0}
 
+    def begin_request(
+        self, context: calls.RequestContext
+    ) -> outcomes.Outcome | None:
+        """Begins a request, or returns the refusal if it is quarantined."""
+        guard = self.crash_guard
+        if guard is None:
+            return None
+        context.trial.suspect = guard.is_suspect(context.fingerprint)
+        return guard.refusal(context.fingerprint)
+
+    def end_request(self, context: calls.RequestContext) -> None:
+        """Ends a request, whose calls may continue."""
+        if self.crash_guard is not None:
+            self.crash_guard.finish(context)
+
+    def is_quarantined(self, part: Part) -> bool:
+        """Returns whether a part's request may not be sent any more."""
+        guard = self.crash_guard
+        return guard is not None and guard.is_quarantined(
+            part.context.fingerprint
+        )
+
     def candidates(self, part: Part) -> list[upstreams.Upstream]:
         """Returns the usable searchers that a part hasn't called yet."""
         rows = {
@@ -193,8 +238,13 @@
         """Makes the first call of a part.
 
         Returns:
-            Whether there was a searcher to call.
+            Whether there was a searcher to call, or the call waits.
         """
+        if part.context.trial.must_wait():
+            self.park(part, lambda: self.start(part))
+            return True
+        if self.is_quarantined(part):
+            return False
         now_s = self.calls.loop.time()
         self.known.record_demand(part.service, now_s)
         rows = self.candidates(part)
@@ -205,6 +255,25 @@
         self.call(part, self.choose_fastest(part, rows))
         return True
 
+    def park(
+        self, part: Part, begin: collections.abc.Callable[[], object]
+    ) -> None:
+        """Lets a call of a part wait until the request is answered."""
+        part.parked = True
+
+        def resume() -> None:
+            part.parked = False
+            if part.state is PartState.OPEN:
+                begin()
+                self.fail_if_idle(part)
+
+        def drop() -> None:
+            part.parked = False
+            part.reason = part.reason or "may crash searchers"
+            self.fail_if_idle(part)
+
+        part.context.trial.park(trials.ParkedCall(resume, drop))
+
     def call(self, part: Part, upstream: upstreams.Upstream) -> None:
         """Calls one searcher."""
         part.attempts += 1
@@ -266,13 +335,18 @@
         self.fail_if_idle(part)
 
     def fail_if_idle(self, part: Part) -> None:
-        """Fails a part that waits for neither a call nor a lender."""
-        if not part.pending_calls and not part.awaiting_lender:
+        """Fails a part that waits for nothing."""
+        waits = part.pending_calls or part.awaiting_lender or part.parked
+        if not waits:
             part.finish(PartState.FAILED)
 
     def hedge(self, part: Part) -> None:
         """Calls another searcher in addition to a late one."""
-        if part.context.route.idempotent and not part.awaiting_lender:
+        if (
+            part.context.route.idempotent
+            and not part.awaiting_lender
+            and not part.context.trial.must_wait()
+        ):
             self.try_another(part, "hedge")
 
     def try_another(self, part: Part, kind: str) -> str:
@@ -285,6 +359,9 @@
         blocker = self.extra_call_blocker(part, now_s)
         if blocker:
             return blocker
+        if part.context.trial.must_wait():
+            self.park(part, lambda: self.try_another(part, kind))
+            return "may crash searchers"
         rows = self.extra_call_candidates(part, kind)
         if not rows:
             return "no searcher"
@@ -310,6 +387,8 @@
         """Returns why no extra call may be made; empty if one may."""
         if part.attempts >= part.context.route.attempts:
             return "attempts"
+        if self.is_quarantined(part):
+            return "quarantined"
         typical = self.known.typical_latencies[part.context.route.name]
         if part.context.end_s - now_s < typical.mean_s * MIN_TIME_LEFT_FACTOR:
             return "no time"
@@ -339,6 +418,8 @@
             return
         rows = self.extra_call_candidates(part, kind)
         now_s = self.calls.loop.time()
+        if part.context.trial.must_wait():
+            granted = False
         if granted and rows and not self.extra_call_blocker(part, now_s):
             self.make_extra_call(part, kind, rows)
         self.fail_if_idle(part)
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -152,6 +152,9 @@
         link_bytes_per_s: The bandwidth in bytes per second with which answers
             leave this VM.
     """
+    refusal = placement.begin_request(context)
+    if refusal is not None:
+        return refusal._replace(shards=len(context.route.shards))
     route = context.route
     count = len(route.shards)
     reachable = group_state.reachability.reachable(route)
@@ -178,6 +181,7 @@
         progress.abandon(placement.calls.loop.time())
         for group in progress.groups:
             group_state.drop(group)
+        placement.end_request(context)
     stamps = progress.stamps()
     if len(stamps) < route.min_shards:
         late = placement.calls.loop.time() >= context.end_s
@@ -330,6 +334,9 @@
     context: calls.RequestContext, service: str, placement: parts.CallPlacer
 ) -> outcomes.Outcome:
     """Runs a request that one searcher answers."""
+    refusal = placement.begin_request(context)
+    if refusal is not None:
+        return refusal
     progress = GatherState(context, (service,))
     part = progress.own_parts[0]
     schedule = answer_schedule.AnswerSchedule(
@@ -345,6 +352,7 @@
         )
     finally:
         progress.abandon(placement.calls.loop.time())
+        placement.end_request(context)
     if part.answer is not None:
         reply = part.answer.reply
         status = reply.status if reply else 502
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -23,6 +23,7 @@
 from laurelrock.core import retry_budget
 from laurelrock.core import routes
 from laurelrock.gateways import calls
+from laurelrock.gateways import crash_watch
 from laurelrock.gateways import lending
 from laurelrock.gateways import limit_sharing
 from laurelrock.gateways import outcomes
@@ -30,6 +31,7 @@
 from laurelrock.gateways import queries
 from laurelrock.gateways import shard_groups
 from laurelrock.gateways import single_requests
+from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
 from laurelrock.platform import header_codec as platform_wire
 from laurelrock.ports import header_codec
@@ -166,8 +168,11 @@
         """Does nothing: there are no idle connections."""
 
     async def can_connect(self) -> bool:
+        return not await self.is_refused()
+
+    async def is_refused(self) -> bool:
         await asyncio.sleep(0.001)
-        return self.searcher not in self.simulation.down
+        return self.searcher in self.simulation.down
 
     def call(self, encode, accept, bodiless=False) -> Call:
         loop = asyncio.get_running_loop()
@@ -312,6 +317,12 @@
         self.limit_sharing = limit_sharing.create_limit_sharing(
             self.known, self.groups.assignment, self, me, PORT
         )
+        self.crash_watch = crash_watch.create_crash_watch(
+            *(self.known, self, me, PORT), self.relay
+        )
+        self.placement.crash_guard = self.crash_watch
+        #: Links of the VMs that subscribe to it.
+        self.subscribers: list[FakeLink] = []
         self.links: dict[str, FakeLink] = {}
         #: Hosts to which its messages are lost.
         self.unreachable: set[str] = set()
@@ -326,6 +337,12 @@
         self.lending.set_vms(vms)
         self.groups.assignment.configure(configuration)
         self.lending.set_groups(self.groups.assignment.groups)
+        self.crash_watch.set_vms(vms)
+
+    def relay(self, message: typing.Any) -> None:
+        """Sends a message to the VMs that subscribe to this one."""
+        for link in self.subscribers:
+            link.send(message)
 
     def handle_message(self, link: FakeLink, message: typing.Any) -> None:
         """Handles a message from another VM."""
@@ -335,6 +352,8 @@
             message, limit_sharing.LimitReport | limit_sharing.LimitShares
         ):
             self.limit_sharing.handle_message(link, message)
+        elif isinstance(message, tuple(crash_watch.KINDS.values())):
+            self.crash_watch.handle_message(link, message)
         else:
             self.groups.handle_message(link, message)
 
@@ -372,6 +391,7 @@
             platform_wire.encode_common_headers(headers, caller_headers),
             loop.time() + min(timeout_s, route.timeout_s),
             calls.fingerprint_of(request),
+            trials.create_trial(),
         )
         if route.shards:
             return await queries.run_query(
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -13,6 +13,7 @@
 from laurelrock.adapters import frames
 from laurelrock.adapters import http_server
 from laurelrock.gateways import calls
+from laurelrock.gateways import crash_watch
 from laurelrock.gateways import gateway
 from laurelrock.gateways import lending
 from laurelrock.gateways import partition_detector
@@ -44,7 +45,7 @@
         gateway,
         shard_groups,
     ),
-    lending,
+    *(crash_watch, lending),
     *(parts, peers, partition_detector, state_sharing, upstreams, store),
 )
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -6,7 +6,12 @@
 import typing
 import unittest
 
+import msgspec
+
+from laurelrock.adapters import http_server
+from laurelrock.core import crash_suspects
 from laurelrock.core import routes
+from laurelrock.gateways import calls
 from tests import gateway_builders as build
 from tests import gateway_simulation as simulations
 from tests import gateways
@@ -80,6 +85,7 @@
     everyone = [node.me for node in simulation.nodes]
     for node in simulation.nodes:
         node.set_vms(everyone)
+        simulation.run(node.crash_watch.run())
     return simulation
 
 
@@ -174,3 +180,265 @@
 
     def test_crashing_request_goes_through_other_vms(self):
         self.check(Load(route=READ, connections=8))
+
+    def test_callers_of_a_quarantined_request_are_refused_at_once(self):
+        played = virtual_time.run(play(Load(route=ONCE)))
+        known_s = played.simulation.crashes[2][1] + 0.2
+        refused = [row for row in played.poisoned if row[0] > known_s]
+        self.assertGreater(len(refused), 20)
+        self.assertEqual({row[2] for row in refused}, {503})
+        self.assertLess(max(row[1] for row in refused), 0.001)
+
+    def test_other_requests_are_not_shut_out(self):
+        for route in (ONCE, READ, QUERY):
+            for seed in range(3):
+                with self.subTest(route=route.name, seed=seed):
+                    load = Load(route=route, every_s=3.0, others_per_s=40.0)
+                    played = virtual_time.run(play(load, seed))
+                    for node in played.simulation.nodes:
+                        quarantined = [
+                            row
+                            for row in node.crash_watch.table.rows.values()
+                            if row.quarantines
+                        ]
+                        self.assertEqual(len(quarantined), 1)
+
+    def test_crash_of_many_searchers_shuts_out_no_request(self):
+        def crash_many(simulation):
+            for service in (*SHARDS, "files"):
+                for n in range(4):
+                    simulation.crash(f"{service}-{n}")
+
+        events = [(at_s, crash_many) for at_s in (3.0, 7.0, 11.0)]
+        load = Load(every_s=1000.0, others_per_s=200.0, seconds=15.0)
+        played = virtual_time.run(play(load, events=events))
+        for node in played.simulation.nodes:
+            rows = node.crash_watch.table.rows.values()
+            self.assertFalse(any(row.quarantines for row in rows))
+
+    def test_request_loses_few_searchers_before_it_waits_for_an_answer(self):
+        async def query():
+            simulation = create_fleet(Load())
+            await simulation.nodes[0].run(QUERY, b"p-0", 1.0, POISON)
+            first = len(simulation.crashes)
+            await asyncio.sleep(0.1)
+            await simulation.nodes[1].run(QUERY, b"p-1", 1.0, POISON)
+            return first, len(simulation.crashes)
+
+        first, both = virtual_time.run(query())
+        # The first call of each shard, and two retries.
+        self.assertLessEqual(first, len(SHARDS) + 2)
+        # The repeat is tried at one searcher only.
+        self.assertEqual(both, first + 1)
+
+    def test_query_that_crashed_a_searcher_by_chance_is_answered(self):
+        async def query():
+            simulation = create_fleet(Load())
+            node = simulation.nodes[0]
+            simulation.crashing.add(b"/bad-luck")
+            await node.run(QUERY, b"r-0", 1.0, b"/bad-luck")
+            await asyncio.sleep(0.1)
+            simulation.crashing.discard(b"/bad-luck")
+            outcome = await node.run(QUERY, b"r-1", 1.0, b"/bad-luck")
+            await asyncio.sleep(0.1)
+            return outcome, [
+                row.crash_watch.is_suspect(
+                    next(iter(node.crash_watch.table.rows))
+                )
+                for row in simulation.nodes
+            ]
+
+        outcome, suspected = virtual_time.run(query())
+        self.assertEqual(outcome.kind, "answered")
+        self.assertFalse(any(suspected))
+
+    def test_vm_that_was_partitioned_or_starts_learns_of_a_quarantine(self):
+        def cut(simulation):
+            simulation.nodes[0].drops_messages = True
+
+        def heal(simulation):
+            simulation.nodes[0].drops_messages = False
+
+        events = [(0.0, cut), (20.0, heal)]
+        load = Load(route=ONCE, every_s=1.0, seconds=26.0)
+        played = virtual_time.run(play(load, events=events))
+        rows = played.simulation.nodes[0].crash_watch.table.rows.values()
+        self.assertEqual([row.quarantines for row in rows], [1])
+
+        async def start_one():
+            simulation = create_fleet(load)
+            for number in range(3):
+                node = simulation.nodes[number]
+                await node.run(ONCE, b"p-%d" % number, 1.0, POISON)
+                await asyncio.sleep(0.1)
+            node = simulation.add_node(9, "a", 10)
+            node.set_vms([row.me for row in simulation.nodes])
+            await asyncio.sleep(0.01)
+            return await node.run(ONCE, b"p-9", 1.0, POISON)
+
+        self.assertEqual(virtual_time.run(start_one()).status, 503)
+
+    def test_large_fleet_is_told_through_the_vms_with_subscribers(self):
+        async def tell():
+            simulation = create_fleet(Load(vms=60, connections=200))
+            relays = {
+                vm.name: simulation.nodes_by_host[vm.host]
+                for vm in simulation.nodes[0].crash_watch.direct_targets()
+            }
+            relays.pop("vm-0", None)
+            for number, node in enumerate(simulation.nodes):
+                source = list(relays.values())[number % len(relays)]
+                if node.me.name not in relays:
+                    source.subscribers.append(
+                        source.link((node.me.host, simulations.PORT))
+                    )
+            simulation.sent_bytes.clear()
+            for number in range(3):
+                node = simulation.nodes[number * 7]
+                await node.run(ONCE, b"p-%d" % number, 1.0, POISON)
+                await asyncio.sleep(simulations.RESTART_S + 0.1)
+            return simulation
+
+        simulation = virtual_time.run(tell())
+        for node in simulation.nodes:
+            rows = node.crash_watch.table.rows.values()
+            self.assertEqual([row.quarantines for row in rows], [1])
+        self.assertLess(max(simulation.sent_bytes.values()), 10_000)
+
+
+class TableTest(unittest.TestCase):
+    def setUp(self):
+        self.table = crash_suspects.create_suspect_table()
+
+    def crash(self, fingerprint, attempt, *crashed, at_s=10.0):
+        report = crash_suspects.CrashReport(fingerprint, attempt, list(crashed))
+        self.table.record(report, at_s)
+        return self.table.judge(fingerprint, at_s)
+
+    def test_three_crashes_in_two_attempts(self):
+        self.assertFalse(self.crash(1, "a", "x"))
+        self.assertFalse(self.crash(1, "b", "y"))
+        self.assertTrue(self.crash(1, "c", "z"))
+        self.assertGreater(self.table.release_in_s(1, 10.0), 0.0)
+
+    def test_crashes_of_one_attempt_do_not_suffice(self):
+        self.assertFalse(self.crash(1, "a", "w", "x", "y", "z"))
+
+    def test_same_crash_counts_once(self):
+        for attempt in "abcd":
+            self.assertFalse(self.crash(1, attempt, "x", "y"))
+
+    def test_answer_clears_a_request(self):
+        self.crash(1, "a", "x", "y")
+        self.assertTrue(self.table.clear(1, 11.0))
+        self.assertFalse(self.crash(1, "b", "z", at_s=12.0))
+
+    def test_crashes_that_another_request_explains(self):
+        self.crash(1, "a", "v", "w")
+        self.crash(2, "q", "v", "w")
+        self.assertTrue(self.crash(1, "b", "x"))
+        self.assertFalse(self.crash(2, "r", "x"))
+        self.assertFalse(self.crash(2, "s", "y"))
+        self.assertEqual(self.table.release_in_s(2, 10.0), 0.0)
+
+    def test_requests_that_share_all_crashes_wait_for_more_evidence(self):
+        self.crash(1, "a", "v", "w")
+        self.crash(2, "q", "v", "w")
+        for fingerprint, attempt in ((2, "r"), (1, "b")):
+            report = crash_suspects.CrashReport(fingerprint, attempt, ["x"])
+            self.table.record(report, 10.0)
+        self.assertFalse(self.table.judge(2, 10.1))
+        self.assertFalse(self.table.judge(1, 10.1))
+        self.assertTrue(self.crash(1, "c", "y"))
+        self.assertEqual(self.table.release_in_s(2, 10.0), 0.0)
+
+    def test_quarantine_lapses_and_doubles(self):
+        for attempt, searcher in zip("abc", "xyz", strict=True):
+            self.crash(1, attempt, searcher)
+        end_s = 10.0 + crash_suspects.QUARANTINE_S
+        self.assertGreater(self.table.release_in_s(1, end_s - 0.1), 0.0)
+        self.assertEqual(self.table.release_in_s(1, end_s), 0.0)
+        self.assertTrue(self.table.is_suspect(1))
+        self.assertTrue(self.crash(1, "d", "w", at_s=end_s + 1.0))
+        left_s = self.table.release_in_s(1, end_s + 1.0)
+        self.assertEqual(left_s, 2 * crash_suspects.QUARANTINE_S)
+
+    def test_evidence_lapses(self):
+        self.crash(1, "a", "x", "y")
+        later_s = 10.1 + crash_suspects.EVIDENCE_VALID_S
+        self.assertFalse(self.crash(1, "b", "z", at_s=later_s))
+        self.table.drop_outdated(later_s + crash_suspects.EVIDENCE_VALID_S + 1)
+        self.assertEqual(self.table.rows, {})
+
+    def test_memory_is_bounded_and_quarantines_are_kept(self):
+        for attempt, searcher in zip("abc", "xyz", strict=True):
+            self.crash(1, attempt, searcher)
+        for number in range(5000):
+            many = [f"s-{number}-{n}" for n in range(50)]
+            self.crash(100 + number, f"r-{number}", *many)
+        self.assertEqual(len(self.table.rows), crash_suspects.MAX_SUSPECTS)
+        for row in self.table.rows.values():
+            self.assertLessEqual(len(row.crashed), crash_suspects.MAX_STORED)
+        self.assertGreater(self.table.release_in_s(1, 10.0), 0.0)
+
+    def test_list_of_another_vm(self):
+        for attempt, searcher in zip("abc", "xyz", strict=True):
+            self.crash(1, attempt, searcher)
+        other = crash_suspects.create_suspect_table()
+        for suspect in self.table.suspects(30.0, 10):
+            raw = msgspec.msgpack.encode(suspect)
+            suspect = msgspec.msgpack.decode(raw, type=crash_suspects.Suspect)
+            self.assertTrue(other.merge(suspect, 130.0))
+        self.assertAlmostEqual(
+            other.release_in_s(1, 130.0), self.table.release_in_s(1, 30.0), 2
+        )
+
+    def test_list_of_another_vm_does_not_revive_what_an_answer_refuted(self):
+        self.crash(1, "a", "x", "y")
+        outdated = self.table.suspects(10.5, 10)
+        self.table.clear(1, 11.0)
+        for suspect in outdated:
+            suspect = suspect._replace(evidence_age_s=2.0)
+            self.assertFalse(self.table.merge(suspect, 12.0))
+        self.assertFalse(self.table.is_suspect(1))
+
+    def test_answer_that_another_vm_saw_clears(self):
+        other = crash_suspects.create_suspect_table()
+        report = crash_suspects.CrashReport(1, "a", ["x", "y"])
+        other.record(report, 10.0)
+        self.crash(1, "a", "x", "y")
+        self.table.clear(1, 11.0)
+        for suspect in self.table.suspects(12.0, 10):
+            other.merge(suspect, 12.0)
+        self.assertFalse(other.is_suspect(1))
+
+
+class FingerprintTest(unittest.TestCase):
+    def fingerprint(self, target=b"/a", body=b"", **headers):
+        rows = {
+            "host": "h",
+            "x-request-id": "r",
+            "x-deadline-ms": "9",
+            **headers,
+        }
+        encoded = [
+            (name.replace("_", "-").encode(), value.encode())
+            for name, value in rows.items()
+        ]
+        return calls.fingerprint_of(
+            http_server.Request(b"POST", target, encoded, body, 0.0, 0.0, 0.0)
+        )
+
+    def test_repeats_have_the_same_fingerprint(self):
+        again = self.fingerprint(**{"x-request-id": "s", "x-deadline-ms": "1"})
+        self.assertEqual(self.fingerprint(), again)
+
+    def test_other_requests_have_another_one(self):
+        found = {
+            self.fingerprint(),
+            self.fingerprint(target=b"/b"),
+            self.fingerprint(body=b"x"),
+            self.fingerprint(host="i"),
+            self.fingerprint(authorization="Bearer t"),
+        }
+        self.assertEqual(len(found), 5)
