Tell all callers of a searcher that it names a limit

Cause: VMs without requests for the searcher didn't know the limit, so they didn't report and their equal shares stayed unused; before, they had learned it by chance in their first three seconds. The keeper now tells the other callers of a new limit once. The tests of limits count from one second after the first naming instead of four, as the rule's first window ends four seconds after it.

--- a/laurelrock/gateways/limit_sharing.py
+++ b/laurelrock/gateways/limit_sharing.py
@@ -277,6 +277,8 @@
                 old is not None and named_s > old[1]
             ):
                 self.limits[row.searcher] = (row, named_s)
+                if old is None:
+                    self.announce(row, report.sender)
         services = {service for service, _ in report.demands}
         return LimitShares(
             report.slot,
@@ -293,6 +295,19 @@
             ][:MAX_REPORTED],
         )
 
+    def announce(self, row: request_limit.NamedLimit, sender: str) -> None:
+        """Tells the other callers of a service of a new limit.
+
+        Those without requests for it report as well then, so that their shares
+        are redistributed.
+        """
+        for vm in self.assignment.callers_of(row.service):
+            if vm == self.me:
+                self.apply_limit(row, self.loop.time())
+            elif vm.name != sender:
+                link = self.peer_links.link((vm.host, self.port))
+                link.send(LimitShares(slot_of(row.service), [], [row]))
+
     def divide(self, service: str) -> dict[str, float]:
         """Returns the shares of the VMs that reported a service."""
         callers = len(self.assignment.callers_of(service))
--- a/tests/test_searcher_limits.py
+++ b/tests/test_searcher_limits.py
@@ -22,8 +22,7 @@
 SHARDS = tuple(f"shard-{n}" for n in range(6))
 QUERY = build.query_route(SHARDS, min_shard_share=0.8)
 READ = build.single_route()
-#: Length of the windows in which requests are counted, and the time from the
-#: first naming of a limit from which it holds, in seconds.
+#: Length of the windows in which requests are counted, in seconds.
 WINDOW_S = 4.0
 #: Requests that a window may hold: a factor of what the limit allows, and a
 #: number in addition.
@@ -273,9 +272,9 @@
     def test_vms_exceed_the_limit_of_a_searcher_together(self):
         load = Load()
         played = virtual_time.run(play(load, [(1.0, "files-0", 6.0)]))
-        times = self.check_limit(played, "files-0", 6.0, 5.0)
+        times = self.check_limit(played, "files-0", 6.0, 2.0)
         # What the limit allows is used.
-        self.assertGreater(len(times), 0.6 * 6.0 * (load.seconds - 5.0))
+        self.assertGreater(len(times), 0.6 * 6.0 * (load.seconds - 2.0))
         self.assertEqual(set(played.statuses), {200})
 
     def test_queries_exceed_the_limits_of_their_shards(self):
@@ -283,14 +282,14 @@
         load = Load(route=QUERY, per_s=30.0)
         played = virtual_time.run(play(load, changes))
         for _, searcher, limit in changes:
-            self.check_limit(played, searcher, limit, 5.0)
+            self.check_limit(played, searcher, limit, 2.0)
 
     def test_owners_exceed_the_limits_of_their_shards(self):
         changes = [(1.0, f"shard-{n}-0", 8.0) for n in range(6)]
         load = Load(connections=8, route=QUERY, per_s=30.0)
         played = virtual_time.run(play(load, changes))
         for _, searcher, limit in changes:
-            self.check_limit(played, searcher, limit, 5.0)
+            self.check_limit(played, searcher, limit, 2.0)
 
     def test_retries_exceed_the_limit_of_a_searcher(self):
         behaviours = [
@@ -300,7 +299,7 @@
         changes = [(1.0, "files-0", 4.0), (1.0, "files-1", 4.0)]
         played = virtual_time.run(play(Load(), changes, behaviours))
         for _, searcher, limit in changes:
-            self.check_limit(played, searcher, limit, 5.0)
+            self.check_limit(played, searcher, limit, 2.0)
 
     def test_limit_is_lowered_and_ends(self):
         changes = [
@@ -310,8 +309,8 @@
         ]
         load = Load(seconds=24.0)
         played = virtual_time.run(play(load, changes))
-        self.check_limit(played, "files-0", 12.0, 5.0, 12.0)
-        self.check_limit(played, "files-0", 3.0, 12.0, 18.0)
+        self.check_limit(played, "files-0", 12.0, 2.0, 8.0)
+        self.check_limit(played, "files-0", 3.0, 9.0, 18.0)
         later = self.arrivals(played, "files-0", 20.0, 24.0)
         self.assertGreater(len(later), 4 * 12.0)
 
@@ -320,7 +319,7 @@
             with self.subTest(limit):
                 load = Load(vms=30, connections=100, seconds=20.0)
                 played = virtual_time.run(play(load, [(1.0, "files-0", limit)]))
-                self.check_limit(played, "files-0", limit, 5.0)
+                self.check_limit(played, "files-0", limit, 2.0)
                 self.assertEqual(set(played.statuses), {200})
 
     def test_silent_keepers(self):
@@ -335,7 +334,7 @@
         played = virtual_time.run(
             play(load, [(1.0, "files-0", 6.0)], events=events)
         )
-        times = self.check_limit(played, "files-0", 6.0, 5.0)
+        times = self.check_limit(played, "files-0", 6.0, 2.0)
         self.assertGreater(len(times), 0.6 * 6.0 * 15.0)
 
     def test_vms_that_lose_sight_of_each_other(self):
@@ -350,7 +349,7 @@
         played = virtual_time.run(
             play(load, [(1.0, "files-0", 6.0)], events=events)
         )
-        self.check_limit(played, "files-0", 6.0, 5.0)
+        self.check_limit(played, "files-0", 6.0, 2.0)
 
     def test_vm_that_starts_knows_the_limits(self):
         async def start_one():
@@ -485,7 +484,7 @@
 
         events = [(0.0, leave_shares_unused)]
         played = virtual_time.run(play(load, [], events=events))
-        times = self.check_limit(played, "files-0", 0.5, 5.0)
+        times = self.check_limit(played, "files-0", 0.5, 2.0)
         self.assertTrue(times)
 
     def test_told_limit_that_no_response_confirms_lapses(self):
