Play limits and crashing requests in the soak, and check a promise each

Searchers of the soak name limits that change (limit), and a request that crashes what runs it is repeated at any VM (crashing).

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,12 +17,12 @@
 
 from aiohttp import web
 
+from bench import searcher_replies
 from bench import soak_history
 from fakes import callers
 from fakes import link
 from fakes import objects
 from fakes import shards
-from laurelrock.core import answer_schedule
 from laurelrock.core import owners
 
 __all__ = [
@@ -30,7 +30,6 @@
     "Shape",
     "Vm",
     "open_fleet",
-    "record_of",
 ]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -74,11 +73,9 @@
         return owners.all_vms_can_call(self.connections, self.vms)
 
 
-#: Time in seconds for which a pausing searcher wants no requests.
-PAUSE_S = 2.0
-#: Start of a response whose body never ends, and the bytes that follow.
-ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n\r\n"
-ENDLESS = b"x" * 16_384
+#: Time in seconds after which the store notices that a searcher crashed, and
+#: after which the searcher is back.
+CRASH_NOTICE_S, CRASHED_S = 0.8, 2.0
 
 
 class Vm:
@@ -142,10 +139,22 @@
         self.started_ms = FIRST_START_MS
         #: Number of the last write of its entry.
         self.seq = 0
-        #: How it responds to requests; see `Fleet.respond`.
+        #: How it responds to requests; see `searcher_replies.create_reply`.
         self.behaviour = "healthy"
         #: Whether all of its responses say that it leaves.
         self.leaving = False
+        #: Requests per second that all of its responses name as its limit; 0
+        #: for none.
+        self.limit = 0.0
+        #: Whether it crashed and is not back yet.
+        self.crashed = False
+
+    @property
+    def notices(self) -> tuple[str, ...]:
+        """The headers of all of its responses."""
+        leaving = ("Server-Leaving: 1",) if self.leaving else ()
+        limit = (f"Server-Limit: {self.limit}",) if self.limit else ()
+        return (*leaving, *limit)
 
 
 class Fleet:
@@ -162,6 +171,7 @@
         versions: Loop time at which each configuration version was written.
         shard_lists: Services of the query's shards by configuration version.
         searchers_started: Number of searchers added so far.
+        crashes: Searchers that crashed and are not back yet.
     """
 
     def __init__(self, shape: Shape, folder: pathlib.Path) -> None:
@@ -175,6 +185,7 @@
         self.versions: dict[int, float] = {}
         self.shard_lists: dict[int, tuple[str, ...]] = {}
         self.searchers_started = 0
+        self.crashes: set[asyncio.Task[None]] = set()
         self.runner: web.AppRunner | None = None
         self.loop = asyncio.get_running_loop()
 
@@ -185,55 +196,44 @@
     ) -> shards.ScriptedResponse:
         """Records a request and responds according to the behaviour set."""
         server = self.servers[searcher.name]
-        behaviour, ran = server.behaviour, True
-        target = request.headers.get("x-target-instance")
-        if target not in (None, searcher.name):
-            behaviour, ran = "misplaced", False
-        elif behaviour in ("full", "pausing"):
-            ran = False
-        pause_s = PAUSE_S if behaviour == "pausing" else 0.0
+        reply = searcher_replies.create_reply(
+            server.service,
+            searcher.name,
+            server.behaviour,
+            request,
+            server.notices,
+        )
         self.arrivals.append(
             soak_history.Arrival(
                 *(request.id, server.service, searcher.name),
-                *(self.loop.time(), ran),
+                *(self.loop.time(), reply.ran),
                 server.leaving,
-                pause_s,
+                reply.pause_s,
+                server.limit,
+                reply.crashes and not server.crashed,
             )
         )
-        notice = ("Server-Leaving: 1",) if server.leaving else ()
-        stamp = f"X-Server-Stamp: {server.service}.{searcher.name}.{request.id}"
-        body = record_of(server.service, request.id)
-        success = shards.encode_response(
-            request, "200 OK", body, stamp, *notice
-        )
-        failure = shards.encode_response(
-            request, "500 Internal Server Error", b"", stamp, *notice
-        )
-        refusal = shards.encode_response(
-            request, "503 Service Unavailable", b"", "X-Not-Executed: 1"
-        )
-        pause = shards.encode_response(
-            request,
-            "503 Service Unavailable",
-            b"",
-            "X-Not-Executed: 1",
-            f"Retry-After: {PAUSE_S}",
+        if reply.crashes and not server.crashed:
+            server.crashed = True
+            task = self.loop.create_task(self.crash(server))
+            self.crashes.add(task)
+            task.add_done_callback(self.crashes.discard)
+        return reply.response
+
+    async def crash(self, server: "Server") -> None:
+        """Ends a searcher without notice, and starts it again."""
+        name = server.searcher.name
+        await asyncio.sleep(searcher_replies.CRASH_DELAY_S)
+        await server.searcher.stop()
+        await server.link.close()
+        await asyncio.sleep(CRASH_NOTICE_S)
+        self.store.delete("servers", name)
+        await asyncio.sleep(CRASHED_S - CRASH_NOTICE_S)
+        server.link = await link.start(
+            f"{self.network}.2.1:{server.port}", server.link.target
         )
-        wrong = shards.encode_response(request, "421 Misdirected Request", b"")
-        responses = {
-            "healthy": shards.ScriptedResponse(((0.004, success),)),
-            "slow": shards.ScriptedResponse(((0.25, success),)),
-            "failing": shards.ScriptedResponse(((0.002, failure),)),
-            "full": shards.ScriptedResponse(((0, refusal),)),
-            "mute": shards.ScriptedResponse((), "hang"),
-            "resetting": shards.ScriptedResponse(((0.002, b""),), "reset"),
-            "cut": shards.ScriptedResponse(((0.002, success[:-4]),), "reset"),
-            "pausing": shards.ScriptedResponse(((0, pause),)),
-            "endless-head": shards.endless(success[:20], ENDLESS),
-            "endless-body": shards.endless(ENDLESS_HEAD, ENDLESS),
-            "misplaced": shards.ScriptedResponse(((0, wrong),)),
-        }
-        return responses[behaviour]
+        server.crashed = False
+        await self.restart_searcher(server)
 
     async def add_searcher(self, service: str) -> Server:
         """Starts a searcher behind a link and registers it in the store."""
@@ -257,7 +257,7 @@
         server.searcher = await shards.start(name, self.respond)
         server.link.target = ":".join(map(str, server.searcher.address))
         server.started_ms += 1000
-        server.seq, server.leaving = 0, False
+        server.seq, server.leaving, server.limit = 0, False, 0.0
         self.list_searcher(name, "ready")
 
     def list_searcher(self, name: str, state: str) -> None:
@@ -444,6 +444,8 @@
                 vm.process.wait()
             for vm_link in (vm.store_link, vm.front, vm.exchange):
                 await vm_link.close()
+        for task in self.crashes:
+            task.cancel()
         for server in self.servers.values():
             await server.searcher.stop()
             await server.link.close()
@@ -466,15 +468,6 @@
     return f"{first}.{second}.3.{last}"
 
 
-def record_of(service: str, request_id: str) -> bytes:
-    """Returns the only record in a searcher's response.
-
-    It holds the service and the request id, padded to the record size.
-    """
-    name = f"{service}/{request_id}".encode()[: answer_schedule.RECORD_BYTES]
-    return name.ljust(answer_schedule.RECORD_BYTES, b".")
-
-
 @contextlib.asynccontextmanager
 async def open_fleet(
     shape: Shape, folder: pathlib.Path
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -7,22 +7,15 @@
 import collections
 
 from bench import checker
-from bench import fleet
+from bench import searcher_promises
+from bench import searcher_replies
 from bench import soak_history
 
 __all__ = ["PROMISES", "check"]
 
-#: Time without faults after which promises with a time limit hold for a VM, in
-#: seconds; the smallest such time of the deployments.
-SETTLE_S = 4.0
 #: Maximum time until a configuration is in force, in seconds, as the stated
 #: target requires.
 IN_FORCE_S = 3.0
-#: Maximum time until a draining searcher gets no new requests, in seconds.
-DRAIN_S = 3.0
-#: Time after a refusal from which its pause holds, in seconds, and the maximum
-#: number of requests that reach the searcher in it.
-PAUSE_GRACE_S, MAX_IN_PAUSE = 0.5, 2
 #: Time after a caller's timeout at which a missing response is a violation, in
 #: seconds.
 LATE_TOLERANCE_S = 0.5
@@ -35,23 +28,6 @@
 BUDGET_WINDOW_S, BUDGET_FRACTION = 10.0, 0.2
 
 
-def _affects(
-    span: soak_history.FaultSpan, begin_s: float, end_s: float
-) -> bool:
-    """Returns whether a fault overlaps a period or ended shortly before it."""
-    return span.started_s <= end_s and span.ended_s + SETTLE_S >= begin_s
-
-
-def is_undisturbed(
-    history: soak_history.History, vm: str, begin_s: float, end_s: float
-) -> bool:
-    """Returns whether no fault affected a VM in a period or before it."""
-    return not any(
-        span.vm in ("", vm) and _affects(span, begin_s, end_s)
-        for span in history.fault_spans
-    )
-
-
 def _by_request(
     history: soak_history.History,
 ) -> dict[str, list[soak_history.Arrival]]:
@@ -101,7 +77,7 @@
         service, _, rest = record.headers.get("x-server-stamp", "").partition(
             "."
         )
-        expected = fleet.record_of(service, record.request_id)
+        expected = searcher_replies.record_of(service, record.request_id)
         if (
             not rest.endswith("." + record.request_id)
             or record.body != expected
@@ -131,7 +107,8 @@
     if len(services) < 0.6 * (len(services) + missing):
         return "coverage below the minimum share"
     records = [
-        fleet.record_of(service, record.request_id) for service in services
+        searcher_replies.record_of(service, record.request_id)
+        for service in services
     ]
     if record.body != b"".join(sorted(records, reverse=True)):
         return "records differ from those of the listed parts"
@@ -239,7 +216,7 @@
         newest = max(
             v for v, at_s in history.versions.items() if at_s < record.ended_s
         )
-        if not is_undisturbed(
+        if not soak_history.is_undisturbed(
             history, record.vm, record.sent_s, record.ended_s
         ):
             continue
@@ -256,99 +233,6 @@
     return checker.CheckResult(exercised, violations)
 
 
-def drained_searchers(history: soak_history.History) -> checker.CheckResult:
-    """A draining searcher gets no new requests after `DRAIN_S`."""
-    by_id = {record.request_id: record for record in history.records}
-    services = {
-        arrival.searcher: arrival.service for arrival in history.arrivals
-    }
-    violations, exercised = [], 0
-    for name, at_s in history.drained.items():
-        for arrival in history.arrivals:
-            record = by_id.get(arrival.request_id)
-            if record is None or arrival.service != services.get(name):
-                continue
-            late = record.sent_s > at_s + DRAIN_S
-            if late and is_undisturbed(history, record.vm, at_s, arrival.at_s):
-                exercised += 1
-                if arrival.searcher == name:
-                    violations.append(f"{name}: {arrival.request_id}")
-    return checker.CheckResult(exercised, violations)
-
-
-def _later_arrivals(
-    history: soak_history.History,
-    since: soak_history.Arrival,
-    begin_s: float,
-    end_s: float,
-) -> tuple[int, list[soak_history.Arrival]]:
-    """Returns what a VM sent to a searcher in a time after its answer.
-
-    Returns:
-        The number of the VM's requests to the searcher's service in that time,
-        and those that reached the searcher itself.
-    """
-    by_id = {record.request_id: record for record in history.records}
-    told = by_id.get(since.request_id)
-    later = [
-        arrival
-        for arrival in history.arrivals
-        if told is not None
-        and begin_s < arrival.at_s < end_s
-        and arrival.service == since.service
-        and (record := by_id.get(arrival.request_id)) is not None
-        and (record.vm, record.start_count) == (told.vm, told.start_count)
-        and record.sent_s > begin_s
-    ]
-    return len(later), [a for a in later if a.searcher == since.searcher]
-
-
-def _was_told(
-    history: soak_history.History, arrival: soak_history.Arrival
-) -> bool:
-    """Returns whether a searcher's response reached the caller's VM."""
-    return any(
-        f".{arrival.searcher}." in value
-        for record in history.records
-        if record.request_id == arrival.request_id and record.status == 200
-        for name, value in record.headers.items()
-        if name in ("x-server-stamp", "x-part-stamps")
-    )
-
-
-def left_searchers(history: soak_history.History) -> checker.CheckResult:
-    """A searcher that said that it leaves gets no requests after `DRAIN_S`.
-
-    Where other VMs call, the records don't tell which VM sent a request.
-    """
-    violations, exercised = [], 0
-    for since in history.arrivals if history.direct else ():
-        if since.leaving and _was_told(history, since):
-            count, late = _later_arrivals(
-                history, since, since.at_s + DRAIN_S, history.ended_s
-            )
-            exercised += count
-            violations += [f"{a.searcher}: {a.request_id}" for a in late]
-    return checker.CheckResult(exercised, violations)
-
-
-def paused_searchers(history: soak_history.History) -> checker.CheckResult:
-    """A searcher that asked for a pause gets at most two requests in it."""
-    violations, exercised = [], 0
-    for since in history.arrivals if history.direct else ():
-        if since.pause_s:
-            count, late = _later_arrivals(
-                history,
-                since,
-                since.at_s + PAUSE_GRACE_S,
-                since.at_s + since.pause_s,
-            )
-            exercised += count
-            if len(late) > MAX_IN_PAUSE:
-                violations.append(f"{since.searcher}: {len(late)} requests")
-    return checker.CheckResult(exercised, violations)
-
-
 def nothing_cut(history: soak_history.History) -> checker.CheckResult:
     """A process that stops gracefully still responds to earlier requests.
 
@@ -376,7 +260,7 @@
                 continue
             if any(
                 other.vm == record.vm
-                and _affects(other, record.sent_s, record.ended_s)
+                and soak_history.affects(other, record.sent_s, record.ended_s)
                 for other in unplanned
             ):
                 continue
@@ -397,7 +281,9 @@
         record
         for record in history.records
         if not record.caller_left
-        and is_undisturbed(history, record.vm, record.sent_s, record.ended_s)
+        and soak_history.is_undisturbed(
+            history, record.vm, record.sent_s, record.ended_s
+        )
     ]
     violations = [
         f"{record.vm} {record.request_id}:"
@@ -417,7 +303,7 @@
         for record in history.records
         if record.sent_s > last_s + RECOVERY_S
         and not record.caller_left
-        and record.kind != "version"
+        and record.kind not in ("version", "crash")
     ]
     served = sum(record.status == 200 for record in requests)
     violations = []
@@ -436,9 +322,11 @@
     "bounded-repeats": bounded_repeats,
     "never-back": never_back,
     "in-force": in_force,
-    "drained-searchers": drained_searchers,
-    "left-searchers": left_searchers,
-    "paused-searchers": paused_searchers,
+    "drained-searchers": searcher_promises.drained_searchers,
+    "left-searchers": searcher_promises.left_searchers,
+    "paused-searchers": searcher_promises.paused_searchers,
+    "limited-searchers": searcher_promises.limited_searchers,
+    "crashing-requests": searcher_promises.crashing_requests,
     "nothing-cut": nothing_cut,
     "answered-in-time": answered_in_time,
     "recovery": recovery,
--- a/bench/random_faults.py
+++ b/bench/random_faults.py
@@ -9,6 +9,7 @@
 import typing
 
 from bench import fleet
+from bench import searcher_faults
 from bench import soak_history
 from fakes import callers
 from fakes import link
@@ -34,6 +35,7 @@
     lambda: 1, stop=4, drain=3, storm=2, reshard=2, kill=2
 )
 FAULT_WEIGHTS |= {"pause": 3, "leave": 3, "restore": 2}
+FAULT_WEIGHTS |= {"limit": 5, "crashing": 4}
 #: Faults of a network link to a VM; None black-holes its open connections.
 LINK_FAULTS = (
     ("cut", link.Faults(cut=True)),
@@ -114,9 +116,21 @@
             self.records.append(await self.send_request(rng, caller, vm))
 
     async def send_request(
-        self, rng: random.Random, caller: callers.Caller, vm: fleet.Vm
+        self,
+        rng: random.Random,
+        caller: callers.Caller,
+        vm: fleet.Vm,
+        crashing: str = "",
     ) -> soak_history.Record:
-        """Sends one request and returns its record."""
+        """Sends one request and returns its record.
+
+        Args:
+            rng: Random generator of the request.
+            caller: Connection to use.
+            vm: VM that it leads to.
+            crashing: Path of a request that crashes searchers; if empty, a
+                random other request is sent.
+        """
         self.requests += 1
         request_id = f"r{self.requests}"
         kind = rng.choices(("query", "read", "save", "version"), (5, 3, 2, 2))[
@@ -125,10 +139,13 @@
         newest = max(self.running.versions)
         version = max(1, newest - rng.randrange(2))
         path = f"v{version}" if kind == "version" else kind
+        target = f"/{path}/x"
+        if crashing:
+            kind, target = "crash", crashing
         timeout_s = rng.choice((0.3, 1.0, 1.0))
         disconnects = rng.random() < 0.03
         raw = callers.encode_request(
-            fleet.HOST, f"/{path}/x", request_id, int(timeout_s * 1000)
+            fleet.HOST, target, request_id, int(timeout_s * 1000)
         )
         new_connection = caller.writer is None
         sent_s, start_count = self.loop.time(), vm.start_count
@@ -143,6 +160,7 @@
             *(timeout_s, *answer, version),
             caller_left=disconnects and not answer.status,
             new_connection=new_connection,
+            target=target,
         )
 
     # Faults
@@ -264,79 +282,6 @@
             vm_link.set_faults(link.Faults())
         self.record_fault(name, vm.name, started_s)
 
-    async def restart_searcher(self) -> None:
-        """Restarts a searcher under the same id."""
-        server = self.pick_searcher()
-        if server.searcher.name in self.drained:
-            return
-        started_s = self.loop.time()
-        await self.running.restart_searcher(server)
-        self.record_fault("born-again", "-", started_s)
-
-    async def degrade_searcher_link(self, change: link.Faults | None) -> None:
-        """Applies a fault to the link of a random searcher.
-
-        Args:
-            change: Faults to set on the link; None black-holes its open
-                connections.
-        """
-        server = self.pick_searcher()
-        started_s = self.loop.time()
-        if change is None:
-            server.link.silence()
-        else:
-            server.link.set_faults(change)
-            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
-            server.link.set_faults(link.Faults())
-        self.record_fault("searcher-link", "-", started_s)
-
-    async def degrade_searcher(self, *behaviours: str) -> None:
-        """Makes one searcher, or all searchers of a service, misbehave."""
-        server = self.pick_searcher()
-        affected = [server]
-        if self.rng.random() < 0.3:
-            names = self.running.searchers_of(server.service)
-            affected = [self.running.servers[name] for name in names]
-        started_s = self.loop.time()
-        behaviour = self.rng.choice(behaviours)
-        for target in affected:
-            target.behaviour = behaviour
-        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
-        for target in affected:
-            target.behaviour = "healthy"
-        self.record_fault(behaviour, "-", started_s)
-
-    async def drain(self) -> None:
-        """Replaces a searcher: adds a new one, drains and stops the old one."""
-        server = self.pick_searcher()
-        name = server.searcher.name
-        if name in self.drained:
-            return
-        started_s = self.loop.time()
-        await self.running.add_searcher(server.service)
-        self.drained[name] = self.loop.time()
-        self.running.list_searcher(name, "draining")
-        await asyncio.sleep(3.5)
-        self.running.store.delete("servers", name)
-        await server.searcher.stop()
-        await server.link.close()
-        self.record_fault("drain", "-", started_s)
-
-    async def leave(self) -> None:
-        """Makes a searcher say that it leaves, while it is listed as ready."""
-        server = self.pick_searcher()
-        name = server.searcher.name
-        if name in self.drained or server.leaving:
-            return
-        started_s, server.leaving = self.loop.time(), True
-        await self.running.add_searcher(server.service)
-        await asyncio.sleep(3.5)
-        self.drained[name] = self.loop.time()
-        self.running.store.delete("servers", name)
-        await server.searcher.stop()
-        await server.link.close()
-        self.record_fault("leave", "-", started_s)
-
     async def restore_store(self) -> None:
         """Makes the store come back from a copy some seconds old.
 
@@ -413,13 +358,15 @@
             ),
             "store-cut": lambda: self.partition_store(False),
             "store-silent": lambda: self.partition_store(True),
-            "link-cut": lambda: self.degrade_searcher_link(
-                link.Faults(cut=True)
+            "link-cut": lambda: searcher_faults.degrade_searcher_link(
+                self, link.Faults(cut=True)
             ),
-            "link-late": lambda: self.degrade_searcher_link(
-                link.Faults(delay_ms=60)
+            "link-late": lambda: searcher_faults.degrade_searcher_link(
+                self, link.Faults(delay_ms=60)
+            ),
+            "link-silent": lambda: searcher_faults.degrade_searcher_link(
+                self, None
             ),
-            "link-silent": lambda: self.degrade_searcher_link(None),
             **{
                 f"{attribute}-{name}": functools.partial(
                     self.degrade_vm_link,
@@ -430,15 +377,21 @@
                 for attribute in ("front", "exchange")
                 for name, change in LINK_FAULTS
             },
-            "born-again": self.restart_searcher,
-            "searcher": lambda: self.degrade_searcher(*BEHAVIOURS),
-            "endless": lambda: self.degrade_searcher(*ENDLESS_BEHAVIOURS),
-            "pause": lambda: self.degrade_searcher("pausing"),
-            "drain": self.drain,
+            "born-again": lambda: searcher_faults.restart_searcher(self),
+            "searcher": lambda: searcher_faults.degrade_searcher(
+                self, *BEHAVIOURS
+            ),
+            "endless": lambda: searcher_faults.degrade_searcher(
+                self, *ENDLESS_BEHAVIOURS
+            ),
+            "pause": lambda: searcher_faults.degrade_searcher(self, "pausing"),
+            "limit": lambda: searcher_faults.limit_searchers(self),
+            "crashing": lambda: searcher_faults.repeat_crashing_request(self),
+            "drain": lambda: searcher_faults.drain(self),
             "configure": lambda: self.configure(1),
             "storm": lambda: self.configure(5),
             "reshard": self.reshard,
-            "leave": self.leave,
+            "leave": lambda: searcher_faults.leave(self),
             "restore": self.restore_store,
         }
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,9 +1,10 @@
 """Soak test: runs gateway processes under random faults and load.
 
 Usage: `python -m bench.soak [--seed N] [--seeds N] [--minutes M]
-[--scenario NAME] [--lane N] [--regressions]`. Prints one JSON object for each
-case and a summary at the end, keeps the logs of failed cases, and exits with 1
-on a violation. Several processes can run in parallel if each uses its own lane.
+[--scenario NAME] [--fault NAME] [--lane N] [--regressions]`. Prints one JSON
+object for each case and a summary at the end, keeps the logs of failed cases,
+and exits with 1 on a violation. Several processes can run in parallel if each
+uses its own lane.
 """
 
 import argparse
@@ -34,6 +35,7 @@
     "direct": fleet.Shape(vms=4, shards=6),
     "owners": fleet.Shape(vms=5, shards=18, connections=6, retry_slack=200),
     "shared": fleet.Shape(vms=18, shards=9, connections=16, retry_slack=200),
+    "many": fleet.Shape(vms=60, shards=9, connections=40, retry_slack=200),
 }
 
 
@@ -165,6 +167,12 @@
     parser.add_argument("--regressions", action="store_true")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument(
+        "--fault",
+        action="append",
+        default=[],
+        help="name of a fault to inject instead of random ones; repeatable",
+    )
     parser.add_argument("--minutes", type=float, default=60.0)
     parser.add_argument("--scenario", action="append", choices=SHAPES)
     parser.add_argument(
@@ -173,7 +181,10 @@
     options = parser.parse_args(argv[1:])
     seeds = range(options.seed, options.seed + options.seeds)
     shapes = options.scenario or ["direct", "owners"]
-    cases = [Case(seed, shapes[seed % len(shapes)]) for seed in seeds]
+    cases = [
+        Case(seed, shapes[seed % len(shapes)], tuple(options.fault))
+        for seed in seeds
+    ]
     if options.regressions:
         cases = list(REGRESSIONS)
     # On SIGTERM, exit normally so that the gateway processes are stopped too.
--- a/bench/soak_history.py
+++ b/bench/soak_history.py
@@ -2,7 +2,18 @@
 
 import typing
 
-__all__ = ["Arrival", "FaultSpan", "History", "Record"]
+__all__ = [
+    "Arrival",
+    "FaultSpan",
+    "History",
+    "Record",
+    "affects",
+    "is_undisturbed",
+]
+
+#: Time without faults after which promises with a time limit hold for a VM, in
+#: seconds; the smallest such time of the deployments.
+SETTLE_S = 4.0
 
 
 class Arrival(typing.NamedTuple):
@@ -17,6 +28,10 @@
         leaving: Whether the searcher says in its response that it leaves.
         pause_s: Time in seconds for which the searcher, which refused the
             request, wants none; 0 if it didn't say.
+        limit: Requests per second that the searcher's responses name as its
+            limit; 0 for none.
+        crashes: Whether the request crashes the searcher, as the first one
+            that does.
     """
 
     request_id: str
@@ -26,13 +41,16 @@
     ran: bool
     leaving: bool = False
     pause_s: float = 0.0
+    limit: float = 0.0
+    crashes: bool = False
 
 
 class Record(typing.NamedTuple):
     """A request of a caller with its response.
 
     Attributes:
-        kind: "query", "read", "save" or "version".
+        kind: "query", "read", "save", "version" or "crash"; a request of the
+            last kind crashes the searchers that run it.
         request_id: Id of the request.
         vm: Name of the VM that the request was sent to.
         start_count: Number of processes that the VM had started when the
@@ -46,6 +64,7 @@
         version: Configuration version that a "version" request asked for.
         caller_left: Whether the caller disconnected before the response.
         new_connection: Whether the request opened a new connection.
+        target: Path of the request.
     """
 
     kind: str
@@ -61,6 +80,7 @@
     version: int = 0
     caller_left: bool = False
     new_connection: bool = False
+    target: str = ""
 
 
 class FaultSpan(typing.NamedTuple):
@@ -107,3 +127,18 @@
     retry_slack: int
     ended_s: float
     direct: bool = True
+
+
+def affects(span: FaultSpan, begin_s: float, end_s: float) -> bool:
+    """Returns whether a fault overlaps a period or ended shortly before it."""
+    return span.started_s <= end_s and span.ended_s + SETTLE_S >= begin_s
+
+
+def is_undisturbed(
+    history: History, vm: str, begin_s: float, end_s: float
+) -> bool:
+    """Returns whether no fault affected a VM in a period or before it."""
+    return not any(
+        span.vm in ("", vm) and affects(span, begin_s, end_s)
+        for span in history.fault_spans
+    )
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -128,6 +128,28 @@
             ],
         ),
     ),
+    (
+        "limited-searchers",
+        history(
+            [record()],
+            [arrival(at_s=10.0 + n / 8, limit=2.0) for n in range(80)],
+        ),
+    ),
+    (
+        "crashing-requests",
+        history(
+            [
+                record("crash", f"r{n}", target="/a", sent_s=10.0 + 2 * n)
+                for n in range(9)
+            ],
+            [
+                arrival(
+                    f"r{n}", searcher=f"s-{n}", at_s=10 + 2 * n, crashes=True
+                )
+                for n in range(9)
+            ],
+        ),
+    ),
     (
         "nothing-cut",
         history(
@@ -171,7 +193,8 @@
             [record(status=502), record(request_id="r2", sent_s=14.0)],
             [arrival(leaving=True), arrival("r2", at_s=14.0)],
         )
-        self.assertEqual(promises.left_searchers(row).violations, [])
+        result = promises.PROMISES["left-searchers"](row)
+        self.assertEqual(result.violations, [])
 
     def test_vms_with_faults_are_exempt(self):
         span = soak_history.FaultSpan("freeze", "vm-0", 9.0, 11.0)
@@ -185,3 +208,27 @@
             records=[record("version", version=1, sent_s=15.2, ended_s=15.3)]
         )
         self.assertTrue(promises.in_force(late).violations)
+
+    def test_requests_within_a_limit(self):
+        row = history(
+            [record()],
+            [arrival(at_s=10.0 + n / 2, limit=2.0) for n in range(40)],
+        )
+        result = promises.PROMISES["limited-searchers"](row)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.exercised, 20)
+
+    def test_crashing_request_that_is_refused(self):
+        row = history(
+            [
+                record("crash", f"r{n}", target="/a", sent_s=10.0 + 2 * n)
+                for n in range(9)
+            ],
+            [
+                arrival(f"r{n}", searcher=f"s-{n}", at_s=10 + n, crashes=True)
+                for n in range(3)
+            ],
+        )
+        result = promises.PROMISES["crashing-requests"](row)
+        self.assertEqual(result.violations, [])
+        self.assertEqual(result.exercised, 5)
