Count crashes of one moment once against a request

An attempt counts only if another searcher crashed under it, and requests that share all their crashes are told apart by attempts (four), not by crashes (six). test_attempts_that_lose_the_same_searchers_count_once fails without the change.

--- a/laurelrock/core/crash_suspects.py
+++ b/laurelrock/core/crash_suspects.py
@@ -18,11 +18,13 @@
     "create_suspect_table",
 ]
 
-#: Crashes and attempts from which a request is quarantined.
+#: Crashes and attempts from which a request is quarantined. Only attempts under
+#: which another searcher crashed count: several attempts of a popular request
+#: may lose the same searchers at once.
 MIN_CRASHES, MIN_ATTEMPTS = 3, 2
-#: Crashes from which a request is quarantined although another one ran at all
+#: Attempts from which a request is quarantined although another one ran at all
 #: of the same searchers.
-MAX_SHARED_CRASHES = 6
+MAX_SHARED_ATTEMPTS = 4
 #: Time for which evidence counts, in seconds, and for which it is remembered
 #: that a request was cleared.
 EVIDENCE_VALID_S = 60.0
@@ -74,7 +76,8 @@
     """What this VM knows about one request.
 
     Attributes:
-        attempts: Ids of attempts that got no answer.
+        attempts: Ids of attempts that got no answer and under which another
+            searcher crashed than before.
         crashed: Hashes of the starts of the searchers that crashed under them.
         last_s: Time of the last crash, in seconds.
         cleared_s: Time of the last answer, in seconds.
@@ -99,10 +102,11 @@
         at_s: float,
     ) -> bool:
         """Adds evidence; returns whether any of it is new."""
-        known = len(self.attempts) + len(self.crashed)
-        self.attempts.update(dict.fromkeys(attempts))
+        known = len(self.crashed)
         self.crashed.update(dict.fromkeys(crashed))
-        added = len(self.attempts) + len(self.crashed) > known
+        added = len(self.crashed) > known
+        if added:
+            self.attempts.update(dict.fromkeys(attempts))
         while len(self.attempts) > MAX_ATTEMPTS:
             del self.attempts[next(iter(self.attempts))]
         while len(self.crashed) > MAX_CRASHES:
@@ -268,7 +272,7 @@
         crashed = row.crashed.keys() - explained
         if len(crashed) < MIN_CRASHES:
             return False
-        if len(crashed) >= MAX_SHARED_CRASHES:
+        if len(row.attempts) >= MAX_SHARED_ATTEMPTS:
             return True
         return not any(crashed <= other.crashed.keys() for other in others)
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -376,9 +376,9 @@
     def test_crashes_of_one_attempt_do_not_suffice(self):
         self.assertFalse(self.crash(1, "a", "w", "x", "y", "z"))
 
-    def test_same_crash_counts_once(self):
+    def test_attempts_that_lose_the_same_searchers_count_once(self):
         for attempt in "abcd":
-            self.assertFalse(self.crash(1, attempt, "x", "y"))
+            self.assertFalse(self.crash(1, attempt, *"uvwxyz"))
 
     def test_answer_clears_a_request(self):
         self.crash(1, "a", "x", "y")
