Let one restore of the soak's store end before the next

The VMs' logs show that no VM ever had version 2: it was written while the store was away, and of two overlapping restores the second one came back from a copy without it and let the operator write version 1 again. On the platform, what operators wrote is written again, so that the case can't occur: restores wait for each other, and what is written while the store is away is kept to be written again.

--- a/bench/random_faults.py
+++ b/bench/random_faults.py
@@ -63,6 +63,7 @@
         ready: Names of the VMs that the load balancer sends callers to.
         busy: Names of the VMs whose process has a fault at present.
         stopped: Whether the callers should stop.
+        restoring: Held while the store comes back from a copy.
         requests: Number of requests sent so far.
     """
 
@@ -81,6 +82,7 @@
         self.ready = set(running.vms)
         self.busy: set[str] = set()
         self.stopped = False
+        self.restoring = asyncio.Lock()
         self.requests = 0
         self.loop = asyncio.get_running_loop()
 
@@ -285,15 +287,22 @@
     async def restore_store(self) -> None:
         """Makes the store come back from a copy some seconds old.
 
-        Its writers write what it lost again; deletions follow later.
+        Its writers write what it lost again; deletions follow later. A second
+        restore waits, since it would lose what they wrote again.
         """
+        async with self.restoring:
+            await self.restore_once()
+
+    async def restore_once(self) -> None:
+        """Makes the store come back from a copy once."""
         store = self.running.store
         started_s = self.loop.time()
         saved = store.copy()
         await asyncio.sleep(self.rng.uniform(*COPY_AGES_S))
-        present = store.copy()
         store.faults = objects.Faults(status=503)
         await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        # Operators may have written while the store was away.
+        present = store.copy()
         store.restore(saved)
         store.faults = objects.Faults()
         await asyncio.sleep(REWRITE_S)
