--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -177,15 +177,10 @@
         if not self.connections and not self.opening_count and not self.closed:
             self.start_connecting()
 
-    async def can_connect(self) -> bool:
-        """Tries to open a connection; returns whether that succeeded."""
+    async def try_connect(self) -> OSError | TimeoutError | None:
+        """Tries to open a connection; returns the failure, if any."""
         self.opening_count += 1
-        return await self.connect() is None
-
-    async def is_refused(self) -> bool:
-        """Tries to open a connection; returns whether nothing listens."""
-        self.opening_count += 1
-        return isinstance(await self.connect(), ConnectionRefusedError)
+        return await self.connect()
 
     def drop_idle(self) -> None:
         """Resets the idle connections, whose server may be unresponsive."""
@@ -211,10 +206,7 @@
         """Opens one connection and assigns a waiting call to it.
 
         If it fails, one waiting call fails when other connections are open,
-        otherwise all waiting calls fail.
-
-        Returns:
-            The failure, if any.
+        otherwise all waiting calls fail. Returns the failure, if any.
         """
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/laurelrock/gateways/crash_watch.py
+++ b/laurelrock/gateways/crash_watch.py
@@ -230,7 +230,9 @@
         present = self.known.by_id.get(searcher.id)
         if present is None or present.searcher.start != searcher.start:
             return True
-        return await upstream.client.is_refused()
+        # A searcher that merely resets connections still listens.
+        error = await upstream.client.try_connect()
+        return isinstance(error, ConnectionRefusedError)
 
     def may_report(self) -> bool:
         """Takes one of the reports that this VM may send; False if none."""
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -61,6 +61,9 @@
 #: VM has no configuration.
 UNCONFIGURED_RETRY_AFTER_S = 0.5
 
+#: Name and description of the histogram of latencies.
+LATENCY_METRIC = ("laurelrock_request_ms", "Latency of requests by outcome")
+
 BackgroundLoop = platform_follower.BackgroundLoop
 
 _log = logs.get_logger(__name__)
@@ -108,9 +111,7 @@
     ) -> None:
         self.deployment = options
         self.metrics = meters
-        self.latency = meters.histogram(
-            "laurelrock_request_ms", "Latency of requests by outcome"
-        )
+        self.latency = meters.histogram(*LATENCY_METRIC)
         self.platform = platform
         self.source = source
         self.loop = asyncio.get_running_loop()
@@ -122,42 +123,33 @@
         self.budget = retry_budget.create_budget(options.extra_call_policy)
         self.service_split = routes.WeightedSplit()
         row = create_vm_entry(options)
-        me, port = create_vm(row), options.peer_links_port
+        me = create_vm(row)
         self.peer_links = frames.create_peer_links(
-            peer_messages.KINDS,
-            self.handle_message,
-            self.link_ended,
-        )
-        self.lending = lending.create_lending(
-            self.budget, self.peer_links, me, port
+            peer_messages.KINDS, self.handle_message, self.link_ended
         )
+        messaging = (self.peer_links, me, options.peer_links_port)
+        self.lending = lending.create_lending(self.budget, *messaging)
         self.placement = parts.CallPlacer(
             self.calls, self.known, self.budget, self.lending.borrow
         )
         self.groups = shard_groups.create_shard_groups(
-            *(self.placement, platform, self.peer_links, me, port),
-            queries.run_single,
+            self.placement, platform, *messaging, queries.run_single
         )
         self.limit_sharing = limit_sharing.create_limit_sharing(
-            self.known, self.groups.assignment, self.peer_links, me, port
+            self.known, self.groups.assignment, *messaging
         )
         self.follower = platform_follower.PlatformFollower(
             *(source, row, self.known, self.apply_configuration),
             *(self.apply_vm_entries, self.share_searchers),
         )
         self.sharing = state_sharing.create_state_sharing(
-            self.follower, self.peer_links, me, port, self.set_vms
+            self.follower, *messaging, self.set_vms
         )
         self.crash_watch = crash_watch.create_crash_watch(
-            *(self.known, self.peer_links, me, port),
-            lambda message: self.peer_links.broadcast(
-                self.sharing.subscribers, message
-            ),
+            self.known, *messaging, self.sharing.relay
         )
         self.placement.crash_guard = self.crash_watch
-        self.vm_removal = vm_removal.create_vm_removal(
-            source, self.peer_links, me, port
-        )
+        self.vm_removal = vm_removal.create_vm_removal(source, *messaging)
         self.partition_detector = partition_detector.create_partition_detector(
             self.known, self.groups, self.follower, me
         )
--- a/laurelrock/gateways/state_sharing.py
+++ b/laurelrock/gateways/state_sharing.py
@@ -323,6 +323,10 @@
         """Sends an update to all subscribers."""
         self.peer_links.broadcast(self.subscribers, state)
 
+    def relay(self, message: typing.Any) -> None:
+        """Sends a message of another kind to all subscribers."""
+        self.peer_links.broadcast(self.subscribers, message)
+
     def share_configuration(self, configuration: routes.Configuration) -> None:
         """Sends a new configuration to subscribers."""
         age_s = self.known.age_s()
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -427,7 +427,7 @@
     async def probe_one(self, upstream: Upstream) -> None:
         """Opens a connection to an ejected searcher."""
         replica = upstream.replica
-        if await upstream.client.can_connect():
+        if await upstream.client.try_connect() is None:
             replica.probe_succeeded = True
             _log.info("searcher-probe-succeeded", searcher=replica.searcher.id)
         else:
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -167,12 +167,10 @@
     def drop_idle(self) -> None:
         """Does nothing: there are no idle connections."""
 
-    async def can_connect(self) -> bool:
-        return not await self.is_refused()
-
-    async def is_refused(self) -> bool:
+    async def try_connect(self) -> OSError | None:
         await asyncio.sleep(0.001)
-        return self.searcher in self.simulation.down
+        down = self.searcher in self.simulation.down
+        return ConnectionRefusedError() if down else None
 
     def call(self, encode, accept, bodiless=False) -> Call:
         loop = asyncio.get_running_loop()
