--- a/bench/soak.py
+++ b/bench/soak.py
@@ -65,6 +65,21 @@
             *("store-spoils", "watchers-forgotten", "storm"),
         ),
     ),
+    # A popular query was quarantined with one that crashed searchers.
+    Case(
+        5112,
+        "direct",
+        ("store-spoils", "crashing", "crashing", "leave", "limit"),
+    ),
+    # Overlapping restores of the store lost what operators had written again.
+    Case(
+        5212,
+        "direct",
+        (
+            *("pause", "limit", "stop", "drain", "restore", "restore"),
+            *("drain", "pause", "reshard"),
+        ),
+    ),
     # Abandoned polls did not release their connections.
     Case(
         107,
