--- a/fakes/shards.py
+++ b/fakes/shards.py
@@ -17,13 +17,15 @@
     "Request",
     "ScriptedResponse",
     "ScriptedSearcher",
+    "crash_on",
     "encode_response",
     "endless",
     "healthy",
+    "name_limit",
     "start",
 ]
 
-ConnectionEnd = typing.Literal["keep", "close", "reset", "hang"]
+ConnectionEnd = typing.Literal["keep", "close", "reset", "hang", "crash"]
 
 
 class Request(typing.NamedTuple):
@@ -45,7 +47,8 @@
 
     Attributes:
         chunks: Chunks of bytes to send, each with the seconds to wait before.
-        end: What happens to the connection after the chunks.
+        end: What happens to the connection after the chunks; "crash" ends the
+            searcher with all of its connections.
         endless: Bytes that are sent over and over after the chunks, until the
             client ends the connection; if empty, none are.
         pace_s: Seconds to wait before each repetition.
@@ -135,6 +138,8 @@
             self.endless_bytes += len(response.endless)
         if response.end == "hang":
             await asyncio.sleep(3600)
+        if response.end == "crash":
+            await self.stop()
         if response.end == "reset":
             sock = writer.get_extra_info("socket")
             linger = struct.pack("ii", 1, 0)
@@ -221,6 +226,40 @@
     )
 
 
+def crash_on(target: str, delay_s: float = 0.01) -> Script:
+    """Returns the script of a searcher that crashes if it runs a request.
+
+    Args:
+        target: Target of the request; other requests are answered.
+        delay_s: Time that the request runs before the searcher crashes, in
+            seconds.
+    """
+
+    def script(
+        searcher: ScriptedSearcher, request: Request
+    ) -> ScriptedResponse:
+        if request.target == target:
+            return ScriptedResponse(((delay_s, b""),), "crash")
+        return healthy(searcher, request)
+
+    return script
+
+
+def name_limit(per_s: float) -> Script:
+    """Returns the script of a searcher that names a limit of requests."""
+
+    def script(
+        searcher: ScriptedSearcher, request: Request
+    ) -> ScriptedResponse:
+        stamp = f"X-Server-Stamp: {searcher.name}.{request.id}"
+        limit = f"Server-Limit: {per_s}"
+        body = searcher.records or request.body
+        raw = encode_response(request, "200 OK", body, stamp, limit)
+        return ScriptedResponse(((0, raw),))
+
+    return script
+
+
 async def start(
     name: str = "s-1", script: Script = healthy, records: bytes = b""
 ) -> ScriptedSearcher:
