--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -55,6 +55,11 @@
 #: Time in seconds after which the platform removes a searcher that crashed, and
 #: after which the searcher is back.
 NOTICE_S, RESTART_S = 1.0, 3.0
+#: How a VM loses all searchers: packets vanish; connections are reset and new
+#: ones refused; or open connections live on while new ones are refused.
+CUT_KINDS = ("hang", "reset", "refuse")
+#: Time in seconds after which a connection that can't be opened is given up.
+CONNECT_TIMEOUT_S = 0.4
 #: Kinds of outcome where the searcher runs the request.
 EXECUTED_KINDS = frozenset(
     {"answer", "error", "broken", "silent", "unstamped", "leaving"}
@@ -141,7 +146,14 @@
 
 
 class Client:
-    """Fake of `http_client.Client`: one searcher of a simulation."""
+    """Fake of `http_client.Client`: one searcher of a simulation.
+
+    It has one connection, which carries any number of calls.
+
+    Attributes:
+        host: IP address of the VM that calls the searcher.
+        connected: Whether the connection is open.
+    """
 
     def __init__(
         self, simulation: "Simulation", service: str, searcher: str
@@ -149,11 +161,14 @@
         self.simulation = simulation
         self.service = service
         self.searcher = searcher
+        self.host = ""
+        self.connected = False
         self.limit = 2
         self.idle: list[object] = []
         self.connections: set[object] = set()
         self.opened = 0
         self.waiting_calls: list[Call] = []
+        self.calls_in_flight: set[Call] = set()
 
     def reject_waiting_calls(self, reason: str) -> None:
         for call in self.waiting_calls:
@@ -167,10 +182,28 @@
     def drop_idle(self) -> None:
         """Does nothing: there are no idle connections."""
 
-    async def try_connect(self) -> OSError | None:
+    @property
+    def cut(self) -> str:
+        """How the VM is cut from the searchers, one of `CUT_KINDS`, or ""."""
+        return self.simulation.cuts.get(self.host, "")
+
+    def begin_cut(self) -> None:
+        """Ends the calls in flight if the cut resets the connection."""
+        if self.cut == "reset":
+            self.connected = False
+            for call in list(self.calls_in_flight):
+                if not call.future.done():
+                    call.future.set_exception(errors.CallBrokenError("reset"))
+
+    async def try_connect(self) -> OSError | TimeoutError | None:
+        if self.cut == "hang":
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            return TimeoutError()
         await asyncio.sleep(0.001)
-        down = self.searcher in self.simulation.down
-        return ConnectionRefusedError() if down else None
+        if self.cut or self.searcher in self.simulation.down:
+            return ConnectionRefusedError()
+        self.connected = True
+        return None
 
     def call(self, encode, accept, bodiless=False) -> Call:
         loop = asyncio.get_running_loop()
@@ -179,6 +212,16 @@
         if self.searcher in self.simulation.down:
             loop.call_later(0.001, self.fail, call)
             return call
+        if self.cut and not self.connected:
+            delay_s = CONNECT_TIMEOUT_S if self.cut == "hang" else 0.001
+            loop.call_later(delay_s, self.fail, call)
+            return call
+        if self.cut == "hang":
+            # The call is written to a connection that is never used again.
+            call.sent, call.sent_at_s = True, loop.time()
+            self.connected = False
+            return call
+        self.connected = True
         behaviour = next(self.simulation.behaviours)
         if behaviour.kind == "unsent":
             loop.call_later(behaviour.delay_s, self.fail, call)
@@ -214,6 +257,10 @@
             )
         )
         simulation = self.simulation
+        self.calls_in_flight.add(call)
+        call.future.add_done_callback(
+            lambda _: self.calls_in_flight.discard(call)
+        )
         simulation.running[self.searcher].add(call)
         call.future.add_done_callback(
             lambda _: simulation.running[self.searcher].discard(call)
@@ -226,7 +273,7 @@
             )
 
     def respond(self, call: Call, kind, request_id, stamp, body) -> None:
-        if call.future.done():
+        if call.future.done() or self.cut == "hang":
             return
         if kind == "broken":
             call.future.set_exception(errors.CallBrokenError("reset"))
@@ -422,6 +469,8 @@
         running: Calls that searchers run, by searcher.
         limits: Requests per second that searchers name as their limit, by
             searcher.
+        cuts: How VMs are cut from all searchers, by IP address; see
+            `CUT_KINDS`.
         state_changes: Changes of searchers' states, in order.
         sent_bytes: Bytes of the messages that VMs sent, by VM.
         tasks: Coroutines that run in the background.
@@ -450,6 +499,7 @@
         self.crashes: list[tuple[str, float]] = []
         self.running: dict[str, set[Call]] = collections.defaultdict(set)
         self.limits: dict[str, float] = {}
+        self.cuts: dict[str, str] = {}
         self.state_changes: list[StateChange] = []
         self.sent_bytes: collections.Counter[str] = collections.Counter()
         self.tasks: set[asyncio.Task] = set()
@@ -471,6 +521,13 @@
         self.nodes_by_host[host] = node
         return node
 
+    def cut(self, kind: str, nodes: "list[GatewayNode]") -> None:
+        """Cuts VMs from all searchers; ends the cut if `kind` is empty."""
+        for node in nodes:
+            self.cuts[node.me.host] = kind
+            for upstream in node.known.by_id.values():
+                typing.cast(typing.Any, upstream.client).begin_cut()
+
     def crash(self, searcher: str) -> None:
         """Ends a searcher with all of its calls, and starts it again later.
 
@@ -516,10 +573,14 @@
         self.state_changes.append(
             StateChange(searcher, state, now_s, len(self.received_calls))
         )
+
+        def open_client(*_, **__) -> Client:
+            client = self.client_class(self, service, searcher)
+            client.host = node.me.host
+            return client
+
         with unittest.mock.patch.object(
-            http_client,
-            "open_client",
-            lambda *_, **__: self.client_class(self, service, searcher),
+            http_client, "open_client", open_client
         ):
             node.known.apply([registry.Change(searcher, row)], now_s)
 
--- /dev/null
+++ b/tests/test_isolated_vms.py
@@ -0,0 +1,163 @@
+"""Tests of VMs that reach no searcher but are reached by callers and VMs."""
+
+import asyncio
+import collections
+import random
+import typing
+import unittest
+
+from laurelrock.core import routes
+from tests import gateway_builders as build
+from tests import gateway_simulation as simulations
+from tests import gateways
+from tests import test_searcher_limits
+from tests import virtual_time
+
+#: Time in seconds from the start of a cut from which requests count.
+CONTACT_S = 4.0
+#: Least share of the requests served at isolated VMs, as a fraction of the
+#: others' share, and the requests that may fail at all VMs.
+SERVED_FRACTION = 2 / 3
+FAILED_FRACTION, FAILED_REQUESTS = 1 / 50, 10
+#: Start and end of the cuts, from the start of the load, in seconds.
+CUT_S, HEALED_S = 2.0, 12.0
+ANSWERED = [simulations.ScriptedCall("answer", 0.02)]
+SAVE = build.single_route(name="save", idempotent=False)
+ROUTES = (test_searcher_limits.QUERY, test_searcher_limits.READ, SAVE)
+
+
+class Ended(typing.NamedTuple):
+    """A request and how it ended.
+
+    Attributes:
+        isolated: Whether its VM is one of those that are cut.
+        route: Its route.
+        sent_s: When it was sent, from the start of the load, in seconds.
+        request_id: Its id.
+        status: The status of its answer.
+        seconds: The time that it took.
+    """
+
+    isolated: bool
+    route: routes.Route
+    sent_s: float
+    request_id: bytes
+    status: int
+    seconds: float
+
+
+class Played(typing.NamedTuple):
+    """Requests of a load, and the simulation in which they ran."""
+
+    simulation: simulations.Simulation
+    ended: list[Ended]
+
+
+Event = tuple[float, collections.abc.Callable[[simulations.Simulation], None]]
+
+
+async def play(
+    isolated: typing.Sequence[int],
+    events: typing.Sequence[Event],
+    load: test_searcher_limits.Load,
+    behaviours=ANSWERED,
+    seed: int = 1,
+) -> Played:
+    """Plays a load of queries, reads and saves at all VMs.
+
+    Args:
+        isolated: The numbers of the VMs that the events cut.
+        events: Functions that change the simulation, with their times in
+            seconds from the start of the load.
+        load: The load.
+        behaviours: How searchers respond.
+        seed: Seed of the times, VMs and routes of the requests.
+    """
+    rng = random.Random(seed)
+    loop = asyncio.get_running_loop()
+    simulation = test_searcher_limits.create_fleet(load, behaviours)
+    for node in simulation.nodes:
+        simulation.run(node.known.probe())
+    begun_s = loop.time()
+    for at_s, event in events:
+        loop.call_at(begun_s + at_s, event, simulation)
+
+    async def send(number: int, vm: int, route: routes.Route) -> Ended:
+        sent_s = loop.time()
+        request_id = b"r-%d" % number
+        target = b"/%d" % number
+        node = simulation.nodes[vm]
+        outcome = await node.run(route, request_id, 1.0, target)
+        return Ended(
+            *(vm in isolated, route, sent_s - begun_s, request_id),
+            *(outcome.status, loop.time() - sent_s),
+        )
+
+    tasks = []
+    while loop.time() < begun_s + load.seconds:
+        await asyncio.sleep(rng.expovariate(load.per_s))
+        route = rng.choices(ROUTES, (4, 2, 1))[0]
+        work = send(len(tasks), rng.randrange(load.vms), route)
+        tasks.append(asyncio.create_task(work))
+    return Played(simulation, list(await asyncio.gather(*tasks)))
+
+
+def cut(kind: str, numbers: typing.Iterable[int]):
+    """Returns an event that cuts some VMs from all searchers."""
+    return lambda simulation: simulation.cut(
+        kind, [simulation.nodes[n] for n in numbers]
+    )
+
+
+def during(
+    ended: list[Ended], begin_s: float, end_s: float, isolated: bool | None
+) -> list[Ended]:
+    """Returns the requests that were sent in a time, at some of the VMs."""
+    return [
+        row
+        for row in ended
+        if begin_s <= row.sent_s < end_s and isolated in (None, row.isolated)
+    ]
+
+
+def served_share(rows: list[Ended]) -> float:
+    """Returns the share of requests that were served."""
+    return sum(row.status == 200 for row in rows) / len(rows)
+
+
+#: Every VM calls all searchers, or owners of groups do.
+DIRECT = test_searcher_limits.Load(seconds=14.0)
+OWNERS = DIRECT._replace(vms=12, connections=8)
+
+
+class IsolatedVmsTest(unittest.TestCase):
+    def setUp(self):
+        self.enterContext(
+            gateways.capture_log_events(collections.deque(maxlen=1))
+        )
+
+    def play(self, isolated, kind, load, **fields):
+        events = [(CUT_S, cut(kind, isolated)), (HEALED_S, cut("", isolated))]
+        return virtual_time.run(play(isolated, events, load, **fields))
+
+    def check_recovery(self, played, begin_s=CUT_S + CONTACT_S, end_s=HEALED_S):
+        """Checks that isolated VMs serve about as well as the others."""
+        rows = during(played.ended, begin_s, end_s, isolated=True)
+        others = during(played.ended, begin_s, end_s, isolated=False)
+        self.assertGreater(len(rows), 100)
+        least = SERVED_FRACTION * served_share(others)
+        self.assertGreaterEqual(served_share(rows), least)
+        both = [*rows, *others]
+        failed = sum(row.status != 200 for row in both)
+        allowed = FAILED_REQUESTS + FAILED_FRACTION * len(both)
+        self.assertLessEqual(failed, allowed)
+
+    def test_vms_without_searchers_serve_through_other_vms(self):
+        for kind in simulations.CUT_KINDS:
+            with self.subTest(kind):
+                self.check_recovery(self.play(range(6), kind, DIRECT))
+
+    def test_isolated_owners_fail_no_queries_of_other_vms(self):
+        for kind in simulations.CUT_KINDS:
+            with self.subTest(kind):
+                self.check_recovery(self.play(range(8), kind, OWNERS))
