Pass requests on that a VM without searchers can't serve

On the grown sites the other VMs failed as well, since an owner that lost its searchers still accepted groups of shards.

Cause: who calls a searcher was decided by the list of VMs alone. A VM that calls all searchers itself had no way to let another VM do it, and an owner had no way to say that it can't. Evidence: all refusals from 5.6 s on say 'searchers of only 0 of 20 shards reachable' within a millisecond, while three other VMs serve 557 of 570. Ruled out: waiting for lost searchers (only in the first 1.5 s), and readiness alone (where most VMs of a failure domain are cut the balancer uses all of them again).

A VM now detects that it is isolated: no searcher has responded for 0.35 s and four have stopped to, or fewer have and it can't connect to others. It then calls none, ends the calls that may be repeated, reports not ready, and asks other VMs by the protocol of shard groups, with which a request is started by one VM only. It declines what others ask of it, also groups that it already runs; they ask the next owner, or one that stands in. Requests that were passed on are never passed on again: only the VM with the caller does that.

test_vm_that_was_partitioned_or_starts_learns_of_a_quarantine checked the 503 of a VM without any searchers after two crashes, which is no quarantine. It now crashes three searchers, gives the new VM searchers, and checks that it knows the quarantine and that no searcher crashes.

--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -120,6 +120,8 @@
         failure_rate: Moving average of call results, with 1 for a failure and 0
             for a success.
         unanswered: Number of consecutive calls without any response.
+        silent_since_s: Time of the first of these, in seconds; infinitely early
+            if there are none.
         ejections: Number of consecutive ejections; above 0 while it is ejected.
         next_probe_s: Loop time from which it may be probed, in seconds.
         probe_succeeded: Whether a probe has succeeded since its ejection.
@@ -145,6 +147,7 @@
         self.last_success_s = now_s
         self.failure_rate = 0.0
         self.unanswered = 0
+        self.silent_since_s = -math.inf
         self.ejections = 0
         self.next_probe_s = 0.0
         self.probe_succeeded = False
@@ -184,6 +187,7 @@
     def record_response(self) -> None:
         """Records any response, including errors, and ends an ejection."""
         self.unanswered = self.ejections = 0
+        self.silent_since_s = -math.inf
         self.probe_succeeded = False
 
     def record_no_response(self, now_s: float) -> bool:
@@ -192,6 +196,8 @@
         Returns:
             Whether the searcher is ejected by this call.
         """
+        if not self.unanswered:
+            self.silent_since_s = now_s
         self.unanswered += 1
         self.record_failure()
         if not self.ejections and self.unanswered < MAX_UNANSWERED:
@@ -330,6 +336,14 @@
     return any(accepts_work(row, now_s) and row.reachable for row in replicas)
 
 
+def any_connected(replicas: collections.abc.Iterable[Replica]) -> bool:
+    """Tells whether any searcher of a service responds, or isn't known not to.
+
+    Unlike `any_reachable`, it counts those that ask for no calls at present.
+    """
+    return any(stays(row) and row.reachable for row in replicas)
+
+
 def resume_in_s(
     replicas: collections.abc.Iterable[Replica], now_s: float
 ) -> float:
--- a/laurelrock/gateways/assignment.py
+++ b/laurelrock/gateways/assignment.py
@@ -5,6 +5,8 @@
 some VMs of each failure domain. The other VMs send requests to these.
 """
 
+import random
+
 from laurelrock.core import owners
 from laurelrock.core import routes
 from laurelrock.gateways import upstreams
@@ -116,6 +118,28 @@
             rows = self.rankings[key] = owners.rank(key, self.vms)
         return rows
 
+    def all_call(self, service: str) -> bool:
+        """Returns whether every VM calls the searchers of a service."""
+        if service in self.known.services and service not in self.known.sharded:
+            return not self.known.local_caller_count(service)
+        connections = self.known.service(service).connections
+        return owners.all_vms_can_call(connections, len(self.vms))
+
+    def owners_of(self, service: str) -> list[owners.Vm]:
+        """Returns the VMs that may call a service, in order of preference.
+
+        If every VM calls it, these are all others in random order, so that no
+        VM gets all requests that this one passes on.
+        """
+        if self.all_call(service):
+            others = [vm for vm in self.vms if vm != self.me]
+            return random.sample(others, len(others))
+        if service in self.known.services and service not in self.known.sharded:
+            local_count = self.known.local_caller_count(service)
+            rows = self.rank_owners(service, local_count)
+            return owners.rank_callers(service, rows, self.me)
+        return self.rank_owners(self.keys.get(service, service))
+
     def owners_to_ask(self, service: str) -> list[owners.Vm]:
         """Returns the VMs to ask for single requests, in order of preference.
 
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -133,6 +133,7 @@
     Attributes:
         upstream: The searcher that is called.
         kind: The name of the route, under which the latency is recorded.
+        idempotent: Whether the request may run more than once.
         call: The call in the HTTP client, sent or waiting for a connection.
         number: The number of the call among those of the searcher.
         limit: The limit of the searcher that counted the call, if any.
@@ -147,6 +148,7 @@
         self,
         upstream: upstreams.Upstream,
         kind: str,
+        idempotent: bool,
         call: http_client.Call,
         begun_s: float,
         limit_s: float,
@@ -155,6 +157,7 @@
     ) -> None:
         self.upstream = upstream
         self.kind = kind
+        self.idempotent = idempotent
         self.call = call
         self.number = upstream.replica.begin_call(begun_s)
         self.limit = upstream.replica.limit
@@ -238,6 +241,7 @@
         pending_call = PendingCall(
             upstream,
             context.route.name,
+            context.route.idempotent,
             call,
             now_s,
             context.end_s + TIMEOUT_MARGIN_S,
@@ -403,6 +407,12 @@
             probe_ms=round((replica.next_probe_s - now_s) * 1000),
         )
 
+    def withdraw_repeatable(self) -> None:
+        """Ends the calls whose requests may be sent to another searcher."""
+        for pending_call in list(self.in_flight):
+            if pending_call.idempotent or not pending_call.call.sent:
+                pending_call.call.abort()
+
     def sweep(self) -> None:
         """Ends the calls that are past their limit."""
         now_s = self.loop.time()
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -19,6 +19,7 @@
 from laurelrock.gateways import crash_watch
 from laurelrock.gateways import deployment
 from laurelrock.gateways import group_messages
+from laurelrock.gateways import isolation_detector
 from laurelrock.gateways import lending
 from laurelrock.gateways import limit_sharing
 from laurelrock.gateways import outcomes
@@ -94,6 +95,7 @@
         vm_removal: Removes VMs that are gone from the platform's list.
         partition_detector: Detects whether this VM reaches the other failure
             domains.
+        isolation_detector: Detects whether this VM has lost all searchers.
         peers: Queries to other VMs for their state.
         handlers: The handlers of messages from other VMs, by type.
         servers: The servers for callers, readiness, other VMs and metrics.
@@ -153,6 +155,9 @@
         self.partition_detector = partition_detector.create_partition_detector(
             self.known, self.groups, self.follower, me
         )
+        self.isolation_detector = isolation_detector.create_isolation_detector(
+            self.calls, self.groups
+        )
         self.peers = peers.create_peer_exchange(
             *(self.follower, options.peers, list(options.seeds)),
             self.set_vm_count,
@@ -171,6 +176,7 @@
             and self.follower.searchers_read
             and not self.stopping_s
             and not self.partition_detector.partitioned
+            and not self.known.isolated
         )
 
     def spawn(
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -92,4 +92,9 @@
         lambda: known.replies.held_bytes,
         "Bytes of searchers' answers that are being received",
     )
+    meters.gauge(
+        "laurelrock_isolated",
+        lambda: known.isolated,
+        "1 while no searcher responds to this VM",
+    )
     meters.gauge("laurelrock_vms", lambda: known.vms, "VMs that are listed")
--- a/laurelrock/gateways/group_messages.py
+++ b/laurelrock/gateways/group_messages.py
@@ -12,6 +12,7 @@
 __all__ = [
     "KINDS",
     "CancelGroup",
+    "DeclineReason",
     "GroupAccepted",
     "GroupDeclined",
     "GroupRequest",
@@ -87,10 +88,22 @@
     resume_in_s: float = 0.0
 
 
+DeclineReason = typing.Literal["stopping", "isolated", "disconnected"]
+
+
 class GroupDeclined(typing.NamedTuple):
-    """Says that the owner accepts no more groups because it is stopping."""
+    """Says that a VM doesn't run a group, or no longer does.
+
+    A group that was started is declined only if it may run again elsewhere.
+
+    Attributes:
+        number: The number of the group.
+        reason: Whether the VM is stopping, has lost all searchers, or has lost
+            those of the group.
+    """
 
     number: int
+    reason: DeclineReason = "stopping"
 
 
 class StartGroup(typing.NamedTuple):
--- /dev/null
+++ b/laurelrock/gateways/isolation_detector.py
@@ -0,0 +1,143 @@
+"""Detects whether this VM has lost all searchers while others may reach them.
+
+An isolated VM calls no searcher. It passes requests on to other VMs, declines
+those that other VMs pass on, and reports not ready. It tries to connect to a
+few searchers until one accepts. If the evidence is unclear, it tries first.
+"""
+
+import asyncio
+import random
+
+from laurelrock.adapters import logs
+from laurelrock.core import isolation
+from laurelrock.gateways import calls
+from laurelrock.gateways import shard_groups
+
+__all__ = ["IsolationDetector", "create_isolation_detector"]
+
+#: Interval in seconds at which a VM looks for lost searchers.
+CHECK_INTERVAL_S = 0.1
+#: Delay of a check in seconds from which the process itself stood still, so
+#: that responses may wait to be read.
+MAX_DELAY_S = 0.1
+#: Number of searchers that a VM tries to connect to at a time.
+PROBES = 4
+
+_log = logs.get_logger(__name__)
+
+
+class IsolationDetector:
+    """State of the detection.
+
+    Attributes:
+        calls: The calls in flight.
+        known: The searchers.
+        groups: The groups of shards that this VM runs for others.
+        reached_s: Loop time at which this VM last connected to a searcher in
+            order to find out whether it is isolated, in seconds.
+        counts: The number of isolations, and of checks that were skipped, for
+            the metrics.
+    """
+
+    def __init__(
+        self, in_flight: calls.Calls, groups: shard_groups.ShardGroups
+    ) -> None:
+        self.calls = in_flight
+        self.known = in_flight.upstreams
+        self.groups = groups
+        self.loop = asyncio.get_running_loop()
+        self.reached_s = self.loop.time()
+        self.counts = {"isolated": 0, "probed": 0, "skipped": 0}
+
+    async def run(self) -> None:
+        """Checks for lost searchers, forever."""
+        while True:
+            due_s = self.loop.time() + CHECK_INTERVAL_S
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            if self.known.isolated:
+                if await self.reaches_any():
+                    self.end()
+            elif self.loop.time() - due_s > MAX_DELAY_S:
+                self.counts["skipped"] += 1
+            else:
+                await self.check()
+
+    async def check(self) -> None:
+        """Checks once whether this VM is isolated."""
+        evidence = self.evidence()
+        verdict = isolation.judge(evidence)
+        if verdict is isolation.Verdict.REACHES:
+            return
+        if verdict is isolation.Verdict.UNCLEAR and await self.reaches_any():
+            return
+        self.begin(evidence)
+
+    def begin(self, evidence: isolation.Evidence) -> None:
+        """Stops to call searchers."""
+        self.counts["isolated"] += 1
+        self.known.isolated = True
+        _log.warning(
+            "isolated",
+            silent=evidence.silent,
+            quiet_ms=round(evidence.quiet_s * 1000),
+            calls=len(self.calls.in_flight),
+            groups=len(self.groups.serving),
+        )
+        self.groups.decline_running()
+        self.calls.withdraw_repeatable()
+
+    def evidence(self) -> isolation.Evidence:
+        """Returns what this VM sees of its searchers."""
+        now_s = self.loop.time()
+        rows = self.known.by_id.values()
+        newest_s = max((row.replica.last_success_s for row in rows), default=0)
+        since_s = max(newest_s, self.reached_s)
+        quiet_s = now_s - since_s
+        if quiet_s <= isolation.QUIET_S:
+            return isolation.Evidence(quiet_s, 0)
+        silent = {
+            row.searcher.id
+            for row in rows
+            if row.replica.silent_since_s > since_s
+        }
+        typical = self.known.typical_latencies
+        for pending_call in self.calls.in_flight:
+            # Calls that began long before the last response wait for a searcher
+            # that was down before.
+            age_s = now_s - pending_call.begun_s
+            late_after_s = typical[pending_call.kind].late_after_s
+            if age_s < quiet_s + isolation.QUIET_S and isolation.is_overdue(
+                age_s, late_after_s
+            ):
+                silent.add(pending_call.upstream.searcher.id)
+        return isolation.Evidence(quiet_s, len(silent))
+
+    async def reaches_any(self) -> bool:
+        """Tries to connect to some searchers; returns whether one accepts."""
+        self.counts["probed"] += 1
+        rows = list(self.known.by_id.values())
+        chosen = random.sample(rows, min(PROBES, len(rows)))
+        failures = await asyncio.gather(
+            *[row.client.try_connect() for row in chosen]
+        )
+        for row, failure in zip(chosen, failures, strict=True):
+            # Searchers that other VMs call have no connection to spare.
+            if failure is None and not row.replica.call_count:
+                row.client.drop_idle()
+        if all(failures):
+            return False
+        self.reached_s = self.loop.time()
+        return True
+
+    def end(self) -> None:
+        """Calls searchers again."""
+        self.known.isolated = False
+        self.known.probe_all_now()
+        _log.warning("isolation-ended")
+
+
+def create_isolation_detector(
+    in_flight: calls.Calls, groups: shard_groups.ShardGroups
+) -> IsolationDetector:
+    """Returns the state of a VM that reaches its searchers."""
+    return IsolationDetector(in_flight, groups)
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -170,6 +170,8 @@
 
     def candidates(self, part: Part) -> list[upstreams.Upstream]:
         """Returns the usable searchers that a part hasn't called yet."""
+        if self.known.isolated:
+            return []
         rows = {
             row.replica: row
             for row in self.known.searchers_of(part.service)
@@ -180,10 +182,7 @@
 
     def reachable(self, service: str) -> bool:
         """Returns whether any searcher of a service may be reached."""
-        return replicas.any_reachable(
-            (row.replica for row in self.known.searchers_of(service)),
-            self.calls.loop.time(),
-        )
+        return self.known.reachable(service, self.calls.loop.time())
 
     def resume_in_s(self, service: str) -> float:
         """Returns the time until a service accepts calls, in seconds."""
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -80,6 +80,13 @@
         """Abandons all parts that this VM calls."""
         for part in self.own_parts:
             part.abandon(now_s)
+        self.open_parts = 0
+
+    def missing_own_services(self) -> tuple[str, ...]:
+        """Returns the services that this VM called without an answer."""
+        return tuple(
+            part.service for part in self.own_parts if part.answer is None
+        )
 
     def missing(self) -> tuple[str, ...]:
         """Returns the shards without an answer, with the reason if known."""
@@ -158,10 +165,13 @@
     route = context.route
     count = len(route.shards)
     reachable = group_state.reachability.reachable(route)
-    if reachable < route.min_shards:
-        return refuse_unreachable(route, reachable, placement, group_state)
     schedule = create_schedule(context, link_bytes_per_s)
     own, remote = group_state.split_shards(route)
+    if reachable < route.min_shards:
+        needed = route.min_shards - (count - len(own))
+        if not group_state.selection.passes_on(own, needed):
+            return refuse_unreachable(route, reachable, placement, group_state)
+        own, remote = (), [*remote, own]
     if not remote:
         outcome = check_overload(route, placement)
         if outcome is not None:
@@ -177,6 +187,17 @@
         start_parts(progress, placement)
         typical = placement.known.typical_latencies[route.name]
         await wait_until_ready(progress, placement, schedule, typical)
+        missing = progress.missing_own_services()
+        needed = route.min_shards - progress.answered
+        if (
+            placement.calls.loop.time() < context.end_s
+            and group_state.selection.passes_on(missing, needed)
+        ):
+            progress.abandon(placement.calls.loop.time())
+            progress.groups += group_state.ask_groups(
+                context, missing, schedule.partial_at_s, progress.changed.set
+            )
+            await wait_until_ready(progress, placement, schedule, typical)
     finally:
         progress.abandon(placement.calls.loop.time())
         for group in progress.groups:
--- a/laurelrock/gateways/reachability_reports.py
+++ b/laurelrock/gateways/reachability_reports.py
@@ -111,8 +111,11 @@
             return len(route.shards) - self.count_unreachable(route.shards)
         unreachable = 0
         for group in owners.split_into_groups(route.shards):
-            if self.owner_of(group) == self.assignment.me:
+            owner = self.owner_of(group)
+            if owner == self.assignment.me:
                 unreachable += self.count_unreachable(group)
+            elif owner is None and self.placement.known.isolated:
+                unreachable += len(group)
             else:
                 report = self.recent_report(group[0])
                 unreachable += report.unreachable if report else 0
--- a/laurelrock/gateways/remote_groups.py
+++ b/laurelrock/gateways/remote_groups.py
@@ -81,6 +81,15 @@
             self.timer.cancel()
             self.timer = None
 
+    def restart(self) -> None:
+        """Lets another VM run the services that haven't completed."""
+        self.started = False
+        self.services = tuple(
+            name for name in self.services if name in self.missing
+        )
+        self.pending = len(self.services)
+        self.unreachable = 0
+
     def finish(self) -> None:
         """Ends the group; nothing more is received."""
         self.stop_timer()
--- a/laurelrock/gateways/runner.py
+++ b/laurelrock/gateways/runner.py
@@ -52,6 +52,7 @@
         opened.peers.run,
         opened.known.probe,
         opened.partition_detector.run,
+        opened.isolation_detector.run,
     ):
         opened.spawn_loop(run_loop)
 
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -22,6 +22,7 @@
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import group_runs
 from laurelrock.gateways import outcomes
+from laurelrock.gateways import owner_selection
 from laurelrock.gateways import parts
 from laurelrock.gateways import reachability_reports
 from laurelrock.gateways import remote_groups
@@ -35,8 +36,9 @@
 #: Time in seconds before the objective at which an owner sends the parts that
 #: completed.
 EARLY_SEND_S = 0.004
-#: Time in seconds in which a pinged owner has to reply. No caller waits for it.
-PONG_TIMEOUT_S = 0.3
+
+#: Name of the tasks that run a group which may run again elsewhere.
+REPEATABLE = "repeatable"
 
 _log = logs.get_logger(__name__)
 
@@ -64,7 +66,7 @@
         offered: The groups that this VM was asked for and not yet told to
             start, with the loop time of the request.
         serving: The groups that this VM runs, by link and number.
-        unresponsive: The owners that are skipped until they reply, by name.
+        selection: Chooses the VMs that are asked.
         last_number: The number of the last group that was asked for.
         stopping: Whether this VM accepts no more groups.
         counts: The number of events by kind, for the metrics.
@@ -83,8 +85,11 @@
         self.platform = platform
         self.run_single = run_single
         self.assignment = assignment.create_assignment(placement.known, me)
+        self.selection = owner_selection.create_owner_selection(
+            self.assignment, self.send
+        )
         self.reachability = reachability_reports.create_reachability_reports(
-            placement, self.assignment, self.owner_of, self.send
+            placement, self.assignment, self.selection.owner_of, self.send
         )
         self.me = me
         self.port = port
@@ -96,13 +101,13 @@
             tuple[group_messages.Link, int],
             tuple[group_messages.GroupRequest, float],
         ] = {}
-        self.unresponsive: dict[str, remote_groups.UnresponsiveOwner] = {}
         self.last_number = 0
         self.stopping = False
         self.counts = {
             "asked": 0,
             "declined": 0,
             "lost": 0,
+            "lost-searchers": 0,
             "served": 0,
             "silent": 0,
         }
@@ -119,25 +124,12 @@
         own: list[str] = []
         others = []
         for group in owners.split_into_groups(route.shards):
-            if self.owner_of(group) == self.me:
+            if self.selection.owner_of(group) == self.me:
                 own += group
             else:
                 others.append(group)
         return tuple(own), others
 
-    def first_owner(
-        self, candidates: list[owners.Vm], tried: set[str]
-    ) -> owners.Vm | None:
-        """Returns the owner to ask; None if all were asked or don't respond."""
-        for vm in candidates:
-            if vm.name not in tried and vm.name not in self.unresponsive:
-                return vm
-        return None
-
-    def owner_of(self, group: tuple[str, ...]) -> owners.Vm | None:
-        """Returns the owner of a group that is asked first."""
-        return self.first_owner(self.assignment.rank_owners(group[0]), set())
-
     def send(self, vm: owners.Vm, message: typing.Any) -> None:
         """Sends a message to a VM."""
         self.peer_links.link((vm.host, self.port)).send(message)
@@ -152,13 +144,30 @@
         on_change: collections.abc.Callable[[], None],
     ) -> remote_groups.RemoteGroup:
         """Asks the owners of a group to run it."""
-        candidates = self.assignment.rank_owners(services[0])
+        candidates = self.assignment.owners_of(services[0])
         group = remote_groups.RemoteGroup(
             context, services, candidates, due_s, on_change
         )
         self.ask_next(group)
         return group
 
+    def ask_groups(
+        self,
+        context: calls.RequestContext,
+        services: tuple[str, ...],
+        due_s: float,
+        on_change: collections.abc.Callable[[], None],
+    ) -> list[remote_groups.RemoteGroup]:
+        """Asks other VMs to call services that this VM can't reach."""
+        by_key: dict[str | None, list[str]] = {}
+        for name in services:
+            key = self.assignment.keys.get(name)
+            by_key.setdefault(key, []).append(name)
+        return [
+            self.ask(context, tuple(names), due_s, on_change)
+            for names in by_key.values()
+        ]
+
     def ask_single(
         self,
         context: calls.RequestContext,
@@ -176,8 +185,14 @@
 
     def ask_next(self, group: remote_groups.RemoteGroup) -> None:
         """Asks the next owner, with this VM itself as the last one."""
-        vm = self.first_owner(group.owners, group.tried)
-        if vm is None and self.me.name not in group.tried:
+        vm = self.selection.first_owner(
+            group.owners, group.tried, group.services[0]
+        )
+        if (
+            vm is None
+            and self.me.name not in group.tried
+            and not self.placement.known.isolated
+        ):
             vm = self.me
         if vm is None:
             group.finish()
@@ -221,44 +236,17 @@
 
     def handle_accept_timeout(self, group: remote_groups.RemoteGroup) -> None:
         """Skips an owner that didn't accept a group in time."""
-        self.mark_unresponsive(group.owner, "silent")
+        self.skip(group.owner, "silent")
         if group.link is not None:
             group.link.send(group_messages.CancelGroup(group.number))
         self.remote.pop(group.number, None)
         self.ask_next(group)
 
-    def mark_unresponsive(self, vm: owners.Vm | None, cause: str) -> None:
-        """Skips an owner from now on, and pings it until it replies."""
-        if vm is None or vm == self.me:
-            return
-        self.counts[cause] += 1
-        if vm.name not in self.unresponsive:
-            self.unresponsive[vm.name] = remote_groups.UnresponsiveOwner(vm)
-            _log.info("owner-unresponsive", owner=vm.name, reason=cause)
-            self.ping_later(self.unresponsive[vm.name])
-
-    def ping_later(self, owner: remote_groups.UnresponsiveOwner) -> None:
-        """Schedules the next ping of an unresponsive owner."""
-        owner.timer = self.loop.call_later(
-            owner.next_interval_s(), self.ping, owner
-        )
-
-    def ping(self, owner: remote_groups.UnresponsiveOwner) -> None:
-        """Pings an unresponsive owner."""
-        if owner.vm not in self.assignment.vms:
-            self.unresponsive.pop(owner.vm.name, None)
-            return
-        self.send(owner.vm, group_messages.Ping(self.me.name))
-        owner.timer = self.loop.call_later(
-            PONG_TIMEOUT_S, self.ping_later, owner
-        )
-
-    def mark_responsive(self, name: str) -> None:
-        """Marks an owner that responds again."""
-        row = self.unresponsive.pop(name, None)
-        if row is not None:
-            row.stop_timer()
-            _log.info("owner-responsive", owner=name)
+    def skip(self, vm: owners.Vm | None, cause: str) -> None:
+        """Counts an owner that didn't respond, and skips it from now on."""
+        if vm is not None and vm != self.me:
+            self.counts[cause] += 1
+            self.selection.mark_unresponsive(vm, cause)
 
     def drop(self, group: remote_groups.RemoteGroup) -> None:
         """Cancels a group whose result is no longer needed."""
@@ -285,7 +273,7 @@
             if not self.stopping:
                 link.send(group_messages.Pong(self.me.name))
         elif isinstance(message, group_messages.Pong):
-            self.mark_responsive(message.owner)
+            self.selection.mark_responsive(message.owner)
         elif isinstance(message, group_messages.ReachabilityQuery):
             link.send(self.reachability.answer(message))
         elif isinstance(message, group_messages.ReachabilityReport):
@@ -299,8 +287,11 @@
         group_request: group_messages.GroupRequest,
     ) -> None:
         """Accepts or declines a group."""
-        if self.stopping and link is not self.loopback:
-            link.send(group_messages.GroupDeclined(group_request.number))
+        reason = self.decline_reason(group_request)
+        if reason is not None and link is not self.loopback:
+            link.send(
+                group_messages.GroupDeclined(group_request.number, reason)
+            )
             return
         self.offered[link, group_request.number] = (
             group_request,
@@ -318,13 +309,37 @@
             )
         )
 
+    def decline_reason(
+        self, group_request: group_messages.GroupRequest
+    ) -> group_messages.DeclineReason | None:
+        """Returns why this VM can't run a group; None if it can."""
+        if self.stopping:
+            return "stopping"
+        if self.placement.known.isolated:
+            return "isolated"
+        services = group_request.services
+        if not self.assignment.all_call(services[0]):
+            return None
+        # The VM that asks calls these searchers itself, but has lost too many
+        # of them and looks for one that hasn't.
+        connected = sum(map(self.placement.known.connected, services))
+        return None if 2 * connected > len(services) else "disconnected"
+
+    def decline_running(self) -> None:
+        """Declines the groups that this VM runs and others can run again."""
+        for (link, number), task in list(self.serving.items()):
+            if link is not self.loopback and task.get_name() == REPEATABLE:
+                task.cancel()
+                link.send(group_messages.GroupDeclined(number, "isolated"))
+
     def start_offered(self, link: group_messages.Link, number: int) -> None:
         """Starts to run a group that this VM accepted."""
         key = (link, number)
         offer = self.offered.pop(key, None)
         if offer is None:
             return
-        task = self.loop.create_task(self.serve(link, *offer))
+        name = REPEATABLE if offer[0].idempotent else None
+        task = self.loop.create_task(self.serve(link, *offer), name=name)
         self.serving[key] = task
         task.add_done_callback(lambda _: self.serving.pop(key, None))
 
@@ -341,12 +356,10 @@
             return
         group.stop_timer()
         if isinstance(message, group_messages.GroupDeclined):
-            self.mark_unresponsive(group.owner, "declined")
-            del self.remote[message.number]
-            self.ask_next(group)
+            self.handle_decline(group, message.reason)
             return
         if group.owner is not None:
-            self.mark_responsive(group.owner.name)
+            self.selection.mark_responsive(group.owner.name)
         if isinstance(message, group_messages.GroupAccepted):
             self.start_remote(group, message)
             return
@@ -367,6 +380,23 @@
             del self.remote[message.number]
         group.on_change()
 
+    def handle_decline(
+        self,
+        group: remote_groups.RemoteGroup,
+        reason: group_messages.DeclineReason,
+    ) -> None:
+        """Asks the next VM for a group that an owner declined."""
+        if reason == "stopping":
+            self.skip(group.owner, "declined")
+        elif group.owner is not None:
+            service = "" if reason == "isolated" else group.services[0]
+            self.selection.mark_lost(group.owner, service)
+            self.counts["lost-searchers"] += 1
+        del self.remote[group.number]
+        if group.started:
+            group.restart()
+        self.ask_next(group)
+
     def start_remote(
         self,
         group: remote_groups.RemoteGroup,
@@ -377,7 +407,8 @@
             return
         group.started = True
         group.link.send(group_messages.StartGroup(group.number))
-        if not group.single:
+        owned = not self.assignment.all_call(group.services[0])
+        if owned and not group.single:
             self.reachability.record(
                 group_messages.ReachabilityReport(
                     group.services[0],
@@ -386,6 +417,7 @@
                     accepted.resume_in_s,
                 )
             )
+        if not group.single:
             group.unreachable = accepted.unreachable
             group.on_change()
 
@@ -394,7 +426,7 @@
         for group in [row for row in self.remote.values() if row.link is link]:
             del self.remote[group.number]
             group.stop_timer()
-            self.mark_unresponsive(group.owner, "lost")
+            self.skip(group.owner, "lost")
             if group.started:
                 group.finish()
             else:
--- a/laurelrock/gateways/single_requests.py
+++ b/laurelrock/gateways/single_requests.py
@@ -34,11 +34,34 @@
         group_state: The other VMs, which may call instead.
     """
     candidates = group_state.assignment.owners_to_ask(service)
-    if not candidates:
-        return await queries.run_single(context, service, placement)
+    if candidates:
+        return await ask(context, service, candidates, group_state)
+    selection = group_state.selection
+    if selection.passes_on((service,), 1):
+        refusal = placement.begin_request(context)
+        if refusal is not None:
+            return refusal
+    else:
+        outcome = await queries.run_single(context, service, placement)
+        if not (
+            may_run_again(context, outcome)
+            and group_state.loop.time() < context.end_s
+            and selection.passes_on((service,), 1)
+        ):
+            return outcome
+    candidates = group_state.assignment.owners_of(service)
     return await ask(context, service, candidates, group_state)
 
 
+def may_run_again(
+    context: calls.RequestContext, outcome: outcomes.Outcome
+) -> bool:
+    """Returns whether another VM may run a request that ended here."""
+    if outcome.reply is not None or outcome.kind == "answered":
+        return False
+    return outcome.kind == "refused" or context.route.idempotent
+
+
 async def ask(
     context: calls.RequestContext,
     service: str,
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -95,6 +95,7 @@
         limited: The searchers that named a limit of requests, by id.
         demands: The rates at which requests need the services of these, by
             service.
+        isolated: Whether this VM has lost all searchers.
         share_of: Returns this VM's share of a searcher's limit, given the
             requests per second that the searcher takes from all VMs.
     """
@@ -122,6 +123,7 @@
         self.opened = 0
         self.limited: dict[str, Upstream] = {}
         self.demands: dict[str, event_rate.EventRate] = {}
+        self.isolated = False
         self.share_of: ShareOf = self.equal_share
 
     def is_local(self, replica: replicas.Replica) -> bool:
@@ -132,6 +134,21 @@
         """Returns the searchers of a service."""
         return self.by_service.get(service, {}).values()
 
+    def reachable(self, service: str, now_s: float) -> bool:
+        """Returns whether any searcher of a service may be reached."""
+        rows = (row.replica for row in self.searchers_of(service))
+        return not self.isolated and replicas.any_reachable(rows, now_s)
+
+    def connected(self, service: str) -> bool:
+        """Returns whether any searcher of a service responds to this VM."""
+        rows = (row.replica for row in self.searchers_of(service))
+        return not self.isolated and replicas.any_connected(rows)
+
+    def probe_all_now(self) -> None:
+        """Makes the probes of all ejected searchers due."""
+        for upstream in self.by_id.values():
+            upstream.replica.next_probe_s = 0.0
+
     def backlog(self, service: str, now_s: float) -> throughput.Backlog:
         """Returns the calls ahead of a new one at a service."""
         ahead = sum(
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -24,6 +24,7 @@
 from laurelrock.core import routes
 from laurelrock.gateways import calls
 from laurelrock.gateways import crash_watch
+from laurelrock.gateways import isolation_detector
 from laurelrock.gateways import lending
 from laurelrock.gateways import limit_sharing
 from laurelrock.gateways import outcomes
@@ -362,6 +363,9 @@
         self.limit_sharing = limit_sharing.create_limit_sharing(
             self.known, self.groups.assignment, self, me, PORT
         )
+        self.isolation_detector = isolation_detector.create_isolation_detector(
+            self.calls, self.groups
+        )
         self.crash_watch = crash_watch.create_crash_watch(
             *(self.known, self, me, PORT), self.relay
         )
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -15,7 +15,9 @@
 from laurelrock.gateways import calls
 from laurelrock.gateways import crash_watch
 from laurelrock.gateways import gateway
+from laurelrock.gateways import isolation_detector
 from laurelrock.gateways import lending
+from laurelrock.gateways import owner_selection
 from laurelrock.gateways import partition_detector
 from laurelrock.gateways import parts
 from laurelrock.gateways import peers
@@ -45,7 +47,7 @@
         gateway,
         shard_groups,
     ),
-    *(crash_watch, lending),
+    *(crash_watch, isolation_detector, lending, owner_selection),
     *(parts, peers, partition_detector, state_sharing, upstreams, store),
 )
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -312,16 +312,24 @@
 
         async def start_one():
             simulation = create_fleet(load)
+            # Each attempt crashes a searcher, if one of the service is up.
             for number in range(3):
                 node = simulation.nodes[number]
                 await node.run(ONCE, b"p-%d" % number, 1.0, POISON)
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(simulations.RESTART_S + 0.1)
             node = simulation.add_node(9, "a", 10)
+            for number in range(4):
+                simulation.change_searcher(node, f"files-{number}", "live")
             node.set_vms([row.me for row in simulation.nodes])
             await asyncio.sleep(0.01)
-            return await node.run(ONCE, b"p-9", 1.0, POISON)
+            crashes = len(simulation.crashes)
+            outcome = await node.run(ONCE, b"p-9", 1.0, POISON)
+            return node, outcome, len(simulation.crashes) - crashes
 
-        self.assertEqual(virtual_time.run(start_one()).status, 503)
+        node, outcome, crashes = virtual_time.run(start_one())
+        rows = node.crash_watch.table.rows.values()
+        self.assertEqual([row.quarantines for row in rows], [1])
+        self.assertEqual((outcome.status, crashes), (503, 0))
 
     def test_large_fleet_is_told_through_the_vms_with_subscribers(self):
         async def tell():
--- a/tests/test_isolated_vms.py
+++ b/tests/test_isolated_vms.py
@@ -78,6 +78,7 @@
     simulation = test_searcher_limits.create_fleet(load, behaviours)
     for node in simulation.nodes:
         simulation.run(node.known.probe())
+        simulation.run(node.isolation_detector.run())
     begun_s = loop.time()
     for at_s, event in events:
         loop.call_at(begun_s + at_s, event, simulation)
--- a/tests/test_shard_groups.py
+++ b/tests/test_shard_groups.py
@@ -220,6 +220,6 @@
                 [node.me for node in simulation.nodes if node is not owner]
             )
             await asyncio.sleep(10.0)
-            return requester.groups.unresponsive
+            return requester.groups.selection.unresponsive
 
         self.assertEqual(virtual_time.run(play()), {})
