Report no crashed searchers from behind a cut

A VM whose connections are reset and whose new ones are refused took all searchers of a running request for crashed ones, and told all VMs: three such VMs would have a request quarantined that no searcher crashed under, so that its callers get 503 everywhere for a minute.

Cause: a refused connection was proof enough of a crash. It looks the same when the VM itself is cut. Ruled out as a mend: waiting for the detection of an isolated VM, which takes longer than the check.

Before it reports, the VM now has to connect to a searcher of another service. test_cut_that_refuses_connections_is_no_crash fails without this (suspected at 9 of 9 VMs) and passes.

--- a/laurelrock/core/isolation.py
+++ b/laurelrock/core/isolation.py
@@ -39,8 +39,9 @@
     """What a VM sees of its searchers.
 
     Attributes:
-        quiet_s: Time in seconds since any searcher responded.
-        silent: Number of searchers that have stopped responding since then.
+        quiet_s: Time in seconds for which calls were made and no searcher
+            responded.
+        silent: Number of searchers that stopped responding in that time.
     """
 
     quiet_s: float
--- a/laurelrock/gateways/crash_watch.py
+++ b/laurelrock/gateways/crash_watch.py
@@ -204,6 +204,11 @@
         ]
         if not crashed or context.trial.answered:
             return
+        # This VM may itself be cut from searchers that are still up.
+        services = {row.service for row in crashed}
+        if not await self.known.reaches_any(without=services):
+            _log.info("crash-unproved", searchers=len(crashed))
+            return
         attempt = context.caller_headers.request_id.decode("latin-1")
         report = crash_suspects.CrashReport(
             context.fingerprint, attempt, [start_hash(row) for row in crashed]
--- a/laurelrock/gateways/isolation_detector.py
+++ b/laurelrock/gateways/isolation_detector.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import random
 
 from laurelrock.adapters import logs
 from laurelrock.core import isolation
@@ -20,8 +19,6 @@
 #: Delay of a check in seconds from which the process itself stood still, so
 #: that responses may wait to be read.
 MAX_DELAY_S = 0.1
-#: Number of searchers that a VM tries to connect to at a time.
-PROBES = 4
 
 _log = logs.get_logger(__name__)
 
@@ -92,11 +89,10 @@
         rows = self.known.by_id.values()
         newest_s = max((row.replica.last_success_s for row in rows), default=0)
         since_s = max(newest_s, self.reached_s)
-        quiet_s = now_s - since_s
-        if quiet_s <= isolation.QUIET_S:
-            return isolation.Evidence(quiet_s, 0)
-        silent = {
-            row.searcher.id
+        if now_s - since_s <= isolation.QUIET_S:
+            return isolation.Evidence(0.0, 0)
+        silent_since_s = {
+            row.searcher.id: row.replica.silent_since_s
             for row in rows
             if row.replica.silent_since_s > since_s
         }
@@ -104,30 +100,24 @@
         for pending_call in self.calls.in_flight:
             # Calls that began long before the last response wait for a searcher
             # that was down before.
-            age_s = now_s - pending_call.begun_s
+            begun_s = pending_call.begun_s
             late_after_s = typical[pending_call.kind].late_after_s
-            if age_s < quiet_s + isolation.QUIET_S and isolation.is_overdue(
-                age_s, late_after_s
+            if begun_s > since_s - isolation.QUIET_S and isolation.is_overdue(
+                now_s - begun_s, late_after_s
             ):
-                silent.add(pending_call.upstream.searcher.id)
-        return isolation.Evidence(quiet_s, len(silent))
+                silent_since_s[pending_call.upstream.searcher.id] = begun_s
+        # While there were no calls, none could be answered.
+        first_s = min(silent_since_s.values(), default=now_s)
+        quiet_s = now_s - max(since_s, first_s)
+        return isolation.Evidence(quiet_s, len(silent_since_s))
 
     async def reaches_any(self) -> bool:
         """Tries to connect to some searchers; returns whether one accepts."""
         self.counts["probed"] += 1
-        rows = list(self.known.by_id.values())
-        chosen = random.sample(rows, min(PROBES, len(rows)))
-        failures = await asyncio.gather(
-            *[row.client.try_connect() for row in chosen]
-        )
-        for row, failure in zip(chosen, failures, strict=True):
-            # Searchers that other VMs call have no connection to spare.
-            if failure is None and not row.replica.call_count:
-                row.client.drop_idle()
-        if all(failures):
-            return False
-        self.reached_s = self.loop.time()
-        return True
+        reached = await self.known.reaches_any()
+        if reached:
+            self.reached_s = self.loop.time()
+        return reached
 
     def end(self) -> None:
         """Calls searchers again."""
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import random
 import typing
 
 from laurelrock.adapters import http_client
@@ -25,6 +26,9 @@
 MAX_CONNECTIONS = 8
 #: Interval in seconds at which ejected searchers are checked.
 PROBE_CHECK_INTERVAL_S = 0.1
+#: Number of searchers that a VM tries to connect to at a time in order to find
+#: out whether it reaches any.
+REACH_PROBES = 4
 #: Interval in seconds between connections that are opened in advance.
 WARM_INTERVAL_S = 0.02
 
@@ -450,6 +454,32 @@
         else:
             replica.record_no_response(asyncio.get_running_loop().time())
 
+    async def reaches_any(
+        self, without: collections.abc.Container[str] = ()
+    ) -> bool:
+        """Tries to connect to a few searchers.
+
+        Args:
+            without: Services whose searchers aren't tried.
+
+        Returns:
+            Whether one of them accepts, or there is none to try.
+        """
+        rows = [
+            row
+            for row in self.by_id.values()
+            if row.searcher.service not in without
+        ]
+        chosen = random.sample(rows, min(REACH_PROBES, len(rows)))
+        failures = await asyncio.gather(
+            *[row.client.try_connect() for row in chosen]
+        )
+        for row, failure in zip(chosen, failures, strict=True):
+            # Searchers that other VMs call have no connection to spare.
+            if failure is None and not row.replica.call_count:
+                row.client.drop_idle()
+        return not chosen or None in failures
+
     def remote_domains_silent(self, now_s: float) -> bool:
         """Returns whether all other failure domains are unresponsive."""
         rows = [row.replica for row in self.by_id.values()]
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -331,6 +331,28 @@
         self.assertEqual([row.quarantines for row in rows], [1])
         self.assertEqual((outcome.status, crashes), (503, 0))
 
+    def test_cut_that_refuses_connections_is_no_crash(self):
+        async def query():
+            simulation = create_fleet(Load())
+            cut_nodes = simulation.nodes[:3]
+            running = [
+                asyncio.create_task(node.run(QUERY, b"r-%d" % n, 1.0, b"/x"))
+                for n, node in enumerate(cut_nodes)
+            ]
+            await asyncio.sleep(0.01)
+            simulation.cut("reset", cut_nodes)
+            await asyncio.gather(*running)
+            await asyncio.sleep(0.5)
+            suspected = [
+                len(row.crash_watch.table.rows) for row in simulation.nodes
+            ]
+            outcome = await simulation.nodes[5].run(QUERY, b"r-5", 1.0, b"/x")
+            return suspected, outcome.status
+
+        suspected, status = virtual_time.run(query())
+        self.assertEqual(suspected, [0] * 9)
+        self.assertEqual(status, 200)
+
     def test_large_fleet_is_told_through_the_vms_with_subscribers(self):
         async def tell():
             simulation = create_fleet(Load(vms=60, connections=200))
