Check a suspected cut by asking searchers for their health

Cause: only a connection that can't be opened counted as silence, and an accepted one ended the isolation.

Calls that lose their connection now count as silence, and the VM asks up to four searchers for their health before it believes that it is isolated and until it no longer is. As the check decides, one silent searcher is enough to make it; the number of four is gone.

The soak learns VMs that are cut from all searchers (fault 'cut': reset, refuse, hang; some, most or all VMs; long or flapping), with the promise isolated-vms, its counter and a history that breaks it. Gateways of a soak connect from their own addresses, by which links tell VMs apart.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -203,6 +203,8 @@
             request,
             server.notices,
         )
+        if request.target == shards.HEALTH_PATH:
+            return reply.response
         self.arrivals.append(
             soak_history.Arrival(
                 *(request.id, server.service, searcher.name),
@@ -331,7 +333,7 @@
             "services": [
                 {
                     "name": name,
-                    "health_path": "/healthz",
+                    "health_path": shards.HEALTH_PATH,
                     "max_connections": self.shape.connections,
                 }
                 for name in sorted(services)
@@ -405,7 +407,10 @@
         env = {**os.environ, "LAURELROCK_CONFIG": str(self.settings_path(vm))}
         with path.open("wb") as log:
             vm.process = subprocess.Popen(  # noqa: S603
-                [sys.executable, "-m", "laurelrock", "gateway"],
+                [
+                    *(sys.executable, "-m", "bench.bound_gateway"),
+                    *(vm.address, "gateway"),
+                ],
                 cwd=ROOT,
                 env=env,
                 stdout=log,
--- a/bench/soak_history.py
+++ b/bench/soak_history.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "Arrival",
+    "Cut",
     "FaultSpan",
     "History",
     "Record",
@@ -102,6 +103,23 @@
     planned: bool = False
 
 
+class Cut(typing.NamedTuple):
+    """A time in which VMs could not reach any searcher.
+
+    Callers, the platform and other VMs still reach them, so that it is no fault
+    of these VMs.
+
+    Attributes:
+        vms: Names of the VMs.
+        started_s: Loop time at which the cut started, in seconds.
+        ended_s: Loop time at which it ended, in seconds.
+    """
+
+    vms: frozenset[str]
+    started_s: float
+    ended_s: float
+
+
 class History(typing.NamedTuple):
     """History of one soak run.
 
@@ -116,6 +134,7 @@
             to the share of first calls.
         ended_s: Loop time at which the load ended, in seconds.
         direct: Whether the VM that has the caller calls the searchers itself.
+        cuts: Times in which VMs could not reach any searcher.
     """
 
     records: list[Record]
@@ -127,6 +146,7 @@
     retry_slack: int
     ended_s: float
     direct: bool = True
+    cuts: tuple[Cut, ...] = ()
 
 
 def affects(span: FaultSpan, begin_s: float, end_s: float) -> bool:
--- a/fakes/link.py
+++ b/fakes/link.py
@@ -25,11 +25,14 @@
     Attributes:
         cut: Whether all connections are closed and new ones refused.
         cut_from: Source addresses whose connections are closed and refused.
+        refuse_from: Source addresses whose new connections are refused, while
+            open ones live on.
         delay_ms: Additional delay in each direction, in milliseconds.
     """
 
     cut: bool = False
     cut_from: list[str] = []
+    refuse_from: list[str] = []
     delay_ms: float = 0.0
 
 
@@ -136,7 +139,9 @@
 
     def accept(self, end: ConnectionEnd) -> None:
         """Connects a new client to the target, unless it is refused."""
-        if self.is_refused(end.source):
+        if self.is_refused(end.source) or (
+            end.source in self.faults.refuse_from
+        ):
             end.transport.abort()
             return
         self.accepted += 1
@@ -161,10 +166,15 @@
         else:
             self.ends.add(target_end)
 
-    def silence(self) -> None:
-        """Drops all further bytes of the connections that are now open."""
+    def silence(self, sources: list[str] | None = None) -> None:
+        """Drops all further bytes of the connections that are now open.
+
+        Args:
+            sources: Source addresses of the connections; all if None.
+        """
         for end in self.ends:
-            end.blackholed = True
+            if sources is None or end.source in sources:
+                end.blackholed = True
 
     async def close(self) -> None:
         """Stops listening and closes all connections."""
--- a/fakes/shards.py
+++ b/fakes/shards.py
@@ -20,11 +20,15 @@
     "crash_on",
     "encode_response",
     "endless",
+    "HEALTH_PATH",
     "healthy",
     "name_limit",
     "start",
 ]
 
+#: Path of the searchers' health.
+HEALTH_PATH = "/healthz"
+
 ConnectionEnd = typing.Literal["keep", "close", "reset", "hang", "crash"]
 
 
@@ -73,7 +77,7 @@
         script: Function that decides how to respond to a request.
         records: Body of the responses; if empty, the request's body
             is echoed.
-        requests: Requests received so far.
+        requests: Requests received so far, without those for its health.
         connections: Number of connections accepted so far.
         endless_bytes: Number of bytes sent of endless responses.
         open: Open connections: the reader of each writer.
@@ -111,7 +115,8 @@
                 request = await read_request(reader)
                 if request is None:
                     break
-                self.requests.append(request)
+                if request.target != HEALTH_PATH:
+                    self.requests.append(request)
                 if not await self.send_response(
                     self.script(self, request), writer
                 ):
--- a/laurelrock/core/isolation.py
+++ b/laurelrock/core/isolation.py
@@ -1,17 +1,13 @@
-"""Decides whether a VM has lost all searchers.
+"""Decides whether a VM should check that it still reaches any searcher.
 
-Single searchers that don't respond may be down. If several stop responding at
-about the same time and none responds, the VM itself is more likely to have lost
-its network path to them.
+Searchers that don't respond may be down. If none responds to any call, the VM
+itself may have lost its network path to them.
 """
 
-import enum
 import typing
 
-__all__ = ["Evidence", "QUIET_S", "Verdict", "is_overdue", "judge"]
+__all__ = ["Evidence", "QUIET_S", "is_doubtful", "is_overdue"]
 
-#: Minimum number of searchers that stopped responding.
-MIN_SILENT = 4
 #: Time without a response from any searcher, in seconds. It is more than twice
 #: as long as a searcher's pauses.
 QUIET_S = 0.35
@@ -20,21 +16,6 @@
 OVERDUE_FACTOR = 2.0
 
 
-class Verdict(enum.Enum):
-    """Whether a VM reaches its searchers.
-
-    Attributes:
-        REACHES: It does.
-        UNCLEAR: Few have stopped responding; a VM that calls only these has to
-            try others.
-        ISOLATED: It has lost all of them.
-    """
-
-    REACHES = "reaches"
-    UNCLEAR = "unclear"
-    ISOLATED = "isolated"
-
-
 class Evidence(typing.NamedTuple):
     """What a VM sees of its searchers.
 
@@ -58,10 +39,6 @@
     return age_s > max(QUIET_S, OVERDUE_FACTOR * late_after_s)
 
 
-def judge(evidence: Evidence) -> Verdict:
-    """Decides whether a VM has lost all searchers."""
-    if evidence.quiet_s <= QUIET_S or not evidence.silent:
-        return Verdict.REACHES
-    if evidence.silent < MIN_SILENT:
-        return Verdict.UNCLEAR
-    return Verdict.ISOLATED
+def is_doubtful(evidence: Evidence) -> bool:
+    """Tells whether a VM may have lost all searchers."""
+    return evidence.quiet_s > QUIET_S and evidence.silent > 0
--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -120,8 +120,8 @@
         failure_rate: Moving average of call results, with 1 for a failure and 0
             for a success.
         unanswered: Number of consecutive calls without any response.
-        silent_since_s: Time of the first of these, in seconds; infinitely early
-            if there are none.
+        silent_since_s: Time of the first call since its last response that
+            ended without one, in seconds; infinitely early if there is none.
         ejections: Number of consecutive ejections; above 0 while it is ejected.
         next_probe_s: Loop time from which it may be probed, in seconds.
         probe_succeeded: Whether a probe has succeeded since its ejection.
@@ -196,7 +196,7 @@
         Returns:
             Whether the searcher is ejected by this call.
         """
-        if not self.unanswered:
+        if self.silent_since_s == -math.inf:
             self.silent_since_s = now_s
         self.unanswered += 1
         self.record_failure()
@@ -212,6 +212,12 @@
         """Adds a failure to the failure rate."""
         self.failure_rate += MEAN_WEIGHT * (1 - self.failure_rate)
 
+    def record_lost(self, now_s: float) -> None:
+        """Records a call whose connection ended before the response."""
+        if self.silent_since_s == -math.inf:
+            self.silent_since_s = now_s
+        self.record_failure()
+
     @property
     def reachable(self) -> bool:
         """Whether the searcher is not ejected or has passed a probe since."""
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -382,6 +382,8 @@
         elif result.endless:
             # The searcher would take this VM's link again with the next call.
             self.eject_if_unresponsive(pending_call, result)
+        elif result.lost:
+            replica.record_lost(now_s)
         elif result.status is CallStatus.BROKEN and result.reason != WITHDRAWN:
             replica.record_failure()
         elif (
--- a/laurelrock/gateways/isolation_detector.py
+++ b/laurelrock/gateways/isolation_detector.py
@@ -1,8 +1,8 @@
 """Detects whether this VM has lost all searchers while others may reach them.
 
 An isolated VM calls no searcher. It passes requests on to other VMs, declines
-those that other VMs pass on, and reports not ready. It tries to connect to a
-few searchers until one accepts. If the evidence is unclear, it tries first.
+those that other VMs pass on, and reports not ready. It requests the health of a
+few searchers until one responds.
 """
 
 import asyncio
@@ -30,8 +30,8 @@
         calls: The calls in flight.
         known: The searchers.
         groups: The groups of shards that this VM runs for others.
-        reached_s: Loop time at which this VM last connected to a searcher in
-            order to find out whether it is isolated, in seconds.
+        reached_s: Loop time at which a searcher last responded to such a
+            request, in seconds.
         counts: The number of isolations, and of checks that were skipped, for
             the metrics.
     """
@@ -62,12 +62,8 @@
     async def check(self) -> None:
         """Checks once whether this VM is isolated."""
         evidence = self.evidence()
-        verdict = isolation.judge(evidence)
-        if verdict is isolation.Verdict.REACHES:
-            return
-        if verdict is isolation.Verdict.UNCLEAR and await self.reaches_any():
-            return
-        self.begin(evidence)
+        if isolation.is_doubtful(evidence) and not await self.reaches_any():
+            self.begin(evidence)
 
     def begin(self, evidence: isolation.Evidence) -> None:
         """Stops to call searchers."""
@@ -112,7 +108,7 @@
         return isolation.Evidence(quiet_s, len(silent_since_s))
 
     async def reaches_any(self) -> bool:
-        """Tries to connect to some searchers; returns whether one accepts."""
+        """Requests the health of some searchers; tells whether one replies."""
         self.counts["probed"] += 1
         reached = await self.known.reaches_any()
         if reached:
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -6,7 +6,9 @@
 import random
 import typing
 
+from laurelrock import errors
 from laurelrock.adapters import http_client
+from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
 from laurelrock.adapters import reply_budget
 from laurelrock.core import event_rate
@@ -26,9 +28,10 @@
 MAX_CONNECTIONS = 8
 #: Interval in seconds at which ejected searchers are checked.
 PROBE_CHECK_INTERVAL_S = 0.1
-#: Number of searchers that a VM tries to connect to at a time in order to find
-#: out whether it reaches any.
-REACH_PROBES = 4
+#: Number of searchers whose health a VM requests at a time in order to find out
+#: whether it reaches any, and the time that they have, in seconds: longer than
+#: their pauses.
+REACH_PROBES, REACH_TIMEOUT_S = 4, 0.25
 #: Interval in seconds between connections that are opened in advance.
 WARM_INTERVAL_S = 0.02
 
@@ -457,28 +460,50 @@
     async def reaches_any(
         self, without: collections.abc.Container[str] = ()
     ) -> bool:
-        """Tries to connect to a few searchers.
+        """Requests the health of a few searchers.
+
+        Those that responded to their last calls are preferred.
 
         Args:
-            without: Services whose searchers aren't tried.
+            without: Services whose searchers aren't asked.
 
         Returns:
-            Whether one of them accepts, or there is none to try.
+            Whether one of them responds, or there is none to ask.
         """
         rows = [
             row
             for row in self.by_id.values()
             if row.searcher.service not in without
         ]
+        responding = [row for row in rows if not row.replica.unanswered]
+        rows = responding or rows
         chosen = random.sample(rows, min(REACH_PROBES, len(rows)))
-        failures = await asyncio.gather(
-            *[row.client.try_connect() for row in chosen]
-        )
-        for row, failure in zip(chosen, failures, strict=True):
+        found = await asyncio.gather(*[self.responds(row) for row in chosen])
+        for row in chosen:
             # Searchers that other VMs call have no connection to spare.
-            if failure is None and not row.replica.call_count:
+            if not row.replica.call_count:
                 row.client.drop_idle()
-        return not chosen or None in failures
+        return not chosen or any(found)
+
+    async def responds(self, upstream: Upstream) -> bool:
+        """Requests a searcher's health; returns whether it responds at all.
+
+        An accepted connection would not show that: a proxy on the way may
+        accept it.
+        """
+        searcher = upstream.searcher
+        path = self.service(searcher.service).health_path.encode()
+        head = "host: {}:{}\r\n".format(*searcher.address).encode()
+        raw = http_wire.encode_request(b"GET", path, head, b"")
+        call = upstream.client.call(lambda: raw, lambda status, headers: True)
+        try:
+            async with asyncio.timeout(REACH_TIMEOUT_S):
+                await call.future
+        except (TimeoutError, errors.LaurelrockError):
+            return False
+        finally:
+            call.abort()
+        return True
 
     def remote_domains_silent(self, now_s: float) -> bool:
         """Returns whether all other failure domains are unresponsive."""
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -56,6 +56,8 @@
 #: Time in seconds after which the platform removes a searcher that crashed, and
 #: after which the searcher is back.
 NOTICE_S, RESTART_S = 1.0, 3.0
+#: Path of the searchers' health, which gets a response if the VM reaches them.
+HEALTH_PATH = b"/healthz"
 #: How a VM loses all searchers: packets vanish; connections are reset and new
 #: ones refused; or open connections live on while new ones are refused.
 CUT_KINDS = ("hang", "reset", "refuse")
@@ -223,6 +225,10 @@
             self.connected = False
             return call
         self.connected = True
+        if target_of(encode()) == HEALTH_PATH:
+            reply = http_client.Reply(200, [], b"")
+            loop.call_later(0.001, settle, call.future, reply)
+            return call
         behaviour = next(self.simulation.behaviours)
         if behaviour.kind == "unsent":
             loop.call_later(behaviour.delay_s, self.fail, call)
@@ -595,6 +601,12 @@
         ]
 
 
+def settle(future: asyncio.Future, result: typing.Any) -> None:
+    """Sets the result of a future that isn't done."""
+    if not future.done():
+        future.set_result(result)
+
+
 def target_of(raw: bytes) -> bytes:
     """Returns the target in the bytes of a call."""
     return raw.split(b" ", 2)[1]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -42,6 +42,12 @@
     def test_short_run(self):
         self.play(SHAPE, FAULTS)
 
+    def test_vms_without_searchers(self):
+        for shape in (SHAPE, OWNERS_SHAPE):
+            with self.subTest(vms=shape.vms):
+                results = self.play(shape, ("cut", "configure"))
+                self.assertGreater(results["isolated-vms"].exercised, 100)
+
     def test_limits_and_crashing_requests(self):
         for shape in (SHAPE, OWNERS_SHAPE):
             with self.subTest(vms=shape.vms):
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -150,6 +150,21 @@
             ],
         ),
     ),
+    (
+        "isolated-vms",
+        history(
+            [
+                record(
+                    request_id=f"r{n}",
+                    vm=f"vm-{n % 2}",
+                    sent_s=14.0 + n / 10,
+                    status=200 if n % 2 else 503,
+                )
+                for n in range(40)
+            ],
+            cuts=(soak_history.Cut(frozenset({"vm-0"}), 9.0, 20.0),),
+        ),
+    ),
     (
         "nothing-cut",
         history(
@@ -209,6 +224,14 @@
         )
         self.assertTrue(promises.in_force(late).violations)
 
+    def test_calls_before_a_cut_are_no_attempts_after_it(self):
+        rows = [arrival(at_s=at_s) for at_s in (10.0, 10.1, 10.6, 10.7)]
+        cut = soak_history.Cut(frozenset({"vm-0"}), 10.5, 12.0)
+        check = promises.bounded_attempts
+        self.assertEqual(check(history([], rows, cuts=(cut,))).violations, [])
+        more = [*rows, arrival(at_s=10.8)]
+        self.assertTrue(check(history([], more, cuts=(cut,))).violations)
+
     def test_requests_within_a_limit(self):
         row = history(
             [record()],
