--- a/bench/random_faults.py
+++ b/bench/random_faults.py
@@ -347,6 +347,18 @@
         self.running.configure(names)
         self.record_fault("reshard", "-", started_s)
 
+    def vm_link_faults(
+        self,
+    ) -> dict[str, collections.abc.Callable[[], typing.Any]]:
+        """Returns the coroutine function of each fault of a link to a VM."""
+        return {
+            f"{attribute}-{name}": functools.partial(
+                self.degrade_vm_link, f"{attribute}-{name}", attribute, change
+            )
+            for attribute in ("front", "exchange")
+            for name, change in LINK_FAULTS
+        }
+
     def faults(self) -> dict[str, collections.abc.Callable[[], typing.Any]]:
         """Returns the coroutine function of each fault by name."""
         return {
@@ -381,16 +393,7 @@
             "link-silent": lambda: searcher_faults.degrade_searcher_link(
                 self, None
             ),
-            **{
-                f"{attribute}-{name}": functools.partial(
-                    self.degrade_vm_link,
-                    f"{attribute}-{name}",
-                    attribute,
-                    change,
-                )
-                for attribute in ("front", "exchange")
-                for name, change in LINK_FAULTS
-            },
+            **self.vm_link_faults(),
             "born-again": lambda: searcher_faults.restart_searcher(self),
             "searcher": lambda: searcher_faults.degrade_searcher(
                 self, *BEHAVIOURS
--- a/laurelrock/gateways/crash_watch.py
+++ b/laurelrock/gateways/crash_watch.py
@@ -21,6 +21,7 @@
 from laurelrock.core import owners
 from laurelrock.core import registry
 from laurelrock.gateways import calls
+from laurelrock.gateways import health_checks
 from laurelrock.gateways import outcomes
 from laurelrock.gateways import state_sharing
 from laurelrock.gateways import upstreams
@@ -206,7 +207,7 @@
             return
         # This VM may itself be cut from searchers that are still up.
         services = {row.service for row in crashed}
-        if not await self.known.reaches_any(without=services):
+        if not await health_checks.reaches_any(self.known, services):
             _log.info("crash-unproved", searchers=len(crashed))
             return
         attempt = context.caller_headers.request_id.decode("latin-1")
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -158,10 +158,8 @@
         self.isolation_detector = isolation_detector.create_isolation_detector(
             self.calls, self.groups
         )
-        self.peers = peers.create_peer_exchange(
-            *(self.follower, options.peers, list(options.seeds)),
-            self.set_vm_count,
-        )
+        exchange = (self.follower, options.peers, list(options.seeds))
+        self.peers = peers.create_peer_exchange(*exchange, self.set_vm_count)
         self.handlers = peer_messages.create_handlers(self)
         self.servers: list[http_server.Server] = []
         self.counts: collections.Counter[str] = collections.Counter()
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -49,11 +49,24 @@
         lambda: dict(gateway.crash_watch.counts),
         "Attempts that crashed searchers, quarantines, and refusals by these",
     )
+    meters.counters(
+        "laurelrock_isolation_total",
+        lambda: dict(gateway.isolation_detector.counts),
+        "Isolations, checks for one, and checks skipped after a standstill",
+    )
     meters.counters(
         "laurelrock_departures_total",
         lambda: dict(gateway.vm_removal.counts),
         "Checks of other VMs, and those taken from the list",
     )
+    register_platform(gateway, meters)
+    register_searchers(gateway.known, meters)
+
+
+def register_platform(
+    gateway: "gateways.Gateway", meters: metrics.Metrics
+) -> None:
+    """Registers the metrics of the platform and of this VM's readiness."""
     meters.counter(
         "laurelrock_platform_calls_total",
         lambda: gateway.source.calls,
@@ -67,7 +80,6 @@
     meters.gauge(
         "laurelrock_ready", lambda: gateway.ready, "1 while callers may come"
     )
-    register_searchers(gateway.known, meters)
 
 
 def register_searchers(
--- a/laurelrock/gateways/isolation_detector.py
+++ b/laurelrock/gateways/isolation_detector.py
@@ -10,6 +10,7 @@
 from laurelrock.adapters import logs
 from laurelrock.core import isolation
 from laurelrock.gateways import calls
+from laurelrock.gateways import health_checks
 from laurelrock.gateways import shard_groups
 
 __all__ = ["IsolationDetector", "create_isolation_detector"]
@@ -110,7 +111,7 @@
     async def reaches_any(self) -> bool:
         """Requests the health of some searchers; tells whether one replies."""
         self.counts["probed"] += 1
-        reached = await self.known.reaches_any()
+        reached = await health_checks.reaches_any(self.known)
         if reached:
             self.reached_s = self.loop.time()
         return reached
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -185,19 +185,7 @@
             for services in remote
         ]
         start_parts(progress, placement)
-        typical = placement.known.typical_latencies[route.name]
-        await wait_until_ready(progress, placement, schedule, typical)
-        missing = progress.missing_own_services()
-        needed = route.min_shards - progress.answered
-        if (
-            placement.calls.loop.time() < context.end_s
-            and group_state.selection.passes_on(missing, needed)
-        ):
-            progress.abandon(placement.calls.loop.time())
-            progress.groups += group_state.ask_groups(
-                context, missing, schedule.partial_at_s, progress.changed.set
-            )
-            await wait_until_ready(progress, placement, schedule, typical)
+        await gather_parts(progress, context, placement, group_state, schedule)
     finally:
         progress.abandon(placement.calls.loop.time())
         for group in progress.groups:
@@ -218,6 +206,34 @@
     )
 
 
+async def gather_parts(
+    progress: GatherState,
+    context: calls.RequestContext,
+    placement: parts.CallPlacer,
+    group_state: shard_groups.ShardGroups,
+    schedule: answer_schedule.AnswerSchedule,
+) -> None:
+    """Waits for the parts of a query.
+
+    If this VM loses the searchers that it calls meanwhile, other VMs are asked
+    for what is missing.
+    """
+    loop = placement.calls.loop
+    typical = placement.known.typical_latencies[context.route.name]
+    await wait_until_ready(progress, placement, schedule, typical)
+    missing = progress.missing_own_services()
+    needed = context.route.min_shards - progress.answered
+    if loop.time() >= context.end_s or not group_state.selection.passes_on(
+        missing, needed
+    ):
+        return
+    progress.abandon(loop.time())
+    progress.groups += group_state.ask_groups(
+        context, missing, schedule.partial_at_s, progress.changed.set
+    )
+    await wait_until_ready(progress, placement, schedule, typical)
+
+
 def refuse_unreachable(
     route: routes.Route,
     reachable: int,
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -3,12 +3,9 @@
 import asyncio
 import collections
 import collections.abc
-import random
 import typing
 
-from laurelrock import errors
 from laurelrock.adapters import http_client
-from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
 from laurelrock.adapters import reply_budget
 from laurelrock.core import event_rate
@@ -28,10 +25,6 @@
 MAX_CONNECTIONS = 8
 #: Interval in seconds at which ejected searchers are checked.
 PROBE_CHECK_INTERVAL_S = 0.1
-#: Number of searchers whose health a VM requests at a time in order to find out
-#: whether it reaches any, and the time that they have, in seconds: longer than
-#: their pauses.
-REACH_PROBES, REACH_TIMEOUT_S = 4, 0.25
 #: Interval in seconds between connections that are opened in advance.
 WARM_INTERVAL_S = 0.02
 
@@ -457,54 +450,6 @@
         else:
             replica.record_no_response(asyncio.get_running_loop().time())
 
-    async def reaches_any(
-        self, without: collections.abc.Container[str] = ()
-    ) -> bool:
-        """Requests the health of a few searchers.
-
-        Those that responded to their last calls are preferred.
-
-        Args:
-            without: Services whose searchers aren't asked.
-
-        Returns:
-            Whether one of them responds, or there is none to ask.
-        """
-        rows = [
-            row
-            for row in self.by_id.values()
-            if row.searcher.service not in without
-        ]
-        responding = [row for row in rows if not row.replica.unanswered]
-        rows = responding or rows
-        chosen = random.sample(rows, min(REACH_PROBES, len(rows)))
-        found = await asyncio.gather(*[self.responds(row) for row in chosen])
-        for row in chosen:
-            # Searchers that other VMs call have no connection to spare.
-            if not row.replica.call_count:
-                row.client.drop_idle()
-        return not chosen or any(found)
-
-    async def responds(self, upstream: Upstream) -> bool:
-        """Requests a searcher's health; returns whether it responds at all.
-
-        An accepted connection would not show that: a proxy on the way may
-        accept it.
-        """
-        searcher = upstream.searcher
-        path = self.service(searcher.service).health_path.encode()
-        head = "host: {}:{}\r\n".format(*searcher.address).encode()
-        raw = http_wire.encode_request(b"GET", path, head, b"")
-        call = upstream.client.call(lambda: raw, lambda status, headers: True)
-        try:
-            async with asyncio.timeout(REACH_TIMEOUT_S):
-                await call.future
-        except (TimeoutError, errors.LaurelrockError):
-            return False
-        finally:
-            call.abort()
-        return True
-
     def remote_domains_silent(self, now_s: float) -> bool:
         """Returns whether all other failure domains are unresponsive."""
         rows = [row.replica for row in self.by_id.values()]
