Start no group at a VM that is no better off

Where all VMs call, a VM that lost some searchers asked one after another; if all had lost them, the last one started all the same and the query failed (502) after calls that could not be answered. It is refused now before it runs. Entries of searchers that a VM never called no longer count as a sign of life, since a registry that changes all the time would hide a cut.

--- a/laurelrock/gateways/isolation_detector.py
+++ b/laurelrock/gateways/isolation_detector.py
@@ -84,7 +84,14 @@
         """Returns what this VM sees of its searchers."""
         now_s = self.loop.time()
         rows = self.known.by_id.values()
-        newest_s = max((row.replica.last_success_s for row in rows), default=0)
+        newest_s = max(
+            (
+                row.replica.last_success_s
+                for row in rows
+                if row.replica.call_count
+            ),
+            default=0.0,
+        )
         since_s = max(newest_s, self.reached_s)
         if now_s - since_s <= isolation.QUIET_S:
             return isolation.Evidence(0.0, 0)
--- a/laurelrock/gateways/remote_groups.py
+++ b/laurelrock/gateways/remote_groups.py
@@ -1,13 +1,14 @@
-"""Groups that other VMs run for this one, and owners that don't respond."""
+"""Groups that other VMs run for this one, their links, and silent owners."""
 
 import asyncio
 import collections.abc
+import typing
 
 from laurelrock.core import owners
 from laurelrock.gateways import calls
 from laurelrock.gateways import group_messages
 
-__all__ = ["RemoteGroup", "UnresponsiveOwner"]
+__all__ = ["Loopback", "RemoteGroup", "UnresponsiveOwner"]
 
 #: Shortest and longest interval in seconds between pings of an unresponsive
 #: owner; the interval doubles with each ping.
@@ -100,6 +101,27 @@
             self.on_change()
 
 
+class Loopback:
+    """Link of a VM to itself, for a group that no other owner accepts.
+
+    Attributes:
+        handle: Handles a message, given the link on which it arrived.
+    """
+
+    def __init__(
+        self,
+        handle: collections.abc.Callable[
+            [group_messages.Link, typing.Any], None
+        ],
+    ) -> None:
+        self.handle = handle
+        self.loop = asyncio.get_running_loop()
+
+    def send(self, message: typing.Any) -> None:
+        """Delivers a message in the next iteration of the event loop."""
+        self.loop.call_soon(self.handle, self, message)
+
+
 class UnresponsiveOwner:
     """An owner that didn't respond, declined or disconnected.
 
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -108,7 +108,7 @@
             0,
         )
         self.peer_links = peer_links
-        self.loopback = Loopback(self)
+        self.loopback = remote_groups.Loopback(self.handle_message)
         self.loop = asyncio.get_running_loop()
 
     def split_shards(
@@ -392,7 +392,7 @@
         """Tells an owner to start, unless it was told before."""
         if group.started or group.link is None:
             return
-        if accepted.disconnected and self.passes_over(group):
+        if accepted.disconnected and self.passes_over(group, accepted):
             return
         group.started = group.may_have_run = True
         group.link.send(group_messages.StartGroup(group.number))
@@ -410,22 +410,32 @@
             group.unreachable = accepted.unreachable
             group.on_change()
 
-    def passes_over(self, group: remote_groups.RemoteGroup) -> bool:
+    def passes_over(
+        self,
+        group: remote_groups.RemoteGroup,
+        accepted: group_messages.GroupAccepted,
+    ) -> bool:
         """Asks another owner if the present one has lost searchers.
 
         Returns:
-            Whether there is another one that may have them.
+            Whether the present one isn't told to start. It is if there is no
+            other one, unless it stands in for this VM and is no better.
         """
         key = group.services[0]
         if group.owner is None or group.link is None:
             return False
         self.selection.mark_disconnected(group.owner.name, key)
-        if self.selection.first_owner(group.owners, group.tried, key) is None:
+        better = self.selection.first_owner(group.owners, group.tried, key)
+        useless = 2 * accepted.disconnected > len(group.services)
+        if better is None and not (useless and self.assignment.all_call(key)):
             return False
         self.counts["lost-searchers"] += 1
         group.link.send(group_messages.CancelGroup(group.number))
         del self.remote[group.number]
-        self.ask_next(group)
+        if better is None:
+            group.finish()
+        else:
+            self.ask_next(group)
         return True
 
     def link_ended(self, link: group_messages.Link) -> None:
@@ -477,17 +487,6 @@
             served.abandon()
 
 
-class Loopback:
-    """Link of a VM to itself, for a group that no other owner accepts."""
-
-    def __init__(self, groups: ShardGroups) -> None:
-        self.groups = groups
-
-    def send(self, message: typing.Any) -> None:
-        """Delivers a message in the next iteration of the event loop."""
-        self.groups.loop.call_soon(self.groups.handle_message, self, message)
-
-
 def create_shard_groups(
     placement: parts.CallPlacer,
     platform: header_codec.HeaderCodec,
