Keep the maximum of attempts, and true refusals, when a VM is isolated

Cause: a request that moves to another VM began anew there: with all of its attempts, and with the outcome of the last VM alone. A cut can't be told from a standstill of all searchers at that moment, so that calls that were sent count as attempts.

A request now takes its remaining attempts along, and a part without any left doesn't move. If the other VM refuses it, its outcome is that of this VM. Owners no longer decline groups that they run; the last result of a group names the parts that may run again.

test_requests_that_ran_before_a_cut_are_not_called_refused and test_requests_reach_few_searchers_though_a_vm_is_isolated fail without this (a refused request ran; 4 and 3 searchers) and pass.

--- a/laurelrock/gateways/group_messages.py
+++ b/laurelrock/gateways/group_messages.py
@@ -95,9 +95,7 @@
 
 
 class GroupDeclined(typing.NamedTuple):
-    """Says that a VM doesn't run a group, or no longer does.
-
-    A group that was started is declined only if it may run again elsewhere.
+    """Says that a VM doesn't run a group.
 
     Attributes:
         number: The number of the group.
@@ -125,6 +123,9 @@
         pending: The number of parts that may still complete.
         calls: The number of calls made for the group so far.
         leaving: The searchers of the group's services that declared to leave.
+        again: The indexes of parts that another VM may run, since the owner has
+            lost all searchers.
+        attempts_left: The number of searchers that may be reached for these.
     """
 
     number: int
@@ -134,6 +135,8 @@
     pending: int
     calls: int
     leaving: tuple[registry.Start, ...] = ()
+    again: tuple[int, ...] = ()
+    attempts_left: int = 0
 
 
 class SingleResult(typing.NamedTuple):
--- a/laurelrock/gateways/group_runs.py
+++ b/laurelrock/gateways/group_runs.py
@@ -104,6 +104,7 @@
         ]
         if not new_parts and self.pending:
             return
+        again, attempts_left = self.count_again()
         self.sent |= {row.service for row in new_parts}
         answers = [row.answer for row in new_parts if row.answer is not None]
         bodies = [row.reply.body for row in answers if row.reply is not None]
@@ -118,9 +119,26 @@
                 self.pending,
                 sum(row.attempts for row in self.group_parts),
                 self.placement.known.leaving(self.group_request.services),
+                again,
+                attempts_left,
             )
         )
 
+    def count_again(self) -> tuple[tuple[int, ...], int]:
+        """Returns the parts that another VM may run, and the attempts left.
+
+        There are none unless this VM has lost all searchers.
+        """
+        if self.pending or not self.placement.known.isolated:
+            return (), 0
+        limit = self.group_request.attempts
+        again = {
+            place: row.attempts
+            for place, row in enumerate(self.group_parts)
+            if row.answer is None and row.attempts < limit
+        }
+        return tuple(again), limit - max(again.values(), default=limit)
+
 
 def create_context(
     platform: header_codec.HeaderCodec,
--- a/laurelrock/gateways/isolation_detector.py
+++ b/laurelrock/gateways/isolation_detector.py
@@ -77,7 +77,6 @@
             calls=len(self.calls.in_flight),
             groups=len(self.groups.serving),
         )
-        self.groups.decline_running()
         self.calls.withdraw_repeatable()
 
     def evidence(self) -> isolation.Evidence:
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -82,12 +82,6 @@
             part.abandon(now_s)
         self.open_parts = 0
 
-    def missing_own_services(self) -> tuple[str, ...]:
-        """Returns the services that this VM called without an answer."""
-        return tuple(
-            part.service for part in self.own_parts if part.answer is None
-        )
-
     def missing(self) -> tuple[str, ...]:
         """Returns the shards without an answer, with the reason if known."""
         own = [
@@ -216,20 +210,29 @@
     """Waits for the parts of a query.
 
     If this VM loses the searchers that it calls meanwhile, other VMs are asked
-    for what is missing.
+    for what is missing, within the route's maximum of attempts.
     """
     loop = placement.calls.loop
     typical = placement.known.typical_latencies[context.route.name]
     await wait_until_ready(progress, placement, schedule, typical)
-    missing = progress.missing_own_services()
-    needed = context.route.min_shards - progress.answered
-    if loop.time() >= context.end_s or not group_state.selection.passes_on(
-        missing, needed
+    route = context.route
+    again = {
+        part.service: part.attempts
+        for part in progress.own_parts
+        if part.answer is None and part.attempts < route.attempts
+    }
+    needed = route.min_shards - progress.answered
+    if (
+        loop.time() >= context.end_s
+        or len(again) < needed
+        or not group_state.selection.passes_on(tuple(again), needed)
     ):
         return
     progress.abandon(loop.time())
+    left = route._replace(attempts=route.attempts - max(again.values()))
     progress.groups += group_state.ask_groups(
-        context, missing, schedule.partial_at_s, progress.changed.set
+        context._replace(route=left),
+        *(tuple(again), schedule.partial_at_s, progress.changed.set),
     )
     await wait_until_ready(progress, placement, schedule, typical)
 
--- a/laurelrock/gateways/remote_groups.py
+++ b/laurelrock/gateways/remote_groups.py
@@ -22,6 +22,7 @@
     Attributes:
         context: The caller's request.
         services: The services of the group, one per shard.
+        attempts: The maximum number of searchers reached for each service.
         owners: The VMs that may be asked, in order of preference.
         due_s: The loop time at which the first result is due.
         on_change: Called when parts completed or the group ended.
@@ -54,6 +55,7 @@
     ) -> None:
         self.context = context
         self.services = services
+        self.attempts = context.route.attempts
         self.owners = candidates
         self.due_s = due_s
         self.on_change = on_change
@@ -84,12 +86,17 @@
             self.timer.cancel()
             self.timer = None
 
-    def restart(self) -> None:
-        """Lets another VM run the services that haven't completed."""
+    def restart(self, places: tuple[int, ...], attempts: int) -> None:
+        """Lets another VM run services that the owner can't complete.
+
+        Args:
+            places: The indexes of the services.
+            attempts: The number of searchers that may still be reached for
+                each.
+        """
         self.started = False
-        self.services = tuple(
-            name for name in self.services if name in self.missing
-        )
+        self.services = tuple(self.services[n] for n in places)
+        self.attempts = attempts
         self.pending = len(self.services)
         self.unreachable = 0
 
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -37,9 +37,6 @@
 #: completed.
 EARLY_SEND_S = 0.004
 
-#: Name of the tasks that run a group which may run again elsewhere.
-REPEATABLE = "repeatable"
-
 _log = logs.get_logger(__name__)
 
 
@@ -222,7 +219,7 @@
             route=context.route.name,
             version=context.version,
             services=group.services,
-            attempts=context.route.attempts,
+            attempts=group.attempts,
             max_records=context.route.max_records,
             due_in_s=group.due_s - now_s - EARLY_SEND_S,
             remaining_s=context.end_s - now_s,
@@ -312,21 +309,13 @@
             return "stopping"
         return "isolated" if self.placement.known.isolated else None
 
-    def decline_running(self) -> None:
-        """Declines the groups that this VM runs and others can run again."""
-        for (link, number), task in list(self.serving.items()):
-            if link is not self.loopback and task.get_name() == REPEATABLE:
-                task.cancel()
-                link.send(group_messages.GroupDeclined(number, "isolated"))
-
     def start_offered(self, link: group_messages.Link, number: int) -> None:
         """Starts to run a group that this VM accepted."""
         key = (link, number)
         offer = self.offered.pop(key, None)
         if offer is None:
             return
-        name = REPEATABLE if offer[0].idempotent else None
-        task = self.loop.create_task(self.serve(link, *offer), name=name)
+        task = self.loop.create_task(self.serve(link, *offer))
         self.serving[key] = task
         task.add_done_callback(lambda _: self.serving.pop(key, None))
 
@@ -365,6 +354,10 @@
         group.calls = message.calls
         if not group.pending:
             del self.remote[message.number]
+        if message.again and group.owner is not None:
+            self.selection.mark_isolated(group.owner.name)
+            group.restart(message.again, message.attempts_left)
+            self.ask_next(group)
         group.on_change()
 
     def handle_decline(
@@ -380,8 +373,6 @@
             self.reachability.forget(group.services[0])
             self.counts["lost-searchers"] += 1
         del self.remote[group.number]
-        if group.started:
-            group.restart()
         self.ask_next(group)
 
     def start_remote(
--- a/laurelrock/gateways/single_requests.py
+++ b/laurelrock/gateways/single_requests.py
@@ -36,19 +36,29 @@
     candidates = group_state.assignment.owners_to_ask(service)
     if candidates:
         return await ask(context, service, candidates, group_state)
-    selection = group_state.selection
-    if selection.passes_on((service,), 1):
+    if group_state.selection.passes_on((service,), 1):
         refusal = placement.begin_request(context)
-        if refusal is not None:
-            return refusal
-    else:
-        outcome = await queries.run_single(context, service, placement)
-        if not (
-            may_run_again(context, outcome)
-            and group_state.loop.time() < context.end_s
-            and selection.passes_on((service,), 1)
-        ):
-            return outcome
+        return refusal or await pass_on(context, service, group_state)
+    outcome = await queries.run_single(context, service, placement)
+    if not (
+        may_run_again(context, outcome)
+        and group_state.loop.time() < context.end_s
+        and group_state.selection.passes_on((service,), 1)
+    ):
+        return outcome
+    attempts_left = context.route.attempts - outcome.attempts
+    route = context.route._replace(attempts=attempts_left)
+    other = await pass_on(context._replace(route=route), service, group_state)
+    # The request may have run here, if not there.
+    return outcome if other.kind == "refused" else other
+
+
+async def pass_on(
+    context: calls.RequestContext,
+    service: str,
+    group_state: shard_groups.ShardGroups,
+) -> outcomes.Outcome:
+    """Asks another VM, since this one has lost the searchers."""
     candidates = group_state.assignment.owners_of(service)
     return await ask(context, service, candidates, group_state)
 
@@ -59,6 +69,8 @@
     """Returns whether another VM may run a request that ended here."""
     if outcome.reply is not None or outcome.kind == "answered":
         return False
+    if outcome.attempts >= context.route.attempts:
+        return False
     return outcome.kind == "refused" or context.route.idempotent
 
 
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -61,6 +61,9 @@
 #: How a VM loses all searchers: packets vanish; connections are reset and new
 #: ones refused; or open connections live on while new ones are refused.
 CUT_KINDS = ("hang", "reset", "refuse")
+#: Kind of a cut in which requests still arrive, but get no responses. It looks
+#: the same to a VM if all searchers stand still.
+STANDSTILL = "standstill"
 #: Time in seconds after which a connection that can't be opened is given up.
 CONNECT_TIMEOUT_S = 0.4
 #: Kinds of outcome where the searcher runs the request.
@@ -199,7 +202,7 @@
                     call.future.set_exception(errors.CallBrokenError("reset"))
 
     async def try_connect(self) -> OSError | TimeoutError | None:
-        if self.cut == "hang":
+        if self.cut in ("hang", STANDSTILL):
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             return TimeoutError()
         await asyncio.sleep(0.001)
@@ -225,6 +228,10 @@
             self.connected = False
             return call
         self.connected = True
+        if self.cut == STANDSTILL:
+            if target_of(encode()) != HEALTH_PATH:
+                self.send(call, encode, "silent")
+            return call
         if target_of(encode()) == HEALTH_PATH:
             reply = http_client.Reply(200, [], b"")
             loop.call_later(0.001, settle, call.future, reply)
@@ -285,7 +292,7 @@
             self.simulation.crash(self.searcher)
 
     def respond(self, call: Call, kind, request_id, stamp, body) -> None:
-        if call.future.done() or self.cut == "hang":
+        if call.future.done() or self.cut in ("hang", STANDSTILL):
             return
         if kind == "broken":
             call.future.set_exception(errors.CallBrokenError("reset"))
--- a/tests/test_isolated_vms.py
+++ b/tests/test_isolated_vms.py
@@ -62,6 +62,7 @@
     load: test_searcher_limits.Load,
     behaviours=ANSWERED,
     seed: int = 1,
+    attempts: int = 2,
 ) -> Played:
     """Plays a load of queries, reads and saves at all VMs.
 
@@ -72,6 +73,7 @@
         load: The load.
         behaviours: How searchers respond.
         seed: Seed of the times, VMs and routes of the requests.
+        attempts: The maximum of attempts of the routes.
     """
     rng = random.Random(seed)
     loop = asyncio.get_running_loop()
@@ -97,7 +99,7 @@
     tasks = []
     while loop.time() < begun_s + load.seconds:
         await asyncio.sleep(rng.expovariate(load.per_s))
-        route = rng.choices(ROUTES, (4, 2, 1))[0]
+        route = rng.choices(ROUTES, (4, 2, 1))[0]._replace(attempts=attempts)
         work = send(len(tasks), rng.randrange(load.vms), route)
         tasks.append(asyncio.create_task(work))
     return Played(simulation, list(await asyncio.gather(*tasks)))
@@ -146,9 +148,9 @@
             gateways.capture_log_events(collections.deque(maxlen=1))
         )
 
-    def play(self, isolated, kind, load, **fields):
+    def play(self, isolated, kind, load, *args, **fields):
         events = [(CUT_S, cut(kind, isolated)), (HEALED_S, cut("", isolated))]
-        return virtual_time.run(play(isolated, events, load, **fields))
+        return virtual_time.run(play(isolated, events, load, *args, **fields))
 
     def check_served(self, played):
         """Checks that isolated VMs serve about as often as the others."""
@@ -199,7 +201,8 @@
                 self.check_recovery(played)
 
     def test_requests_in_flight_move_to_other_vms(self):
-        played = self.play(range(6), "hang", DIRECT)
+        # A part that was hedged has attempts left.
+        played = self.play(range(6), "hang", DIRECT, attempts=3)
         rows = during(played.ended, CUT_S - 0.3, CUT_S + 0.3, isolated=True)
         queries = [row for row in rows if row.route.shards]
         self.assertGreater(len(queries), 10)
@@ -216,6 +219,38 @@
         self.assertLessEqual(sum(served), passed_on)
         self.assertEqual([n.groups.counts["asked"] for n in nodes[6:]], [0] * 3)
 
+    def test_requests_that_ran_before_a_cut_are_not_called_refused(self):
+        slow = [simulations.ScriptedCall("answer", 0.3)]
+        for load in (DIRECT, OWNERS):
+            with self.subTest(vms=load.vms):
+                # The last VM loses its searchers when all others know that
+                # they have lost theirs.
+                last = load.vms - 1
+                events = [
+                    (CUT_S, cut("hang", range(last))),
+                    (CUT_S + CONTACT_S, cut("hang", [last])),
+                ]
+                played = virtual_time.run(
+                    play(range(load.vms), events, load, slow)
+                )
+                self.check_saves(played)
+
+    def test_requests_reach_few_searchers_though_a_vm_is_isolated(self):
+        for load in (DIRECT, OWNERS):
+            with self.subTest(vms=load.vms):
+                everyone = range(load.vms)
+                events = [
+                    (CUT_S, cut(simulations.STANDSTILL, everyone)),
+                    (CUT_S + 0.9, cut("", everyone)),
+                ]
+                played = virtual_time.run(play((), events, load))
+                counts = collections.Counter(
+                    (row.request_id, row.service)
+                    for row in played.simulation.received_calls
+                )
+                most = max(counts.values())
+                self.assertLessEqual(most, test_searcher_limits.QUERY.attempts)
+
     def test_cut_of_all_vms_leads_to_immediate_refusals(self):
         for load in (DIRECT, OWNERS):
             with self.subTest(vms=load.vms):
