--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -248,7 +248,7 @@
             context.trial,
             on_end,
         )
-        context.trial.begin_call(call)
+        context.trial.begin_call()
         self.in_flight[pending_call] = None
         call.future.add_done_callback(
             lambda future: self.settle(pending_call, future)
@@ -297,7 +297,6 @@
         self.update_statistics(pending_call, result)
         trial = pending_call.trial
         trial.end_call(
-            pending_call.call,
             pending_call.upstream,
             result.status in (CallStatus.ANSWERED, CallStatus.ERRED),
             result.lost,
--- a/laurelrock/gateways/crash_watch.py
+++ b/laurelrock/gateways/crash_watch.py
@@ -24,7 +24,6 @@
 from laurelrock.gateways import health_checks
 from laurelrock.gateways import outcomes
 from laurelrock.gateways import state_sharing
-from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
 
 __all__ = [
@@ -148,9 +147,7 @@
         self.reports_left = BURST_REPORTS
         self.refilled_s = self.loop.time()
         self.tasks: set[asyncio.Task[None]] = set()
-        self.counts = dict.fromkeys(
-            ("reported", "quarantined", "refused", "stopped"), 0
-        )
+        self.counts = {"reported": 0, "quarantined": 0, "refused": 0}
 
     def set_vms(self, vms: list[owners.Vm]) -> None:
         """Sets the list of VMs, and asks one of them at the first time."""
@@ -182,33 +179,6 @@
             resume_in_s=release_in_s,
         )
 
-    def examine(
-        self, trial: trials.Trial, upstream: upstreams.Upstream
-    ) -> None:
-        """Stops a request if a searcher crashed whose call was lost.
-
-        The first call is then made alone, since the searcher may have crashed
-        for another reason.
-        """
-        if not trial.answered and len(trial.lost) <= trials.MAX_LOST:
-            self.run_check(self.stop_if_crashed(trial, upstream))
-
-    async def stop_if_crashed(
-        self, trial: trials.Trial, upstream: upstreams.Upstream
-    ) -> None:
-        """Checks a searcher whose call was lost."""
-        if await self.has_crashed(upstream):
-            self.counts["stopped"] += not trial.answered
-            trial.stop()
-
-    def run_check(
-        self, check: collections.abc.Coroutine[typing.Any, typing.Any, None]
-    ) -> None:
-        """Runs a check of searchers in the background."""
-        task = self.loop.create_task(check)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     def finish(self, context: calls.RequestContext) -> None:
         """Draws the conclusions from an attempt that has ended."""
         trial = context.trial
@@ -218,7 +188,9 @@
             self.clear(context.fingerprint)
         elif trial.lost and not trial.check_pending:
             trial.check_pending = True
-            self.run_check(self.check(context))
+            task = self.loop.create_task(self.check(context))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
 
     async def check(self, context: calls.RequestContext) -> None:
         """Reports an attempt if the searchers that it lost have crashed."""
@@ -233,7 +205,6 @@
         ]
         if not crashed or context.trial.answered:
             return
-        context.trial.stop()
         # This VM may itself be cut from searchers that are still up.
         services = {row.service for row in crashed}
         if not await health_checks.reaches_any(self.known, services):
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -114,13 +114,6 @@
     def refusal(self, fingerprint: int) -> outcomes.Outcome | None:
         """Returns the refusal of a request that is quarantined, else None."""
 
-    def examine(
-        self,
-        trial: trials.Trial,
-        upstream: upstreams.Upstream,
-    ) -> None:
-        """Stops a request if a searcher crashed whose call was lost."""
-
     def finish(self, context: calls.RequestContext) -> None:
         """Draws the conclusions from an attempt that has ended."""
 
@@ -315,9 +308,6 @@
             part.erred = end
         if end.status in (calls.CallStatus.ERRED, calls.CallStatus.BROKEN):
             part.may_have_run = True
-        trial = part.context.trial
-        if end.lost and trial.in_flight and self.crash_guard is not None:
-            self.crash_guard.examine(trial, pending_call.upstream)
         if end.status is calls.CallStatus.UNSENT:
             part.attempts -= 1
             self.budget.refund(part.service, self.calls.loop.time())
--- a/laurelrock/gateways/trials.py
+++ b/laurelrock/gateways/trials.py
@@ -2,14 +2,13 @@
 
 A request may crash each searcher that begins to run it. As long as none of its
 calls was answered, it may therefore lose only few searchers before its other
-calls wait for an answer. A request that crashed searchers before gets one call
-at a time, and so does one whose first lost searcher has crashed.
+calls wait for an answer; a request that crashed searchers before gets one call
+at a time.
 """
 
 import collections.abc
 import typing
 
-from laurelrock.adapters import http_client
 from laurelrock.gateways import upstreams
 
 __all__ = ["Trial", "create_trial"]
@@ -35,11 +34,9 @@
 
     Attributes:
         suspect: Whether the request crashed searchers before.
-        doubted: Whether a searcher crashed while it ran the request, so that
-            the other calls were stopped.
         answered: Whether a searcher ran the request and answered.
         lost: The searchers whose connections ended during their calls.
-        calls: The calls that haven't ended.
+        in_flight: The number of calls that haven't ended.
         parked: The calls that wait for an answer.
         check_pending: Whether the lost searchers are about to be checked.
         on_late_end: Called when a call ends after the request; None before.
@@ -47,63 +44,40 @@
 
     def __init__(self) -> None:
         self.suspect = False
-        self.doubted = False
         self.answered = False
         self.lost: list[upstreams.Upstream] = []
-        self.calls: set[http_client.Call] = set()
+        self.in_flight = 0
         self.parked: list[ParkedCall] = []
         self.check_pending = False
         self.on_late_end: collections.abc.Callable[[], None] | None = None
 
-    @property
-    def in_flight(self) -> int:
-        """The number of calls that haven't ended."""
-        return len(self.calls)
-
     def must_wait(self) -> bool:
         """Returns whether another call has to wait for an answer."""
         if self.answered:
             return False
-        if self.in_flight and (self.suspect or self.doubted):
-            return True
-        return self.has_lost_enough()
-
-    def has_lost_enough(self) -> bool:
-        """Returns whether no other searcher may be risked."""
-        return len(self.lost) >= (1 if self.suspect else MAX_LOST)
+        if self.suspect:
+            return bool(self.in_flight or self.lost)
+        return len(self.lost) >= MAX_LOST
 
     def park(self, call: ParkedCall) -> None:
         """Makes a call later, if the request is answered."""
         self.parked.append(call)
 
-    def begin_call(self, call: http_client.Call) -> None:
+    def begin_call(self) -> None:
         """Records the start of a call."""
-        self.calls.add(call)
-
-    def stop(self) -> None:
-        """Ends all calls, since a searcher crashed while it ran the request."""
-        if self.answered or self.doubted:
-            return
-        self.doubted = True
-        for call in list(self.calls):
-            call.abort()
+        self.in_flight += 1
 
     def end_call(
-        self,
-        call: http_client.Call,
-        upstream: upstreams.Upstream,
-        answered: bool,
-        lost: bool,
+        self, upstream: upstreams.Upstream, answered: bool, lost: bool
     ) -> None:
         """Records the end of a call.
 
         Args:
-            call: The call.
             upstream: The searcher.
             answered: Whether the searcher ran the request and answered.
             lost: Whether the connection ended before a complete answer.
         """
-        self.calls.discard(call)
+        self.in_flight -= 1
         self.answered |= answered
         if lost:
             self.lost.append(upstream)
@@ -116,13 +90,12 @@
             parked, self.parked = self.parked, []
             for call in parked:
                 call.begin()
-        elif self.has_lost_enough() and not self.in_flight:
+        elif self.lost and not self.in_flight:
             parked, self.parked = self.parked, []
             for call in parked:
                 call.drop()
         elif self.parked and not self.in_flight:
-            # The call that was tried first never reached a searcher, or there
-            # was none.
+            # The call that was tried first never reached a searcher.
             self.parked.pop(0).begin()
 
 
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -280,17 +280,12 @@
             lambda _: simulation.running[self.searcher].discard(call)
         )
         if target_of(raw) in simulation.crashing:
-            loop.call_later(delay_s, self.crash_under, call)
+            loop.call_later(delay_s, simulation.crash, self.searcher)
         elif kind not in ("silent", "lost"):
             loop.call_later(
                 delay_s, self.respond, call, kind, request_id, stamp, body
             )
 
-    def crash_under(self, call: Call) -> None:
-        """Crashes, unless the request was dropped with its connection."""
-        if not call.future.done():
-            self.simulation.crash(self.searcher)
-
     def respond(self, call: Call, kind, request_id, stamp, body) -> None:
         if call.future.done() or self.cut in ("hang", STANDSTILL):
             return
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -67,21 +67,19 @@
     others: collections.Counter[int]
 
 
-def create_fleet(
-    load: Load, behaviours=ANSWERED, query: routes.Route = QUERY
-) -> simulations.Simulation:
+def create_fleet(load: Load) -> simulations.Simulation:
     """Returns simulated VMs with six searchers of each service."""
-    configuration = build.configuration(query, READ, ONCE)
+    configuration = build.configuration(QUERY, READ, ONCE)
     services = {
         name: service._replace(connections=load.connections)
         for name, service in configuration.services.items()
     }
     simulation = simulations.Simulation(
-        configuration._replace(services=services), behaviours
+        configuration._replace(services=services), ANSWERED
     )
     for number in range(load.vms):
         node = simulation.add_node(number, "abc"[number % 3], load.vms)
-        for service in (*query.shards, "files"):
+        for service in (*SHARDS, "files"):
             for n in range(SEARCHERS):
                 simulation.change_searcher(node, f"{service}-{n}", "live")
     simulation.crashing.add(POISON)
@@ -278,46 +276,6 @@
         # The repeat is tried at one searcher only.
         self.assertEqual(both, first + 1)
 
-    def test_first_crash_stops_the_other_calls_of_an_unproven_query(self):
-        # One VM calls all searchers, or two owners call those of a group each.
-        for connections, callers in ((26, 1), (8, 2)):
-            with self.subTest(connections=connections):
-                simulation = virtual_time.run(self.run_staggered(connections))
-                # One searcher crashes every 4 ms until the calls are stopped.
-                self.assertLessEqual(len(simulation.crashes), 3 * callers)
-
-    async def run_staggered(self, connections):
-        """Runs a query that crashes the searchers of its shards in turn."""
-        shards_count = 20
-        route = build.query_route([f"shard-{n}" for n in range(shards_count)])
-        delays = [0.01 + 0.004 * n for n in range(shards_count)]
-        simulation = create_fleet(
-            Load(connections=connections),
-            [simulations.ScriptedCall("answer", delay_s) for delay_s in delays],
-            route,
-        )
-        await simulation.nodes[0].run(route, b"p-0", 1.0, POISON)
-        await asyncio.sleep(0.5)
-        return simulation
-
-    def test_calls_that_were_stopped_are_made_again_after_an_answer(self):
-        async def query():
-            simulation = create_fleet(Load())
-            loop = asyncio.get_running_loop()
-            task = asyncio.create_task(
-                simulation.nodes[0].run(QUERY, b"r-0", 1.0, b"/x")
-            )
-            await asyncio.sleep(0.01)
-            simulation.crash(simulation.received_calls[0].searcher)
-            begun_s = loop.time()
-            outcome = await task
-            return outcome, loop.time() - begun_s
-
-        outcome, seconds = virtual_time.run(query())
-        self.assertEqual(outcome.status, 200)
-        # One call is tried, and the others follow.
-        self.assertLess(seconds, QUERY.objective_s)
-
     def test_query_that_crashed_a_searcher_by_chance_is_answered(self):
         async def query():
             simulation = create_fleet(Load())
