Hedge a query only after one of its searchers has answered

A query that nobody has answered yet doubled what it could crash.

While several calls of a request run and none was answered, late calls are no longer hedged. Single requests are hedged as before.

--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -345,7 +345,7 @@
         if (
             part.context.route.idempotent
             and not part.awaiting_lender
-            and not part.context.trial.must_wait()
+            and part.context.trial.may_hedge()
         ):
             self.try_another(part, "hedge")
 
--- a/laurelrock/gateways/trials.py
+++ b/laurelrock/gateways/trials.py
@@ -59,6 +59,15 @@
             return bool(self.in_flight or self.lost)
         return len(self.lost) >= MAX_LOST
 
+    def may_hedge(self) -> bool:
+        """Returns whether a late call may be hedged.
+
+        If several calls run and none was answered, more searchers would crash.
+        """
+        if self.answered:
+            return True
+        return self.in_flight <= 1 and not self.must_wait()
+
     def park(self, call: ParkedCall) -> None:
         """Makes a call later, if the request is answered."""
         self.parked.append(call)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -67,7 +67,7 @@
     others: collections.Counter[int]
 
 
-def create_fleet(load: Load) -> simulations.Simulation:
+def create_fleet(load: Load, behaviours=ANSWERED) -> simulations.Simulation:
     """Returns simulated VMs with six searchers of each service."""
     configuration = build.configuration(QUERY, READ, ONCE)
     services = {
@@ -75,7 +75,7 @@
         for name, service in configuration.services.items()
     }
     simulation = simulations.Simulation(
-        configuration._replace(services=services), ANSWERED
+        configuration._replace(services=services), behaviours
     )
     for number in range(load.vms):
         node = simulation.add_node(number, "abc"[number % 3], load.vms)
@@ -276,6 +276,23 @@
         # The repeat is tried at one searcher only.
         self.assertEqual(both, first + 1)
 
+    def test_query_without_any_answer_is_sent_to_one_searcher_a_shard(self):
+        async def query(connections):
+            # Searchers crash so late that the calls count as late before.
+            simulation = create_fleet(
+                Load(connections=connections),
+                [simulations.ScriptedCall("answer", 0.2)],
+            )
+            await simulation.nodes[0].run(QUERY, b"p-0", 1.0, POISON)
+            await asyncio.sleep(1.0)
+            return len(simulation.crashes)
+
+        for connections in (26, 8):
+            with self.subTest(connections=connections):
+                crashes = virtual_time.run(query(connections))
+                # The first call of each shard, and two retries.
+                self.assertLessEqual(crashes, len(SHARDS) + 2)
+
     def test_query_that_crashed_a_searcher_by_chance_is_answered(self):
         async def query():
             simulation = create_fleet(Load())
