Log where a request is passed on, and what counts as a response

A request that was passed on left no trace of the VM that ran it, which an on-call engineer needs to follow it: 'request-passed-on' names it.

--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -107,6 +107,10 @@
     BROKEN = "broken"
 
 
+#: The ends of calls to which a searcher responded.
+RESPONSES = (CallStatus.ANSWERED, CallStatus.ERRED, CallStatus.NOT_RUN)
+
+
 class CallResult(typing.NamedTuple):
     """The result of a call.
 
@@ -368,6 +372,8 @@
         """Updates the latencies and the state of the searcher."""
         replica = pending_call.upstream.replica
         now_s = self.loop.time()
+        if result.status in RESPONSES:
+            self.upstreams.responded_s = now_s
         if result.status in (CallStatus.ANSWERED, CallStatus.ERRED):
             self.upstreams.throughputs[replica.searcher.service].record(now_s)
         if result.status is CallStatus.ANSWERED:
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -156,7 +156,7 @@
             self.known, self.groups, self.follower, me
         )
         self.isolation_detector = isolation_detector.create_isolation_detector(
-            self.calls, self.groups
+            self.calls
         )
         exchange = (self.follower, options.peers, list(options.seeds))
         self.peers = peers.create_peer_exchange(*exchange, self.set_vm_count)
--- a/laurelrock/gateways/isolation_detector.py
+++ b/laurelrock/gateways/isolation_detector.py
@@ -11,7 +11,6 @@
 from laurelrock.core import isolation
 from laurelrock.gateways import calls
 from laurelrock.gateways import health_checks
-from laurelrock.gateways import shard_groups
 
 __all__ = ["IsolationDetector", "create_isolation_detector"]
 
@@ -30,19 +29,15 @@
     Attributes:
         calls: The calls in flight.
         known: The searchers.
-        groups: The groups of shards that this VM runs for others.
         reached_s: Loop time at which a searcher last responded to such a
             request, in seconds.
         counts: The number of isolations, and of checks that were skipped, for
             the metrics.
     """
 
-    def __init__(
-        self, in_flight: calls.Calls, groups: shard_groups.ShardGroups
-    ) -> None:
+    def __init__(self, in_flight: calls.Calls) -> None:
         self.calls = in_flight
         self.known = in_flight.upstreams
-        self.groups = groups
         self.loop = asyncio.get_running_loop()
         self.reached_s = self.loop.time()
         self.counts = {"isolated": 0, "probed": 0, "skipped": 0}
@@ -75,28 +70,18 @@
             silent=evidence.silent,
             quiet_ms=round(evidence.quiet_s * 1000),
             calls=len(self.calls.in_flight),
-            groups=len(self.groups.serving),
         )
         self.calls.withdraw_repeatable()
 
     def evidence(self) -> isolation.Evidence:
         """Returns what this VM sees of its searchers."""
         now_s = self.loop.time()
-        rows = self.known.by_id.values()
-        newest_s = max(
-            (
-                row.replica.last_success_s
-                for row in rows
-                if row.replica.call_count
-            ),
-            default=0.0,
-        )
-        since_s = max(newest_s, self.reached_s)
+        since_s = max(self.known.responded_s, self.reached_s)
         if now_s - since_s <= isolation.QUIET_S:
             return isolation.Evidence(0.0, 0)
         silent_since_s = {
             row.searcher.id: row.replica.silent_since_s
-            for row in rows
+            for row in self.known.by_id.values()
             if row.replica.silent_since_s > since_s
         }
         typical = self.known.typical_latencies
@@ -129,8 +114,6 @@
         _log.warning("isolation-ended")
 
 
-def create_isolation_detector(
-    in_flight: calls.Calls, groups: shard_groups.ShardGroups
-) -> IsolationDetector:
+def create_isolation_detector(in_flight: calls.Calls) -> IsolationDetector:
     """Returns the state of a VM that reaches its searchers."""
-    return IsolationDetector(in_flight, groups)
+    return IsolationDetector(in_flight)
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -387,8 +387,16 @@
             return
         group.started = group.may_have_run = True
         group.link.send(group_messages.StartGroup(group.number))
-        owned = not self.assignment.all_call(group.services[0])
-        if owned and not group.single:
+        if self.assignment.all_call(group.services[0]):
+            _log.info(
+                "request-passed-on",
+                request=group.context.caller_headers.request_id.decode(
+                    "latin-1"
+                ),
+                to=group.owner.name if group.owner else "",
+                services=len(group.services),
+            )
+        elif not group.single:
             self.reachability.record(
                 group_messages.ReachabilityReport(
                     group.services[0],
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -95,6 +95,7 @@
         limited: The searchers that named a limit of requests, by id.
         demands: The rates at which requests need the services of these, by
             service.
+        responded_s: Loop time of the last response of any searcher, in seconds.
         isolated: Whether this VM has lost all searchers.
         share_of: Returns this VM's share of a searcher's limit, given the
             requests per second that the searcher takes from all VMs.
@@ -123,6 +124,7 @@
         self.opened = 0
         self.limited: dict[str, Upstream] = {}
         self.demands: dict[str, event_rate.EventRate] = {}
+        self.responded_s = 0.0
         self.isolated = False
         self.share_of: ShareOf = self.equal_share
 
