--- a/bench/soak.py
+++ b/bench/soak.py
@@ -80,6 +80,24 @@
             *("drain", "pause", "reshard"),
         ),
     ),
+    # A request that moved to another VM began anew with all attempts, and could
+    # be called refused though it had run.
+    Case(
+        6106,
+        "direct",
+        (
+            *("pause", "stop", "front-cut", "pause"),
+            *("cut", "drain", "stop", "leave"),
+        ),
+    ),
+    Case(
+        6105,
+        "owners",
+        (
+            *("limit", "stop", "storm", "crashing"),
+            *("pause", "crashing", "front-late"),
+        ),
+    ),
     # Abandoned polls did not release their connections.
     Case(
         107,
