--- a/laurelrock/gateways/owner_selection.py
+++ b/laurelrock/gateways/owner_selection.py
@@ -1,7 +1,8 @@
 """Chooses the VMs that are asked to run a group of shards or a single request.
 
 VMs that don't respond are skipped and pinged until they reply. VMs that have
-lost their searchers say so when they decline, and are skipped for a short time.
+lost all searchers, or those of some shards of a group, say so when they are
+asked, and are skipped for a short time.
 """
 
 import asyncio
@@ -114,9 +115,10 @@
     def next_owner(
         self, candidates: list[owners.Vm], tried: set[str], key: str
     ) -> owners.Vm | None:
-        """Returns the VM to ask for a group, if none reaches all searchers.
+        """Returns the VM to ask for a group, also if none reaches all of it.
 
-        Some searchers of the group may be down for all VMs. See `first_owner`.
+        Some searchers of the group may be down for all VMs. See `first_owner`
+        for the arguments.
         """
         vm = self.first_owner(candidates, tried, key)
         if vm is not None:
--- a/laurelrock/gateways/reachability_reports.py
+++ b/laurelrock/gateways/reachability_reports.py
@@ -77,7 +77,7 @@
     def count_disconnected(
         self, services: collections.abc.Iterable[str]
     ) -> int:
-        """Returns to how many services none of whose searchers responds."""
+        """Returns how many services have no searcher that responds."""
         connected = self.placement.known.connected
         return sum(1 for name in services if not connected(name))
 
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -5,7 +5,9 @@
 per group. The owner accepts the group at once, calls the searchers, merges the
 answers and returns them: all together if every part completed, or what there is
 shortly before the objective and the rest as it completes. If an owner doesn't
-accept a group, the group is cancelled there and the next owner is asked.
+accept a group, the group is cancelled there and the next owner is asked. The
+same holds for an owner that has lost searchers of the group, and for a query
+whose shards this VM calls itself otherwise, once it has lost their searchers.
 """
 
 import asyncio
