Cut VMs from searchers that come back during a cut of the soak

The logs show that only reads and saves failed at the VM, while queries were answered: the searchers of all shards had crashed during the cut under a request of the soak, and their links came back without it. A second cut also replaced the first one. Links that start take over the present cuts now.

--- a/bench/cut_faults.py
+++ b/bench/cut_faults.py
@@ -43,22 +43,31 @@
             fault = link.Faults(cut_from=sources)
         started_s = run.loop.time()
         run.cut_faults.append(fault)
-        for server in run.running.servers.values():
-            server.link.set_faults(fault)
-            if kind == "hang":
+        apply_cuts(run)
+        if kind == "hang":
+            for server in run.running.servers.values():
                 server.link.silence(sources)
         await asyncio.sleep(length_s)
         run.cut_faults.remove(fault)
-        for server in run.running.servers.values():
-            server.link.set_faults(
-                run.cut_faults[-1] if run.cut_faults else link.Faults()
-            )
+        apply_cuts(run)
         run.cuts.append(
             soak_history.Cut(frozenset(names), started_s, run.loop.time())
         )
         await asyncio.sleep(rng.uniform(*FLAPS_S))
 
 
+def apply_cuts(run: "random_faults.SoakRun") -> None:
+    """Applies all present cuts to all links, also to those that follow."""
+    run.running.cut = link.Faults(
+        cut_from=[name for row in run.cut_faults for name in row.cut_from],
+        refuse_from=[
+            name for row in run.cut_faults for name in row.refuse_from
+        ],
+    )
+    for server in run.running.servers.values():
+        server.link.set_faults(run.running.cut)
+
+
 def isolated_vms(history: soak_history.History) -> checker.CheckResult:
     """VMs that are cut from all searchers serve about as well as the others.
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -172,6 +172,7 @@
         shard_lists: Services of the query's shards by configuration version.
         searchers_started: Number of searchers added so far.
         crashes: Searchers that crashed and are not back yet.
+        cut: Faults of all searchers' links that have no other fault.
     """
 
     def __init__(self, shape: Shape, folder: pathlib.Path) -> None:
@@ -186,6 +187,7 @@
         self.shard_lists: dict[int, tuple[str, ...]] = {}
         self.searchers_started = 0
         self.crashes: set[asyncio.Task[None]] = set()
+        self.cut = link.Faults()
         self.runner: web.AppRunner | None = None
         self.loop = asyncio.get_running_loop()
 
@@ -234,6 +236,7 @@
         server.link = await link.start(
             f"{self.network}.2.1:{server.port}", server.link.target
         )
+        server.link.set_faults(self.cut)
         server.crashed = False
         await self.restart_searcher(server)
 
@@ -246,6 +249,7 @@
         searcher_link = await link.start(
             f"{self.network}.2.1:{port}", ":".join(map(str, searcher.address))
         )
+        searcher_link.set_faults(self.cut)
         server = self.servers[name] = Server(
             searcher, searcher_link, service, port
         )
--- a/bench/searcher_faults.py
+++ b/bench/searcher_faults.py
@@ -56,7 +56,7 @@
     else:
         server.link.set_faults(change)
         await asyncio.sleep(run.rng.uniform(0.5, 4.0))
-        server.link.set_faults(link.Faults())
+        server.link.set_faults(run.running.cut)
     run.record_fault("searcher-link", "-", started_s)
 
 
