--- a/bench/soak.py
+++ b/bench/soak.py
@@ -98,6 +98,8 @@
             *("pause", "crashing", "front-late"),
         ),
     ),
+    # With most of 60 VMs cut, too few were asked to find one that was not.
+    Case(7000, "many", ("cut", "stop", "kill", "configure")),
     # Abandoned polls did not release their connections.
     Case(
         107,
--- a/tests/test_isolated_vms.py
+++ b/tests/test_isolated_vms.py
@@ -188,6 +188,14 @@
             with self.subTest(kind):
                 self.check_recovery(self.play(range(6), kind, DIRECT))
 
+    def test_few_vms_that_are_left_serve_the_callers_of_all(self):
+        load = OWNERS._replace(vms=60, connections=40, per_s=120.0)
+        # None of the VMs that are left is among the first for any service.
+        cut_vms = sorted({*range(60)} - {24, 44, 51})
+        for kind in ("hang", "reset"):
+            with self.subTest(kind):
+                self.check_recovery(self.play(cut_vms, kind, load))
+
     def test_owners_that_lost_some_searchers_fail_no_queries(self):
         for load in (DIRECT, OWNERS):
             with self.subTest(vms=load.vms):
