--- a/laurelrock/gateways/owner_selection.py
+++ b/laurelrock/gateways/owner_selection.py
@@ -22,8 +22,8 @@
 #: Time in seconds for which a VM that has lost its searchers is not asked. It
 #: costs a query one more message to ask a VM that hasn't got them back yet.
 LOST_VALID_S = 1.0
-#: Number of VMs that may stand in for owners that have lost their searchers. They
-#: are asked one after another, a message and its reply each.
+#: Number of VMs that may stand in for owners that have lost their searchers.
+#: They are asked one after another, a message and its reply each.
 MAX_STAND_INS = 64
 
 _log = logs.get_logger(__name__)
