Request the health of configured services only

A VM in doubt asked searchers for their health whose service was not in its configuration yet, as during a new division into shards, and used the path '/', which is a request like any other there. It asks only searchers of configured services that stay.

test_health_of_unknown_services_is_not_requested fails without this and passes.

--- a/laurelrock/gateways/health_checks.py
+++ b/laurelrock/gateways/health_checks.py
@@ -9,6 +9,7 @@
 
 from laurelrock import errors
 from laurelrock.adapters import http_wire
+from laurelrock.core import replicas
 from laurelrock.gateways import upstreams
 
 __all__ = ["reaches_any"]
@@ -33,10 +34,13 @@
     Returns:
         Whether one of them responds, or there is none to ask.
     """
+    # The path of the health of other services is unknown.
     rows = [
         row
         for row in known.by_id.values()
-        if row.searcher.service not in without
+        if row.searcher.service in known.services
+        and row.searcher.service not in without
+        and replicas.stays(row.replica)
     ]
     responding = [row for row in rows if not row.replica.unanswered]
     rows = responding or rows
--- a/tests/test_isolated_vms.py
+++ b/tests/test_isolated_vms.py
@@ -7,6 +7,7 @@
 import unittest
 
 from laurelrock.core import routes
+from laurelrock.gateways import health_checks
 from tests import gateway_builders as build
 from tests import gateway_simulation as simulations
 from tests import gateways
@@ -300,6 +301,28 @@
                 for node in played.simulation.nodes:
                     self.assertFalse(node.known.isolated)
 
+    def test_health_of_unknown_services_is_not_requested(self):
+        async def check():
+            simulation = test_searcher_limits.create_fleet(DIRECT)
+            node = simulation.nodes[0]
+            asked = []
+            for upstream in node.known.by_id.values():
+                # Only reads are configured; the shards are those of an index
+                # that is about to be used.
+                upstream.client.call = (
+                    lambda *args, service=(upstream.searcher.service): (
+                        asked.append(service)
+                        or simulations.Call(
+                            asyncio.get_running_loop().create_future()
+                        )
+                    )
+                )
+            node.known.services = {"files": node.known.services["files"]}
+            await health_checks.reaches_any(node.known)
+            return asked
+
+        self.assertEqual(virtual_time.run(check()), ["files", "files"])
+
     def test_searchers_that_are_down_isolate_no_vm(self):
         def crash(simulation):
             for service in test_searcher_limits.SHARDS[:2]:
