Identify workspaces by their keys, and keep the keys back

Cause: where a configuration has workspaces, requests carry a key. Change: the configuration holds digests of the keys; the entry VM looks the key up, answers 401, or 503 while its data may be old, and replaces the key by the workspace's name before anything is called. The types of the other parts of docs/design/places-tenants-load.md are added without behaviour.

--- a/laurelrock/commands/gateway.py
+++ b/laurelrock/commands/gateway.py
@@ -21,10 +21,12 @@
 
 
 def skip_tls_import() -> None:
-    """Prevents asyncio from loading OpenSSL, which takes 4 MB on each VM.
+    """Prevents asyncio and hashlib from loading OpenSSL, 4 MB on each VM.
 
-    TLS is not needed, since the platform and its searchers use plain HTTP.
-    Must be called before asyncio is imported; later calls have no effect.
+    TLS is not needed, since the platform and its searchers use plain HTTP, and
+    hashlib has implementations of its own. Must be called before asyncio is
+    imported; later calls have no effect.
     """
     modules = typing.cast(dict[str, object], sys.modules)
     modules.setdefault("ssl", None)
+    modules.setdefault("_hashlib", None)
--- a/laurelrock/core/routes.py
+++ b/laurelrock/core/routes.py
@@ -7,6 +7,8 @@
 import collections.abc
 import typing
 
+from laurelrock.core import tenancy
+
 __all__ = [
     "Configuration",
     "Limits",
@@ -66,6 +68,8 @@
             for one shard of a query.
         max_records: Maximum number of records in the response to a query.
         min_shard_share: Fraction of the shards below which a query fails.
+        public: Whether requests need no key.
+        regions: Regions whose searchers may run the requests; empty for all.
     """
 
     name: str
@@ -80,6 +84,8 @@
     attempts: int = 1
     max_records: int = 0
     min_shard_share: float = 0.0
+    public: bool = False
+    regions: tuple[str, ...] = ()
 
     @property
     def min_shards(self) -> int:
@@ -99,26 +105,49 @@
         health_path: URL path requested by health checks.
         connections: Number of connections that one searcher accepts from all
             callers together.
+        warm_up_s: Time after its start for which a searcher is cold, in
+            seconds.
+        warm_up_per_s: Requests per second that a cold searcher takes from all
+            VMs together; 0 for no limit.
     """
 
     health_path: str = "/"
     connections: int = 16
+    warm_up_s: float = 0.0
+    warm_up_per_s: float = 0.0
 
 
 class Configuration(typing.NamedTuple):
-    """One version of everything that operators configure."""
+    """One version of everything that operators configure.
+
+    Attributes:
+        version: The version; a higher one replaces a lower one.
+        routes: The routes.
+        services: The services, by name.
+        limits: The limits on callers' requests.
+        workspaces: The workspaces; if there are any, a request needs the key of
+            one unless its route is public.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits = Limits()
+    workspaces: tuple[tenancy.Workspace, ...] = ()
 
 
 class RouteTable(typing.NamedTuple):
-    """Routes of a configuration by host, longest prefix first."""
+    """A configuration, prepared for lookups.
+
+    Attributes:
+        configuration: The configuration.
+        by_host: The routes by host, longest prefix first.
+        by_key: The workspaces by the digests of their keys.
+    """
 
     configuration: Configuration
     by_host: dict[str, tuple[Route, ...]]
+    by_key: dict[bytes, tenancy.Workspace] = {}
 
 
 def create_table(configuration: Configuration) -> RouteTable:
@@ -132,6 +161,7 @@
             host: tuple(sorted(rows, key=lambda row: -len(row.prefix)))
             for host, rows in by_host.items()
         },
+        {key: row for row in configuration.workspaces for key in row.keys},
     )
 
 
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -58,6 +58,7 @@
         fingerprint: Identifies the request when it comes again; see
             `fingerprint_of`.
         trial: What the calls of the request show about crashes.
+        workspace: The name of the caller's workspace; empty if there is none.
     """
 
     request: http_server.Request
@@ -68,13 +69,14 @@
     end_s: float
     fingerprint: int
     trial: trials.Trial
+    workspace: str = ""
 
 
-def fingerprint_of(request: http_server.Request) -> int:
+def fingerprint_of(request: http_server.Request, workspace: str = "") -> int:
     """Returns a hash of what a repeated request has in common.
 
-    These are the method, host, target, caller's credentials and body. Each
-    attempt of a caller has an id and a deadline of its own.
+    These are the method, host, target, caller's credentials, workspace and
+    body. Each attempt of a caller has an id and a deadline of its own.
     """
     digest = xxhash.xxh3_64()
     for value in (
@@ -83,6 +85,7 @@
         request.target,
         http_wire.header_value(request.headers, b"authorization") or b"",
         request.body,
+        *([workspace.encode()] if workspace else []),
     ):
         digest.update(b"%d:" % len(value))
         digest.update(value)
--- a/laurelrock/gateways/deployment.py
+++ b/laurelrock/gateways/deployment.py
@@ -3,6 +3,8 @@
 import typing
 
 from laurelrock.core import retry_budget
+from laurelrock.core import tenancy
+from laurelrock.core import warm_up
 
 __all__ = ["Deployment"]
 
@@ -29,6 +31,11 @@
         store: The address of the platform's store.
         extra_call_policy: The limits of extra calls, over all VMs.
         grace_s: The time in seconds between SIGTERM and SIGKILL.
+        regions: The region of each failure domain.
+        follows_evacuations: Whether operators may evacuate failure domains.
+        cap_policy: How far the requests of a workspace may exceed its cap.
+        warm_up_policy: How far the requests to a cold searcher may exceed what
+            it takes.
     """
 
     vm: str
@@ -46,3 +53,7 @@
     store: Address
     extra_call_policy: retry_budget.Policy
     grace_s: float
+    regions: dict[str, str] = {}
+    follows_evacuations: bool = False
+    cap_policy: tenancy.CapPolicy = tenancy.CapPolicy()
+    warm_up_policy: warm_up.WarmUpPolicy = warm_up.WarmUpPolicy()
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -15,6 +15,7 @@
 from laurelrock.core import registry
 from laurelrock.core import retry_budget
 from laurelrock.core import routes
+from laurelrock.core import tenancy
 from laurelrock.gateways import calls
 from laurelrock.gateways import crash_watch
 from laurelrock.gateways import deployment
@@ -35,6 +36,7 @@
 from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
 from laurelrock.gateways import vm_removal
+from laurelrock.gateways.tenants import keys
 from laurelrock.ports import directory
 from laurelrock.ports import header_codec
 
@@ -316,7 +318,18 @@
             return self.refuse(
                 caller_headers, 404, f"no route for {host!r} {target}"
             )
-        context = self.create_context(request, caller_headers, route, table)
+        workspace = None
+        if table.configuration.workspaces:
+            workspace = keys.find_workspace(table, caller_headers.key)
+            if workspace is None and not route.public:
+                return self.refuse_key(caller_headers)
+            name = workspace.name if workspace else ""
+            request = request._replace(
+                headers=self.platform.replace_key(request.headers, name)
+            )
+        context = self.create_context(
+            request, caller_headers, route, table, workspace
+        )
         try:
             outcome = await self.run_request(context)
         except asyncio.CancelledError:
@@ -333,8 +346,14 @@
         caller_headers: header_codec.CallerHeaders,
         route: routes.Route,
         table: routes.RouteTable,
+        workspace: tenancy.Workspace | None,
     ) -> calls.RequestContext:
         """Returns a request together with what its calls need."""
+        name = ""
+        if workspace is not None:
+            name = workspace.name
+            if workspace.priority is not None:
+                route = route._replace(priority=workspace.priority)
         time_limit_s = route.timeout_s
         if caller_headers.time_left_s is not None:
             time_limit_s = min(time_limit_s, caller_headers.time_left_s)
@@ -347,8 +366,9 @@
                 request.headers, caller_headers
             ),
             request.received_s + time_limit_s,
-            calls.fingerprint_of(request),
+            calls.fingerprint_of(request, name),
             trials.create_trial(),
+            name,
         )
 
     async def run_request(
@@ -413,6 +433,22 @@
             headers.append(outcomes.retry_after_header(retry_after_s))
         return http_server.Response(status, headers)
 
+    def refuse_key(
+        self, caller_headers: header_codec.CallerHeaders
+    ) -> http_server.Response:
+        """Refuses a request without a known key.
+
+        A VM whose configuration may be old can't tell that a key is unknown.
+        """
+        if self.follower.age_s() > keys.MAX_CONFIGURATION_AGE_S:
+            return self.refuse(
+                caller_headers,
+                503,
+                "unknown key, but the configuration may be old",
+                UNCONFIGURED_RETRY_AFTER_S,
+            )
+        return self.refuse(caller_headers, 401, "unknown key")
+
     def decision_inputs(self) -> dict[str, int | None]:
         """Returns the state that decisions rest on, with its age, for logs."""
         known = self.follower
--- a/laurelrock/gateways/group_messages.py
+++ b/laurelrock/gateways/group_messages.py
@@ -50,6 +50,7 @@
         single: Whether the group is a single request, which one searcher
             answers; the owner then returns that searcher's whole answer.
         idempotent: Whether the request may run more than once.
+        workspace: The name of the caller's workspace; empty if there is none.
     """
 
     number: int
@@ -67,6 +68,7 @@
     remaining_s: float
     single: bool = False
     idempotent: bool = True
+    workspace: str = ""
 
 
 class GroupAccepted(typing.NamedTuple):
--- a/laurelrock/gateways/group_runs.py
+++ b/laurelrock/gateways/group_runs.py
@@ -173,6 +173,7 @@
     end_s = now_s + group_request.remaining_s
     return calls.RequestContext(
         *(request, caller_headers, route, group_request.version, head, end_s),
-        fingerprint=calls.fingerprint_of(request),
+        fingerprint=calls.fingerprint_of(request, group_request.workspace),
         trial=trials.create_trial(),
+        workspace=group_request.workspace,
     )
--- /dev/null
+++ b/laurelrock/gateways/places/__init__.py
@@ -0,0 +1,1 @@
+"""Failure domains and regions: evacuations, cold searchers and homes."""
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -227,6 +227,7 @@
             remaining_s=context.end_s - now_s,
             single=group.single,
             idempotent=context.route.idempotent,
+            workspace=context.workspace,
         )
 
     def handle_accept_timeout(self, group: remote_groups.RemoteGroup) -> None:
--- /dev/null
+++ b/laurelrock/gateways/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of workspaces: their keys, caps and shares."""
--- a/laurelrock/platform/header_codec.py
+++ b/laurelrock/platform/header_codec.py
@@ -16,6 +16,7 @@
     "query_response_headers",
     "read_caller_headers",
     "read_searcher_headers",
+    "replace_key",
 ]
 
 #: Id of one attempt of a caller; searchers echo it.
@@ -41,6 +42,12 @@
 RETRY_AFTER = b"retry-after"
 #: Requests per second, with a fraction, that a searcher takes from all VMs.
 LIMIT = b"server-limit"
+#: Time in milliseconds for which a searcher is still cold.
+WARM_UP_LEFT = b"x-warmup-remaining-ms"
+#: Key of the caller's workspace, which is not passed on.
+KEY = b"api-key"
+#: Name of the workspace, as searchers receive it.
+WORKSPACE = b"x-tenant-id"
 
 #: Headers of a caller that are set anew for each call to a searcher.
 REWRITTEN_HEADERS = frozenset({DEADLINE, TARGET})
@@ -58,14 +65,26 @@
 ) -> header_codec.CallerHeaders:
     """Reads the headers of a caller's request."""
     request_id = http_wire.header_value(headers, REQUEST_ID) or b""
+    keys = {value.strip() for name, value in headers if name == KEY}
+    key = keys.pop() if len(keys) == 1 else None
     text = http_wire.header_value(headers, DEADLINE)
     if text is None or not text.strip().isdigit():
-        return header_codec.CallerHeaders(request_id, None)
+        return header_codec.CallerHeaders(request_id, None, key)
     return header_codec.CallerHeaders(
-        request_id, min(int(text) / 1000, MAX_TIME_LEFT_S)
+        request_id, min(int(text) / 1000, MAX_TIME_LEFT_S), key
     )
 
 
+def replace_key(
+    headers: http_wire.Headers, workspace: str
+) -> http_wire.Headers:
+    """Returns a request's headers with the workspace instead of its key."""
+    rows = [row for row in headers if row[0] not in (KEY, WORKSPACE)]
+    if workspace:
+        rows.append((WORKSPACE, workspace.encode()))
+    return rows
+
+
 def encode_common_headers(
     headers: http_wire.Headers, caller_headers: header_codec.CallerHeaders
 ) -> bytes:
@@ -104,6 +123,7 @@
             else None
         ),
         limit_per_s=_read_number(found.get(LIMIT)),
+        warm_up_left_s=_read_milliseconds(found.get(WARM_UP_LEFT)),
     )
 
 
@@ -152,6 +172,12 @@
     return number if math.isfinite(number) and number >= 0 else None
 
 
+def _read_milliseconds(text: bytes | None) -> float | None:
+    """Returns a time in seconds, or None if there is no valid one."""
+    number = _read_number(text)
+    return None if number is None else number / 1000
+
+
 def _read_positive(text: bytes | None) -> float | None:
     """Returns a number above 0, or None if there is no valid one."""
     return _read_number(text) or None
--- a/laurelrock/platform/objects.py
+++ b/laurelrock/platform/objects.py
@@ -12,6 +12,7 @@
 from laurelrock import errors
 from laurelrock.core import registry
 from laurelrock.core import routes
+from laurelrock.core import tenancy
 
 __all__ = ["decode_body", "read_configuration", "read_searcher"]
 
@@ -133,6 +134,7 @@
             limits.number("idle_timeout_ms", defaults.idle_timeout_s * 1e3)
             / 1e3,
         ),
+        workspaces=tuple(read_workspace(row) for row in fields.rows("tenants")),
     )
 
 
@@ -156,6 +158,8 @@
         attempts=max(1, fields.integer("max_attempts", 1)),
         max_records=fields.integer("top_k", 0),
         min_shard_share=fields.number("min_success_share", 0.0),
+        public=row.get("public") is True,
+        regions=read_names(fields, "allowed_regions"),
     )
 
 
@@ -184,4 +188,34 @@
         fields.row.get("health_path") or "/",
         # Limit for one searcher over all its callers together.
         fields.integer("max_connections", routes.Service().connections),
+        max(0.0, fields.number("warmup_s", 0.0)),
+        max(0.0, fields.number("warmup_per_s", 0.0)),
     )
+
+
+def read_workspace(row: Json) -> tenancy.Workspace:
+    """Decodes one workspace; raises `FieldError`."""
+    fields = Fields(row)
+    return tenancy.Workspace(
+        name=fields.text("name"),
+        keys=tuple(
+            tenancy.digest_of(key.encode())
+            for key in read_names(fields, "api_keys")
+        ),
+        priority=(
+            fields.integer("priority")
+            if row.get("priority") is not None
+            else None
+        ),
+        requests_per_s=max(0.0, fields.number("rate_per_s", 0.0)),
+        burst=max(0.0, fields.number("burst", 0.0)),
+        regions=read_names(fields, "allowed_regions"),
+    )
+
+
+def read_names(fields: Fields, name: str) -> tuple[str, ...]:
+    """Decodes a list of names; raises `FieldError`."""
+    rows = fields.rows(name)
+    if not all(isinstance(row, str) for row in rows):
+        raise errors.FieldError(f"{name}: not a list of text strings")
+    return tuple(rows)
--- a/laurelrock/platform/settings.py
+++ b/laurelrock/platform/settings.py
@@ -9,6 +9,8 @@
 from laurelrock import errors
 from laurelrock.adapters import logs
 from laurelrock.core import retry_budget
+from laurelrock.core import tenancy
+from laurelrock.core import warm_up
 from laurelrock.gateways import deployment
 from laurelrock.platform import objects
 
@@ -96,6 +98,8 @@
     if not ports:
         raise errors.FieldError("port_range: contains no port")
     default = retry_budget.Policy()
+    caps = tenancy.CapPolicy()
+    cold = warm_up.WarmUpPolicy()
     return deployment.Deployment(
         vm=fields.text("node_name"),
         address=fields.text("ip"),
@@ -120,4 +124,19 @@
         ),
         # Time from SIGTERM until the process is killed.
         grace_s=bounds.number("grace_period_s", 6),
+        regions={
+            str(domain): str(region)
+            for domain, region in (fields.row.get("zones") or {}).items()
+        },
+        # The bound itself is not needed: an evacuation applies at once.
+        follows_evacuations="evacuate_ms" in bounds.row,
+        cap_policy=tenancy.CapPolicy(
+            bounds.number("quota_window_s", caps.window_s),
+            bounds.number("quota_overage", caps.overage),
+            bounds.number("quota_slack", caps.slack),
+        ),
+        warm_up_policy=warm_up.WarmUpPolicy(
+            bounds.number("warmup_overage", cold.overage),
+            bounds.number("warmup_slack", cold.slack),
+        ),
     )
--- a/laurelrock/ports/header_codec.py
+++ b/laurelrock/ports/header_codec.py
@@ -14,10 +14,13 @@
         request_id: Id of this attempt of the caller; empty if none was sent.
         time_left_s: Time that the caller waits for the response, in seconds;
             None if it sent no valid deadline.
+        key: Key of the caller's workspace; None if none, or several different
+            ones, were sent.
     """
 
     request_id: bytes
     time_left_s: float | None
+    key: bytes | None = None
 
 
 class SearcherHeaders(typing.NamedTuple):
@@ -39,6 +42,8 @@
             request, wants none; None if it didn't say.
         limit_per_s: Requests per second that the searcher takes from all VMs
             together; None if it names no limit.
+        warm_up_left_s: Time in seconds for which the searcher is still cold;
+            None if it didn't say.
     """
 
     request_id: bytes | None
@@ -50,6 +55,7 @@
     leaving: bool = False
     pause_s: float | None = None
     limit_per_s: float | None = None
+    warm_up_left_s: float | None = None
 
 
 class HeaderCodec(typing.Protocol):
@@ -58,6 +64,16 @@
     def read_caller_headers(self, headers: http_wire.Headers) -> CallerHeaders:
         """Reads the headers of a caller's request."""
 
+    def replace_key(
+        self, headers: http_wire.Headers, workspace: str
+    ) -> http_wire.Headers:
+        """Returns a request's headers with the workspace instead of its key.
+
+        Args:
+            headers: Headers as the caller sent them.
+            workspace: Name of the workspace; empty if there is none.
+        """
+
     def encode_common_headers(
         self, headers: http_wire.Headers, caller_headers: CallerHeaders
     ) -> bytes:
