--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -179,8 +179,10 @@
             with self.subTest(value):
                 headers = [(b"x-request-id", b"i"), (b"x-deadline-ms", value)]
                 caller_headers = header_codec.read_caller_headers(headers)
-                self.assertEqual(caller_headers, (b"i", time_left_s))
-        self.assertEqual(header_codec.read_caller_headers([]), (b"", None))
+                self.assertEqual(caller_headers, (b"i", time_left_s, None))
+        self.assertEqual(
+            header_codec.read_caller_headers([]), (b"", None, None)
+        )
 
     def test_headers_forwarded_to_a_searcher(self):
         headers = [
