Eject a searcher that ends the connections of all calls

Cause: a searcher behind a proxy accepts each connection and resets it. Change: five lost calls in a row eject a searcher. It is probed by a request for its health, since an open connection shows nothing here. Ruled out: ejection after the first lost call, which would leave shards without searchers while half of the responses are lost. Two tests of test_replicas fail without the change; 50 tests of the searchers, isolation and need pass.

--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -47,6 +47,10 @@
 #: Consecutive calls that got no connection, or no response in time, after which
 #: a searcher is ejected.
 MAX_UNANSWERED = 2
+#: Consecutive calls whose connection ended without a response after which a
+#: searcher is ejected. Responses may be lost at random: if half of them are,
+#: five in a row are lost in 3 of 100 cases.
+MAX_LOST = 5
 #: First and longest time before an ejected searcher is probed, in seconds.
 EJECT_S = 0.3
 MAX_EJECT_S = 2.0
@@ -120,6 +124,8 @@
         failure_rate: Moving average of call results, with 1 for a failure and 0
             for a success.
         unanswered: Number of consecutive calls without any response.
+        lost: Number of consecutive calls whose connection ended without a
+            response.
         silent_since_s: Time of the first call since its last response that
             ended without one, in seconds; infinitely early if there is none.
         ejections: Number of consecutive ejections; above 0 while it is ejected.
@@ -147,6 +153,7 @@
         self.last_success_s = now_s
         self.failure_rate = 0.0
         self.unanswered = 0
+        self.lost = 0
         self.silent_since_s = -math.inf
         self.ejections = 0
         self.next_probe_s = 0.0
@@ -186,7 +193,7 @@
 
     def record_response(self) -> None:
         """Records any response, including errors, and ends an ejection."""
-        self.unanswered = self.ejections = 0
+        self.unanswered = self.ejections = self.lost = 0
         self.silent_since_s = -math.inf
         self.probe_succeeded = False
 
@@ -202,21 +209,34 @@
         self.record_failure()
         if not self.ejections and self.unanswered < MAX_UNANSWERED:
             return False
+        self.eject(now_s)
+        return True
+
+    def eject(self, now_s: float) -> None:
+        """Ejects the searcher for longer than the last time."""
         eject_s = min(EJECT_S * 2**self.ejections, MAX_EJECT_S)
         self.ejections = min(self.ejections + 1, 8)
         self.next_probe_s = now_s + eject_s
         self.probe_succeeded = False
-        return True
 
     def record_failure(self) -> None:
         """Adds a failure to the failure rate."""
         self.failure_rate += MEAN_WEIGHT * (1 - self.failure_rate)
 
-    def record_lost(self, now_s: float) -> None:
-        """Records a call whose connection ended before the response."""
+    def record_lost(self, now_s: float) -> bool:
+        """Records a call whose connection ended before the response.
+
+        Returns:
+            Whether the searcher is ejected by this call.
+        """
         if self.silent_since_s == -math.inf:
             self.silent_since_s = now_s
+        self.lost += 1
         self.record_failure()
+        if self.lost < MAX_LOST:
+            return False
+        self.eject(now_s)
+        return True
 
     @property
     def reachable(self) -> bool:
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -392,7 +392,8 @@
             # The searcher would take this VM's link again with the next call.
             self.eject_if_unresponsive(pending_call, result)
         elif result.lost:
-            replica.record_lost(now_s)
+            if replica.record_lost(now_s):
+                self.log_ejection(pending_call, result)
         elif result.status is CallStatus.BROKEN and result.reason != WITHDRAWN:
             replica.record_failure()
         elif (
@@ -407,14 +408,22 @@
         """Records a searcher that didn't respond, and logs its ejection."""
         replica = pending_call.upstream.replica
         now_s = self.loop.time()
-        if not replica.record_no_response(now_s):
-            return
+        if replica.record_no_response(now_s):
+            self.log_ejection(pending_call, result)
+
+    def log_ejection(
+        self, pending_call: PendingCall, result: CallResult
+    ) -> None:
+        """Drops the idle connections of an ejected searcher, and logs it."""
+        replica = pending_call.upstream.replica
+        now_s = self.loop.time()
         pending_call.upstream.client.drop_idle()
         _log.warning(
             "searcher-ejected",
             searcher=replica.searcher.id,
             reason=result.reason,
             silent=replica.unanswered,
+            lost=replica.lost,
             probe_ms=round((replica.next_probe_s - now_s) * 1000),
         )
 
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -20,6 +20,7 @@
 from laurelrock.gateways import crash_watch
 from laurelrock.gateways import deployment
 from laurelrock.gateways import group_messages
+from laurelrock.gateways import health_checks
 from laurelrock.gateways import isolation_detector
 from laurelrock.gateways import lending
 from laurelrock.gateways import limit_sharing
@@ -123,6 +124,7 @@
             options.failure_domain,
             int(options.memory_bytes * REPLY_MEMORY_FRACTION),
         )
+        self.known.check_health = health_checks.responds
         self.calls = calls.create_calls(platform, self.known)
         self.budget = retry_budget.create_budget(options.extra_call_policy)
         self.service_split = routes.WeightedSplit()
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -53,6 +53,9 @@
 ShareOf = collections.abc.Callable[
     [registry.Searcher, float], request_limit.Share
 ]
+CheckHealth = collections.abc.Callable[
+    ["Upstreams", "Upstream"], collections.abc.Awaitable[bool]
+]
 
 
 class Upstream:
@@ -97,6 +100,8 @@
             service.
         responded_s: Loop time of the last response of any searcher, in seconds.
         isolated: Whether this VM has lost all searchers.
+        check_health: Requests the health of a searcher and returns whether it
+            responds; None if health isn't requested.
         share_of: Returns this VM's share of a searcher's limit, given the
             requests per second that the searcher takes from all VMs.
     """
@@ -126,6 +131,7 @@
         self.demands: dict[str, event_rate.EventRate] = {}
         self.responded_s = 0.0
         self.isolated = False
+        self.check_health: CheckHealth | None = None
         self.share_of: ShareOf = self.equal_share
 
     def is_local(self, replica: replicas.Replica) -> bool:
@@ -444,9 +450,16 @@
                 await asyncio.gather(*[self.probe_one(row) for row in due])
 
     async def probe_one(self, upstream: Upstream) -> None:
-        """Opens a connection to an ejected searcher."""
+        """Probes an ejected searcher.
+
+        An open connection is enough, unless it was ejected since it ended the
+        connections of calls: a proxy in front of it may accept them.
+        """
         replica = upstream.replica
-        if await upstream.client.try_connect() is None:
+        reached = await upstream.client.try_connect() is None
+        if reached and replica.lost and self.check_health is not None:
+            reached = await self.check_health(self, upstream)
+        if reached:
             replica.probe_succeeded = True
             _log.info("searcher-probe-succeeded", searcher=replica.searcher.id)
         else:
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -129,6 +129,19 @@
             self.row.record_failure()
         self.assertTrue(self.row.reachable)
 
+    def test_searcher_that_resets_every_call_is_ejected(self):
+        # A proxy accepts its connections and resets them.
+        ejected = [self.row.record_lost(1.0) for _ in range(replicas.MAX_LOST)]
+        self.assertEqual(ejected, [False] * (replicas.MAX_LOST - 1) + [True])
+        self.assertFalse(self.row.reachable)
+
+    def test_responses_between_lost_ones_prevent_ejection(self):
+        for _ in range(20):
+            for _ in range(replicas.MAX_LOST - 1):
+                self.row.record_lost(1.0)
+            self.row.record_response()
+        self.assertTrue(self.row.reachable)
+
     def test_probed_searcher_takes_one_call_at_a_time(self):
         self.eject()
         self.row.probe_succeeded = True
