--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -240,13 +240,15 @@
         if searcher is None:
             _log.info("searcher-removed", searcher=change.id)
             return
-        _log.info(
-            "searcher-updated",
-            searcher=searcher.id,
-            service=searcher.service,
-            state=searcher.state,
-            warm_up_ms=round(searcher.warm_up_left_s * 1000),
-        )
+        # The remaining warm-up changes with each heartbeat of a new searcher.
+        if known is None or known.searcher.state != searcher.state:
+            _log.info(
+                "searcher-updated",
+                searcher=searcher.id,
+                service=searcher.service,
+                state=searcher.state,
+                warm_up_ms=round(searcher.warm_up_left_s * 1000),
+            )
         if known is not None:
             known.replica.searcher = searcher
             if searcher.state == "draining":
