Log when a query had its minimum of shards

The log does not show whether the minimum of shards arrived after the objective or just missed the 6 ms in which a partial response is sent.

--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -486,6 +486,11 @@
             shards=outcome.shards,
             included=len(outcome.stamps),
             missing=outcome.missing[:MAX_LOGGED_MISSING],
+            enough_ms=(
+                round((outcome.enough_s - context.request.received_s) * 1000, 1)
+                if outcome.enough_s
+                else None
+            ),
             attempts=outcome.attempts,
             reason=outcome.reason,
             **{**self.decision_inputs(), "version": context.version},
--- a/laurelrock/gateways/outcomes.py
+++ b/laurelrock/gateways/outcomes.py
@@ -27,6 +27,8 @@
             retry; 0 for the default.
         resume_in_s: The time in seconds before which a retry is certainly in
             vain, because searchers asked for no calls; 0 if unknown.
+        enough_s: The loop time at which a query had its minimum of shards; 0 if
+            it never had.
     """
 
     kind: Kind
@@ -40,6 +42,7 @@
     reason: str = ""
     retry_after_s: float = 0.0
     resume_in_s: float = 0.0
+    enough_s: float = 0.0
 
 
 def retry_after_header(
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -28,6 +28,8 @@
         unreachable_parts: Those of them whose searchers can't be reached.
         groups: The groups of shards that other VMs call.
         changed: Set when a part or a group changed.
+        enough_s: The loop time at which the minimum of parts had completed; 0
+            before.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         self.open_parts = len(self.own_parts)
         self.answered_parts = 0
         self.changed = asyncio.Event()
+        self.enough_s = 0.0
 
     def record_finished(self, part: parts.Part) -> None:
         """Records the end of a part."""
@@ -118,6 +121,8 @@
     next_check_s = loop.time() + typical.late_after_s
     while True:
         now_s = loop.time()
+        if not progress.enough_s and progress.answered >= schedule.min_shards:
+            progress.enough_s = now_s
         if answer_schedule.ready(
             schedule, progress.answered, progress.pending, now_s
         ):
@@ -197,6 +202,7 @@
         shards=count,
         attempts=progress.attempts,
         missing=progress.missing(),
+        enough_s=progress.enough_s,
     )
 
 
