Limit the requests of a workspace over all VMs

Change: VMs lend their shares of the caps to keepers, chosen by rendezvous hashing, for limited times. A keeper holds one token bucket per workspace for the shares lent to it. An entry VM asks it for tokens before anything is called, waits 40 ms at most, and refuses with 429 and the turn of the request in the workspace's queue. Uncapped workspaces send no message and do not wait.

--- /dev/null
+++ b/laurelrock/core/token_leases.py
@@ -0,0 +1,391 @@
+"""Limits the requests of a workspace to its cap over all VMs.
+
+The rate and the burst of a workspace are divided into equal shares, one for
+each listed VM. A VM lends its share to a keeper for a limited time. The keeper
+holds one token bucket for all shares lent to it and grants tokens to any VM.
+A share that changes hands carries no tokens, and a share is never in two hands,
+so that the sum over all VMs stays within the bound whatever fails.
+
+The bound of a window W is (r W + b) (1 + o) + s, with the rate r, the burst b,
+the overage o and the slack s. It is used up as follows:
+
+- r W + b + s/4: main buckets. The part s/4 raises small buckets to one token.
+- o (r W + b): tokens leased in advance, and grants that are on their way.
+- s/2: spare buckets, which serve while the main bucket is out of reach or has
+  not yet filled.
+- s/4: requests that single VMs admit if they reach no keeper.
+"""
+
+import collections.abc
+import math
+import typing
+
+from laurelrock.core import tenancy
+from laurelrock.core import token_buckets
+
+__all__ = [
+    "Grant",
+    "Keeper",
+    "create_keeper",
+    "pool_of",
+]
+
+#: Number of parts into which the workspaces are divided, each with a keeper.
+SLOTS = 4
+#: Kinds of a slot's pools of shares.
+MAIN, SPARE = 0, 1
+#: Time in seconds for which a share is lent.
+VALID_S = 2.5
+#: Time in seconds by which a VM waits longer than `VALID_S` before it uses a
+#: share again, for clocks that run at different speeds.
+VALID_MARGIN_S = 0.1
+#: Time in seconds after which a leased token may not be used any more.
+LEASE_S = 1.0
+#: Time in seconds after the request for it within which a token that was
+#: granted to a waiting request is used.
+GRANT_VALID_S = 0.04
+#: Fractions of the slack for the spare buckets, and for main buckets that would
+#: be smaller than one token.
+SPARE_FRACTION, ROUNDING_FRACTION = 0.5, 0.25
+#: Largest number of requests that one message asks tokens for.
+MAX_ASKED = 1024
+
+
+class Share(typing.NamedTuple):
+    """A VM's share that is lent to a keeper.
+
+    Attributes:
+        fraction: Fraction of rate and burst.
+        end_s: Time at which it is no longer lent, in seconds.
+    """
+
+    fraction: float
+    end_s: float
+
+
+class Grant(typing.NamedTuple):
+    """A keeper's decision about a request for tokens.
+
+    Attributes:
+        granted: Number of the waiting requests that may run.
+        leased: Number of further tokens, which expire after `LEASE_S`.
+        spare: Number of the other waiting requests that are within the cap and
+            may run if there are spare tokens.
+        turns_s: Times in seconds after which the remaining ones may return.
+    """
+
+    granted: int
+    leased: int = 0
+    spare: int = 0
+    turns_s: list[float] = []
+
+
+class Account:
+    """What the keeper knows of one workspace.
+
+    Attributes:
+        workspace: The workspace with its cap.
+        main: The bucket of its rate and burst.
+        spare: The bucket of the slack.
+        ideal: The bucket that one VM would have that served all requests and
+            never failed. It tells which requests are within the cap.
+        turns: The turns of refused callers.
+        leases: Leased tokens and the times at which they expire, by VM.
+    """
+
+    def __init__(
+        self,
+        workspace: tenancy.Workspace,
+        policy: tenancy.CapPolicy,
+        now_s: float,
+    ) -> None:
+        self.workspace = workspace
+        per_s, burst = workspace.requests_per_s, workspace.burst
+        rounding = policy.slack * ROUNDING_FRACTION
+        self.main = token_buckets.create_bucket(per_s, burst, rounding, now_s)
+        # Half of the spare tokens of a window are the bucket's size and half
+        # its rate, so that no window has more.
+        half = policy.slack * SPARE_FRACTION / 2
+        self.spare = token_buckets.create_bucket(
+            half / policy.window_s, half, 0.0, now_s
+        )
+        self.ideal = token_buckets.create_bucket(per_s, burst, rounding, now_s)
+        self.ideal.tokens = self.ideal.size(1.0)
+        self.turns = token_buckets.create_turns()
+        self.leases: dict[str, tuple[int, float]] = {}
+
+    def change(
+        self, workspace: tenancy.Workspace, fraction: float, now_s: float
+    ) -> None:
+        """Applies a changed cap; no tokens are added."""
+        self.workspace = workspace
+        for bucket, part in ((self.main, fraction), (self.ideal, 1.0)):
+            bucket.refill(part, now_s)
+            bucket.per_s = workspace.requests_per_s
+            bucket.burst = workspace.burst
+            bucket.refill(part, now_s)
+        self.turns = token_buckets.create_turns()
+
+    def leased(self, now_s: float) -> int:
+        """Returns the number of leased tokens that may still be used."""
+        for vm in [vm for vm, row in self.leases.items() if row[1] <= now_s]:
+            del self.leases[vm]
+        return sum(tokens for tokens, _ in self.leases.values())
+
+
+class Pool:
+    """The shares of one slot that are lent to this VM.
+
+    Attributes:
+        kind: `MAIN` or `SPARE`.
+        accounts: The accounts of the slot.
+        shares: The shares by VM.
+        fraction: Sum of the shares, at most 1.
+        grown_s: Time at which the sum last grew, in seconds.
+        first_end_s: Time before which no share ends, in seconds.
+    """
+
+    def __init__(self, kind: int, accounts: dict[str, Account]) -> None:
+        self.kind = kind
+        self.accounts = accounts
+        self.shares: dict[str, Share] = {}
+        self.fraction = 0.0
+        self.grown_s = 0.0
+        self.first_end_s = math.inf
+
+    def bucket(self, account: Account) -> token_buckets.Bucket:
+        """Returns the bucket that the pool's shares fill."""
+        return account.main if self.kind == MAIN else account.spare
+
+    def refill(self, now_s: float) -> None:
+        """Adds tokens to all buckets."""
+        for account in self.accounts.values():
+            self.bucket(account).refill(self.fraction, now_s)
+
+    def set_share(self, vm: str, share: Share | None, now_s: float) -> None:
+        """Sets or removes a VM's share."""
+        old = self.shares.get(vm)
+        changed = (old and old.fraction) != (share and share.fraction)
+        if changed:
+            self.refill(now_s)
+        if share is None:
+            self.shares.pop(vm, None)
+        else:
+            self.shares[vm] = share
+            self.first_end_s = min(self.first_end_s, share.end_s)
+        if not changed:
+            return
+        before = self.fraction
+        total = sum(row.fraction for row in self.shares.values())
+        self.fraction = 1.0 if total > 1.0 - token_buckets.EPSILON else total
+        if self.fraction > before:
+            self.grown_s = now_s
+        elif self.fraction < before:
+            self.refill(now_s)
+
+    def drop_expired(self, now_s: float) -> None:
+        """Removes the shares that are no longer lent.
+
+        Each counts until its own end and no longer.
+        """
+        if now_s < self.first_end_s:
+            return
+        expired = [row for row in self.shares.items() if row[1].end_s <= now_s]
+        for vm, share in sorted(expired, key=lambda row: row[1].end_s):
+            self.set_share(vm, None, share.end_s)
+        ends = (share.end_s for share in self.shares.values())
+        self.first_end_s = min(ends, default=math.inf)
+
+
+class Keeper:
+    """The shares lent to this VM, and the tokens that they fill.
+
+    Attributes:
+        policy: How far caps may be exceeded.
+        slots: The accounts of the capped workspaces, by slot.
+        pools: The pools by number; see `pool_of`.
+        slot_of: The slot of each capped workspace.
+    """
+
+    def __init__(self, policy: tenancy.CapPolicy) -> None:
+        self.policy = policy
+        self.slots: list[dict[str, Account]] = [{} for _ in range(SLOTS)]
+        self.pools = [
+            Pool(kind, accounts)
+            for accounts in self.slots
+            for kind in (MAIN, SPARE)
+        ]
+        self.slot_of: dict[str, int] = {}
+
+    def configure(
+        self,
+        workspaces: collections.abc.Iterable[tuple[int, tenancy.Workspace]],
+        now_s: float,
+    ) -> None:
+        """Applies the capped workspaces, each with its slot."""
+        self.drop_expired(now_s)
+        rows = {row.name: (slot, row) for slot, row in workspaces}
+        for name in [name for name in self.slot_of if name not in rows]:
+            del self.slots[self.slot_of.pop(name)][name]
+        for name, (slot, workspace) in rows.items():
+            account = self.slots[slot].get(name)
+            if account is None:
+                account = Account(workspace, self.policy, now_s)
+                self.slots[slot][name] = account
+                self.slot_of[name] = slot
+            elif account.workspace != workspace:
+                fraction = self.pools[pool_of(slot, MAIN)].fraction
+                account.change(workspace, fraction, now_s)
+
+    def set_shares(
+        self, vm: str, pools: list[int], share: Share, now_s: float
+    ) -> None:
+        """Records that a VM lends its share of some pools, and of no others."""
+        self.drop_expired(now_s)
+        for number, pool in enumerate(self.pools):
+            if number in pools and share.end_s > now_s:
+                pool.set_share(vm, share, now_s)
+            elif vm in pool.shares:
+                pool.set_share(vm, None, now_s)
+
+    def drop_expired(self, now_s: float) -> None:
+        """Removes the shares that are no longer lent."""
+        for pool in self.pools:
+            pool.drop_expired(now_s)
+
+    def ask(
+        self,
+        vm: str,
+        workspace: str,
+        waiting: int,
+        ahead: tuple[int, int],
+        now_s: float,
+    ) -> Grant | None:
+        """Decides about a VM's request for tokens of the main bucket.
+
+        Args:
+            vm: Name of the VM.
+            workspace: Name of the workspace.
+            waiting: Number of waiting requests.
+            ahead: Number of leased tokens that the VM wants for later requests,
+                and the number that it holds.
+            now_s: Current time, in seconds.
+
+        Returns:
+            The decision; None if the workspace isn't known.
+        """
+        account = self.refilled(workspace, now_s)
+        if account is None:
+            return None
+        waiting = max(0, min(waiting, MAX_ASKED))
+        main, ideal = account.main, account.ideal
+        fraction = self.pools[pool_of(self.slot_of[workspace], MAIN)].fraction
+        if main.tokens >= main.size(1.0):
+            account.turns = token_buckets.create_turns()
+        granted = main.take(waiting)
+        ideal.tokens = max(0.0, ideal.tokens - granted)
+        spare = ideal.take(waiting - granted)
+        refused = waiting - granted - spare
+        wait_s = max(0.0, 1.0 - ideal.tokens) / ideal.per_s
+        turns_s = [
+            account.turns.reserve(wait_s, ideal.per_s, now_s)
+            for _ in range(refused)
+        ]
+        leased = 0
+        if ahead != (0, 0) or vm in account.leases:
+            wanted = ahead[0] if granted == waiting else 0
+            leased = self.lease(account, vm, wanted, ahead[1], fraction, now_s)
+        return Grant(granted, leased, spare, turns_s)
+
+    def lease(
+        self,
+        account: Account,
+        vm: str,
+        wanted: int,
+        held: int,
+        fraction: float,
+        now_s: float,
+    ) -> int:
+        """Leases tokens for later requests if the bucket is well filled.
+
+        A negative number means that the VM may no longer use those it holds,
+        since this keeper doesn't know of them.
+        """
+        workspace, policy = account.workspace, self.policy
+        others = account.leased(now_s)
+        lent = account.leases.pop(vm, (0, 0.0))[0]
+        if held > lent:
+            return -1
+        others -= lent
+        per_s, burst = workspace.requests_per_s, workspace.burst
+        limit = fraction * (
+            policy.overage * (per_s * policy.window_s + burst)
+            - per_s * GRANT_VALID_S
+        )
+        main = account.main
+        leased = 0
+        pool = self.pools[pool_of(self.slot_of[workspace.name], MAIN)]
+        # Tokens that an earlier holder of a share leased may still be in use.
+        if now_s - pool.grown_s > LEASE_S:
+            free = min(main.tokens - main.size(fraction) / 2, limit - others)
+            leased = main.take(max(0, min(wanted, int(free - held))))
+            account.ideal.tokens = max(0.0, account.ideal.tokens - leased)
+        if held + leased:
+            account.leases[vm] = (held + leased, now_s + LEASE_S)
+        return leased
+
+    def ask_spare(
+        self, workspace: str, waiting: int, now_s: float
+    ) -> Grant | None:
+        """Decides about a request that the VM's main keeper didn't serve."""
+        account = self.refilled(workspace, now_s)
+        if account is None:
+            return None
+        waiting = max(0, min(waiting, MAX_ASKED))
+        granted = account.main.take(waiting)
+        granted += account.spare.take(waiting - granted)
+        account.ideal.tokens = max(0.0, account.ideal.tokens - granted)
+        per_s = account.workspace.requests_per_s
+        turns_s = [
+            account.turns.reserve(1.0 / per_s, per_s, now_s)
+            for _ in range(waiting - granted)
+        ]
+        return Grant(granted, turns_s=turns_s)
+
+    def give_back(
+        self, vm: str, workspace: str, tokens: int, now_s: float
+    ) -> None:
+        """Returns leased tokens that a VM didn't use."""
+        account = self.refilled(workspace, now_s)
+        if account is None:
+            return
+        account.leased(now_s)
+        lent = account.leases.pop(vm, (0, 0.0))[0]
+        slot = self.slot_of[workspace]
+        fraction = self.pools[pool_of(slot, MAIN)].fraction
+        for bucket, part in ((account.main, fraction), (account.ideal, 1.0)):
+            bucket.tokens += max(0, min(tokens, lent))
+            bucket.refill(part, now_s)
+
+    def refilled(self, workspace: str, now_s: float) -> Account | None:
+        """Returns the account of a workspace with the tokens of now."""
+        self.drop_expired(now_s)
+        slot = self.slot_of.get(workspace)
+        if slot is None:
+            return None
+        account = self.slots[slot][workspace]
+        for kind in (MAIN, SPARE):
+            pool = self.pools[pool_of(slot, kind)]
+            pool.bucket(account).refill(pool.fraction, now_s)
+        account.ideal.refill(1.0, now_s)
+        return account
+
+
+def pool_of(slot: int, kind: int) -> int:
+    """Returns the number of a slot's pool."""
+    return 2 * slot + kind
+
+
+def create_keeper(policy: tenancy.CapPolicy) -> Keeper:
+    """Returns a keeper without shares or tokens."""
+    return Keeper(policy)
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -36,6 +36,8 @@
 from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
 from laurelrock.gateways import vm_removal
+from laurelrock.gateways.tenants import cap_accounts
+from laurelrock.gateways.tenants import cap_sharing
 from laurelrock.gateways.tenants import keys
 from laurelrock.ports import directory
 from laurelrock.ports import header_codec
@@ -92,6 +94,7 @@
         groups: The shard groups that other VMs call for this one, and that it
             calls for them.
         limit_sharing: The shares of the limits that searchers named.
+        cap_sharing: The caps of workspaces over all VMs.
         follower: The configuration and the registry of searchers.
         crash_watch: The requests that crash searchers.
         vm_removal: Removes VMs that are gone from the platform's list.
@@ -142,6 +145,9 @@
         self.limit_sharing = limit_sharing.create_limit_sharing(
             self.known, self.groups.assignment, *messaging
         )
+        self.cap_sharing = cap_sharing.create_cap_sharing(
+            *messaging, options.cap_policy
+        )
         self.follower = platform_follower.PlatformFollower(
             *(source, row, self.known, self.apply_configuration),
             *(self.apply_vm_entries, self.share_searchers),
@@ -202,6 +208,7 @@
         if self.servers:
             self.servers[0].limits = configuration.limits
         self.apply_assignment(configuration)
+        self.cap_sharing.configure(configuration)
         self.sharing.share_configuration(configuration)
 
     def share_searchers(self, changes: list[registry.Change]) -> None:
@@ -217,6 +224,7 @@
     def link_ended(self, link: frames.Link) -> None:
         """Handles the end of a connection to another VM."""
         self.groups.link_ended(link)
+        self.cap_sharing.link_ended(link)
         self.sharing.link_ended(link)
 
     def apply_assignment(self, configuration: routes.Configuration) -> None:
@@ -268,6 +276,7 @@
         ]
         self.lending.set_vms(vms)
         self.crash_watch.set_vms(vms)
+        self.cap_sharing.set_vms(vms)
         self.set_vm_count(len(vms), len({vm.failure_domain for vm in vms}))
         self.sharing.set_vms(vms)
         if self.follower.table is not None:
@@ -323,6 +332,12 @@
             workspace = keys.find_workspace(table, caller_headers.key)
             if workspace is None and not route.public:
                 return self.refuse_key(caller_headers)
+            if workspace is not None and workspace.requests_per_s:
+                admission = await self.cap_sharing.admit(
+                    workspace, self.loop.time()
+                )
+                if not admission.granted:
+                    return self.refuse_cap(caller_headers, workspace, admission)
             name = workspace.name if workspace else ""
             request = request._replace(
                 headers=self.platform.replace_key(request.headers, name)
@@ -447,8 +462,36 @@
                 "unknown key, but the configuration may be old",
                 UNCONFIGURED_RETRY_AFTER_S,
             )
+        _log.info(
+            "key-refused",
+            request=caller_headers.request_id.decode("latin-1"),
+            version=self.follower.version,
+        )
         return self.refuse(caller_headers, 401, "unknown key")
 
+    def refuse_cap(
+        self,
+        caller_headers: header_codec.CallerHeaders,
+        workspace: tenancy.Workspace,
+        admission: cap_accounts.Admission,
+    ) -> http_server.Response:
+        """Refuses a request above its workspace's cap.
+
+        The time until the caller's turn isn't randomized: turns differ.
+        """
+        self.counts["refused-429"] += 1
+        _log.info(
+            "cap-refused",
+            request=caller_headers.request_id.decode("latin-1"),
+            workspace=workspace.name,
+            retry_after_ms=round(admission.retry_after_s * 1000),
+            keeper=admission.keeper,
+            **self.decision_inputs(),
+        )
+        headers = self.platform.gateway_response_headers(caller_headers)
+        headers.append(outcomes.exact_retry_header(admission.retry_after_s))
+        return http_server.Response(429, headers)
+
     def decision_inputs(self) -> dict[str, int | None]:
         """Returns the state that decisions rest on, with its age, for logs."""
         known = self.follower
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -59,6 +59,11 @@
         lambda: dict(gateway.vm_removal.counts),
         "Checks of other VMs, and those taken from the list",
     )
+    meters.counters(
+        "laurelrock_caps_total",
+        lambda: dict(gateway.cap_sharing.counts),
+        "Requests of workspaces with a cap by decision, and messages for them",
+    )
     register_platform(gateway, meters)
     register_searchers(gateway.known, meters)
 
--- a/laurelrock/gateways/outcomes.py
+++ b/laurelrock/gateways/outcomes.py
@@ -1,11 +1,12 @@
 """Outcomes of callers' requests."""
 
+import math
 import random
 import typing
 
 from laurelrock.adapters import http_client
 
-__all__ = ["Kind", "Outcome", "retry_after_header"]
+__all__ = ["Kind", "Outcome", "exact_retry_header", "retry_after_header"]
 
 Kind = typing.Literal["answered", "partial", "refused", "failed", "late"]
 
@@ -58,3 +59,8 @@
     if earliest_s:
         randomized_s = earliest_s + seconds * random.random() / 2
     return b"retry-after", b"%.2f" % randomized_s
+
+
+def exact_retry_header(seconds: float) -> tuple[bytes, bytes]:
+    """Returns the header with the time after which a caller has its turn."""
+    return b"retry-after", b"%.2f" % (math.ceil(seconds * 100) / 100)
--- a/laurelrock/gateways/peer_messages.py
+++ b/laurelrock/gateways/peer_messages.py
@@ -9,6 +9,7 @@
 from laurelrock.gateways import lending
 from laurelrock.gateways import limit_sharing
 from laurelrock.gateways import state_sharing
+from laurelrock.gateways.tenants import cap_messages
 
 if typing.TYPE_CHECKING:
     from laurelrock.gateways import gateway as gateways
@@ -22,6 +23,7 @@
     **lending.KINDS,
     **limit_sharing.KINDS,
     **crash_watch.KINDS,
+    **cap_messages.KINDS,
 }
 
 Handler = collections.abc.Callable[[frames.Link, typing.Any], None]
@@ -35,6 +37,7 @@
         (lending.KINDS, gateway.lending.handle_message),
         (limit_sharing.KINDS, gateway.limit_sharing.handle_message),
         (crash_watch.KINDS, gateway.crash_watch.handle_message),
+        (cap_messages.KINDS, gateway.cap_sharing.handle_message),
     ]
     handlers = {
         kind: handle for kinds, handle in rows for kind in kinds.values()
