Keep the bound of caps through cuts, restarts and moved keepers

Change: the spare keeper stays for 10 s after a change, counts passed requests once, and the ranking is the same for all VMs; while a keeper is silent, the first eight are probed. The spare bucket holds 0.8 of a window's spare tokens.

--- a/laurelrock/core/token_leases.py
+++ b/laurelrock/core/token_leases.py
@@ -47,6 +47,9 @@
 #: Fractions of the slack for the spare buckets, and for main buckets that would
 #: be smaller than one token.
 SPARE_FRACTION, ROUNDING_FRACTION = 0.5, 0.25
+#: Size of the spare bucket, as a fraction of the spare tokens of a window. It
+#: has to last until shares that were lent to a dead keeper are back.
+SPARE_SIZE_FRACTION = 0.8
 #: Largest number of requests that one message asks tokens for.
 MAX_ASKED = 1024
 
@@ -103,11 +106,12 @@
         per_s, burst = workspace.requests_per_s, workspace.burst
         rounding = policy.slack * ROUNDING_FRACTION
         self.main = token_buckets.create_bucket(per_s, burst, rounding, now_s)
-        # Half of the spare tokens of a window are the bucket's size and half
-        # its rate, so that no window has more.
-        half = policy.slack * SPARE_FRACTION / 2
+        # The bucket's size and what it gains in a window add up to the spare
+        # tokens of a window.
+        spare = policy.slack * SPARE_FRACTION
+        size = spare * SPARE_SIZE_FRACTION
         self.spare = token_buckets.create_bucket(
-            half / policy.window_s, half, 0.0, now_s
+            (spare - size) / policy.window_s, size, 0.0, now_s
         )
         self.ideal = token_buckets.create_bucket(per_s, burst, rounding, now_s)
         self.ideal.tokens = self.ideal.size(1.0)
@@ -335,16 +339,27 @@
         return leased
 
     def ask_spare(
-        self, workspace: str, waiting: int, now_s: float
+        self, workspace: str, waiting: int, counted: bool, now_s: float
     ) -> Grant | None:
-        """Decides about a request that the VM's main keeper didn't serve."""
+        """Decides about a request that the VM's main keeper didn't serve.
+
+        Args:
+            workspace: Name of the workspace.
+            waiting: Number of waiting requests.
+            counted: Whether a main keeper has counted them as within the cap.
+            now_s: Current time, in seconds.
+
+        Returns:
+            The decision; None if the workspace isn't known.
+        """
         account = self.refilled(workspace, now_s)
         if account is None:
             return None
         waiting = max(0, min(waiting, MAX_ASKED))
         granted = account.main.take(waiting)
         granted += account.spare.take(waiting - granted)
-        account.ideal.tokens = max(0.0, account.ideal.tokens - granted)
+        if not counted:
+            account.ideal.tokens = max(0.0, account.ideal.tokens - granted)
         per_s = account.workspace.requests_per_s
         turns_s = [
             account.turns.reserve(1.0 / per_s, per_s, now_s)
--- a/laurelrock/gateways/tenants/cap_messages.py
+++ b/laurelrock/gateways/tenants/cap_messages.py
@@ -57,6 +57,7 @@
         held: Number of leased tokens that the VM holds.
         returned: Number of tokens that the VM returns.
         spare: Whether the main keeper was silent or had too few tokens.
+        counted: Whether it counted the requests as within the cap.
     """
 
     sender: str
@@ -67,6 +68,7 @@
     held: int = 0
     returned: int = 0
     spare: bool = False
+    counted: bool = False
 
 
 class TokenReply(typing.NamedTuple):
--- a/laurelrock/gateways/tenants/cap_sharing.py
+++ b/laurelrock/gateways/tenants/cap_sharing.py
@@ -300,6 +300,7 @@
         waiters: list[cap_accounts.Waiter],
         now_s: float,
         final: bool = True,
+        counted: bool = False,
     ) -> None:
         """Asks the spare keeper for tokens for some requests."""
         waiters = [row for row in waiters if not row.done()]
@@ -314,6 +315,7 @@
         request = cap_messages.TokenRequest(
             *(self.me.name, number, account.workspace.name, len(waiters)),
             spare=True,
+            counted=counted,
         )
         if name == self.me.name:
             self.handle_reply(self.answer(request))
@@ -358,7 +360,9 @@
         """Passes on what a keeper said about requests that it didn't grant."""
         if not ask.spare:
             count = reply.spare if reply.known else len(rest)
-            self.ask_spare(ask.account, rest[:count], now_s)
+            self.ask_spare(
+                ask.account, rest[:count], now_s, counted=reply.known
+            )
             self.refuse(rest[count:], reply.turns_s, ask.keeper)
         elif ask.final and reply.known:
             # These are within the cap, or the main keeper is out of reach.
@@ -451,7 +455,9 @@
         now_s = self.clock()
         name = request.workspace
         if request.spare:
-            grant = self.keeper.ask_spare(name, request.waiting, now_s)
+            grant = self.keeper.ask_spare(
+                name, request.waiting, request.counted, now_s
+            )
         else:
             ahead = (max(0, request.wanted), max(0, request.held))
             grant = self.keeper.ask(
--- a/laurelrock/gateways/tenants/share_lending.py
+++ b/laurelrock/gateways/tenants/share_lending.py
@@ -31,12 +31,10 @@
 #: Time in seconds for which the number of VMs is still taken as the larger one
 #: after it fell, since other VMs may not know yet.
 COUNT_HOLD_S = 10.0
-#: Number of VMs at the beginning of a ranking that are of any failure domain.
-#: VMs of this domain follow, in case it is partitioned from the others.
-GLOBAL_CANDIDATES = 2
 #: Number of VMs at the beginning of a ranking that are asked whether they reply
-#: again after they were silent.
-PROBED_CANDIDATES = 4
+#: while one of the first two is silent. A VM that is partitioned from the other
+#: failure domains finds one of its own among them soon.
+PROBED_CANDIDATES = 8
 
 
 class Loan(typing.NamedTuple):
@@ -142,13 +140,9 @@
         if len(vms) < self.count:
             self.count_hold_s = now_s + COUNT_HOLD_S
         self.count = max(self.count, len(vms))
-        domain = self.me.failure_domain
         for slot in range(token_leases.SLOTS):
             ranked = owners.rank(f"caps-{slot}", vms)
-            first = ranked[:GLOBAL_CANDIDATES]
-            rest = ranked[GLOBAL_CANDIDATES:]
-            rest.sort(key=lambda vm: vm.failure_domain != domain)
-            self.candidates[slot] = [vm.name for vm in first + rest]
+            self.candidates[slot] = [vm.name for vm in ranked]
             rank = ranked.index(self.me) if self.me in ranked else len(ranked)
             if rank != self.ranks[slot]:
                 self.ranks[slot] = rank
@@ -254,17 +248,19 @@
         """Returns the pools to lend to each keeper that gets a report."""
         by_keeper: dict[str, list[int]] = {}
         for slot in self.active:
-            main, spare = self.choose(slot, now_s)
+            main, _ = self.choose(slot, now_s)
             pool = token_leases.pool_of(slot, token_leases.MAIN)
             if self.chosen.get(pool, main) != main:
                 self.changed_s[slot] = now_s
+            _, spare = self.choose(slot, now_s)
             for kind, name in enumerate((main, spare)):
                 self.chosen[token_leases.pool_of(slot, kind)] = name
-            # Keepers that were silent are asked whether they reply again.
-            for name in self.candidates[slot][:PROBED_CANDIDATES]:
-                if name == main:
-                    break
-                by_keeper.setdefault(name, [])
+            first = self.candidates[slot][:PROBED_CANDIDATES]
+            if any(self.is_suspect(name) for name in first):
+                for name in first:
+                    by_keeper.setdefault(name, [])
+            elif first and main != first[0]:
+                by_keeper.setdefault(first[0], [])
         for pool, loan in list(self.loans.items()):
             if loan.end_s <= now_s:
                 del self.loans[pool]
--- a/tests/test_workspace_caps.py
+++ b/tests/test_workspace_caps.py
@@ -45,8 +45,8 @@
     return caps, arrivals
 
 
-class ReplayTest(unittest.TestCase):
-    """Replays of requests at 8, 60 and 144 VMs."""
+class ReplayCase(unittest.TestCase):
+    """Replays requests in virtual time."""
 
     def replay(self, count, caps, arrivals, events=None, seed=1):
         """Replays requests; `events` is a coroutine that runs beside them."""
@@ -72,6 +72,14 @@
             )
             self.assertLessEqual(excess, 0, name)
 
+    def assert_within_window(self, times, per_s, burst):
+        excess = cap_simulation.worst_excess(times, per_s, burst)
+        self.assertLessEqual(excess, 0)
+
+
+class ReplayTest(ReplayCase):
+    """Replays of requests at 8, 60 and 144 VMs."""
+
     def test_long_tail_below_the_caps_is_not_refused(self):
         for count in SIZES:
             caps, arrivals = long_tail(random.Random(count), count, 30.0)
@@ -87,3 +95,211 @@
                 f" {refused_share(fleet):.4f} refused"
             )
             self.assertLessEqual(mean, MAX_BYTES_PER_S)
+
+    def test_all_requests_of_a_workspace_at_one_vm_are_served(self):
+        # An equal share per VM would refuse nearly all of them.
+        for count in SIZES:
+            for per_s, burst in ((0.5, 3.0), (5.0, 10.0), (200.0, 100.0)):
+                with self.subTest(vms=count, per_s=per_s):
+                    rng = random.Random(count)
+                    length_s = min(60.0, 1200.0 / per_s)
+                    times = cap_simulation.conforming_times(
+                        rng, per_s, burst, 0.9, length_s
+                    )
+                    # The whole burst comes at once.
+                    at_once = [0.0] * int(burst)
+                    later = [at_s + 2 * burst / per_s for at_s in times]
+                    fleet = self.replay(
+                        count,
+                        {"w": (per_s, burst)},
+                        [Arrival(at_s, "w", 3) for at_s in at_once + later],
+                    )
+                    self.assertLessEqual(refused_share(fleet), MAX_REFUSED)
+                    asked = fleet.nodes["10.0.0.3"].sharing.counts
+                    # About ten messages per second, not one per request.
+                    seconds = length_s + 1.0
+                    self.assertLessEqual(
+                        asked["sent-TokenRequest"], 10 * seconds + 10
+                    )
+
+    def test_callers_that_move_to_another_vm_are_not_refused(self):
+        for count in SIZES:
+            for per_s, burst in ((0.5, 3.0), (20.0, 20.0)):
+                with self.subTest(vms=count, per_s=per_s):
+                    rng = random.Random(count)
+                    times = cap_simulation.conforming_times(
+                        rng, per_s, burst, 0.9, 30.0
+                    )
+                    moves = [
+                        Arrival(at_s, "w", 1 + int(at_s / 3.0))
+                        for at_s in times
+                    ]
+                    fleet = self.replay(count, {"w": (per_s, burst)}, moves)
+                    self.assertLessEqual(refused_share(fleet), MAX_REFUSED)
+
+    def test_requests_above_the_cap_are_refused(self):
+        for count in SIZES:
+            for per_s, burst in ((0.5, 3.0), (5.0, 10.0), (100.0, 50.0)):
+                with self.subTest(vms=count, per_s=per_s):
+                    rng = random.Random(count)
+                    length_s = min(40.0, 1000.0 / per_s)
+                    arrivals = [
+                        Arrival(
+                            rng.uniform(0, length_s), "w", rng.randrange(count)
+                        )
+                        for _ in range(int(3 * per_s * length_s))
+                    ]
+                    fleet = self.replay(count, {"w": (per_s, burst)}, arrivals)
+                    cap = per_s * length_s + burst
+                    admitted = len(fleet.admitted["w"])
+                    self.assertLessEqual(admitted, MAX_ADMITTED * cap)
+                    self.assertGreaterEqual(admitted, 0.9 * per_s * length_s)
+
+    def test_refused_callers_return_one_after_another(self):
+        # Callers refused together that returned together would be refused
+        # again.
+        arrivals = [Arrival(0.0, "w", n) for n in range(60)]
+        fleet = self.replay(60, {"w": (5.0, 10.0)}, arrivals)
+        self.assertEqual(len(fleet.admitted["w"]), 10)
+        turns = sorted(turn_s for _, turn_s in fleet.refused["w"])
+        gaps = [
+            later - earlier
+            for earlier, later in zip(turns, turns[1:], strict=False)
+        ]
+        # The shares of the turns that the delays of messages move.
+        self.assertGreaterEqual(min(gaps), 0.2 - cap_simulation.MAX_DELAY_S)
+        self.assertLessEqual(max(gaps), 0.2 + cap_simulation.MAX_DELAY_S)
+
+        returned = [Arrival(0.01, "w", n) for n in range(50)]
+        start_s = min(at_s for at_s, _ in fleet.refused["w"])
+        again = [
+            Arrival(turn_s - start_s + 0.01, "w", row.vm)
+            for row, (_, turn_s) in zip(
+                returned, fleet.refused["w"], strict=False
+            )
+        ]
+        fleet = self.replay(60, {"w": (5.0, 10.0)}, arrivals + again)
+        self.assertEqual(len(fleet.admitted["w"]), 60)
+
+    def test_changed_cap_applies_while_tokens_are_leased(self):
+        caps = {"w": (100.0, 50.0)}
+        for count in SIZES:
+            for per_s, burst in ((20.0, 10.0), (400.0, 200.0)):
+                with self.subTest(vms=count, per_s=per_s):
+                    rng = random.Random(count)
+                    changed = {"w": (per_s, burst)}
+
+                    async def change(fleet, changed=changed):
+                        await asyncio.sleep(4.0)
+                        fleet.set_caps(changed)
+                        fleet.changed_s = asyncio.get_running_loop().time()
+
+                    demand = 3 * max(per_s, 100.0)
+                    arrivals = [
+                        Arrival(rng.uniform(0, 12.0), "w", rng.randrange(2) + 1)
+                        for _ in range(int(demand * 12.0))
+                    ]
+                    fleet = self.replay(count, caps, arrivals, change)
+                    # Tokens that were leased before expire within a second.
+                    later = [
+                        at_s
+                        for at_s in fleet.admitted["w"]
+                        if at_s > fleet.changed_s + 1.0
+                    ]
+                    self.assert_within_window(later, per_s, burst)
+                    self.assertLessEqual(
+                        len(later), MAX_ADMITTED * (per_s * 7.0 + burst)
+                    )
+                    self.assertGreaterEqual(len(later), 0.9 * per_s * 7.0)
+
+    def test_changed_cap_refuses_nothing_below_it(self):
+        for count in SIZES:
+            rng = random.Random(count)
+            first = cap_simulation.conforming_times(rng, 2.0, 5.0, 0.9, 20.0)
+            later = cap_simulation.conforming_times(rng, 1.0, 5.0, 0.9, 20.0)
+
+            async def change(fleet):
+                await asyncio.sleep(20.0)
+                fleet.set_caps({"w": (1.0, 5.0)})
+
+            arrivals = [Arrival(at_s, "w", rng.randrange(99)) for at_s in first]
+            arrivals += [
+                # The bucket is full again after five seconds.
+                Arrival(at_s + 25.0, "w", rng.randrange(99))
+                for at_s in later
+            ]
+            fleet = self.replay(count, {"w": (2.0, 5.0)}, arrivals, change)
+            self.assertLessEqual(refused_share(fleet), MAX_REFUSED)
+
+
+class FaultTest(ReplayCase):
+    """Replays with faults; the bound holds and little is refused."""
+
+    def replay_tail(self, count, events):
+        caps, arrivals = long_tail(random.Random(7), count, 40.0)
+        fleet = self.replay(count, caps, arrivals, events)
+        self.assert_within_bound(fleet, caps)
+        return fleet
+
+    def test_killed_keeper_costs_few_requests(self):
+        for reset in (True, False):
+
+            async def kill(fleet, reset=reset):
+                await asyncio.sleep(10.0)
+                first = next(iter(fleet.nodes.values())).sharing.lending
+                name = first.candidates[0][0]
+                fleet.kill(fleet.vms[fleet.vm_number(name)], reset)
+
+            fleet = self.replay_tail(60, kill)
+            print(f"killed keeper: {refused_share(fleet):.4f} refused")
+            self.assertLessEqual(refused_share(fleet), MAX_REFUSED)
+
+    def test_half_of_the_vms_killed_and_restarted(self):
+        async def kill(fleet):
+            await asyncio.sleep(10.0)
+            for vm in fleet.vms[::2]:
+                fleet.kill(vm)
+            await asyncio.sleep(2.0)
+            for vm in fleet.vms[::2]:
+                fleet.start_vm(vm)
+
+        fleet = self.replay_tail(60, kill)
+        print(f"half killed: {refused_share(fleet):.4f} refused")
+
+    def test_half_of_the_vms_cut_off(self):
+        async def cut(fleet):
+            await asyncio.sleep(10.0)
+            fleet.groups = {vm.host: n % 2 for n, vm in enumerate(fleet.vms)}
+            await asyncio.sleep(10.0)
+            fleet.groups = {}
+
+        fleet = self.replay_tail(60, cut)
+        print(f"half cut: {refused_share(fleet):.4f} refused")
+
+    def test_vm_that_hears_from_nobody_serves_within_the_slack(self):
+        async def cut(fleet):
+            fleet.groups = {vm.host: n for n, vm in enumerate(fleet.vms)}
+
+        caps = {"w": (5.0, 10.0)}
+        arrivals = [
+            Arrival(at_s / 10, "w", vm) for at_s in range(300) for vm in (1, 2)
+        ]
+        fleet = self.replay(8, caps, arrivals, cut)
+        self.assert_within_bound(fleet, caps)
+        # An equal share of the rate for two of eight VMs.
+        self.assertGreaterEqual(len(fleet.admitted["w"]), 0.9 * 30 * 5 / 4)
+
+
+class IdleTest(unittest.TestCase):
+    def test_without_caps_nothing_is_sent_and_nothing_waits(self):
+        async def run():
+            fleet = cap_simulation.Fleet(1)
+            fleet.start(8, {"w": (0.0, 5.0)})
+            await asyncio.sleep(5.0)
+            await fleet.replay([Arrival(0.0, "w", n) for n in range(100)])
+            return fleet
+
+        fleet = virtual_time.run(run())
+        self.assertFalse(fleet.messages)
+        self.assertEqual(set(fleet.waits_s), {0.0})
+        self.assertEqual(len(fleet.admitted["w"]), 100)
