Keep requests away from evacuated failure domains

Cause: operators may ask, with an object of kind evacuations, that no request reach the searchers of a failure domain. Nothing followed these objects.

An evacuated searcher doesn't stay (core/replicas.py), which holds for first calls, retries, hedges, probes, health requests and groups of other VMs; calls that wait for a connection there move. Requests that have no other searcher are refused at once with the reason evacuated. A VM reports ready once it knows the evacuations.

--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -137,6 +137,8 @@
         limit: The limit of requests that it named; None if there is none.
         unlimited_s: Loop time of its last response that named no limit, in
             seconds.
+        evacuated: Whether its failure domain is evacuated, so that it gets no
+            calls.
     """
 
     def __init__(self, searcher: registry.Searcher, now_s: float) -> None:
@@ -160,6 +162,7 @@
         self.resume_s = 0.0
         self.limit: request_limit.RequestLimit | None = None
         self.unlimited_s = -math.inf
+        self.evacuated = False
 
     def begin_call(self, now_s: float) -> int:
         """Records the start of a call and returns the call's number."""
@@ -311,13 +314,21 @@
     return working or live
 
 
-def stays(row: Replica) -> bool:
+def is_live(row: Replica) -> bool:
     """Tells whether a searcher is live and its address is correct."""
     return (
         row.searcher.state == "live" and not row.misplaced and not row.leaving
     )
 
 
+def stays(row: Replica) -> bool:
+    """Tells whether a searcher is live and not evacuated.
+
+    No request is sent to a searcher for which this is false.
+    """
+    return is_live(row) and not row.evacuated
+
+
 def has_resumed(row: Replica, now_s: float) -> bool:
     """Tells whether a searcher stays and has not asked for a pause."""
     return stays(row) and now_s >= row.resume_s
@@ -345,9 +356,14 @@
 def any_connected(replicas: collections.abc.Iterable[Replica]) -> bool:
     """Tells whether any searcher of a service responds, or isn't known not to.
 
-    Unlike `any_reachable`, it counts those that ask for no calls at present.
+    Unlike `any_reachable`, it counts those that ask for no calls at present. A
+    service whose live searchers are all evacuated isn't lost: no other VM may
+    call them either.
     """
-    return any(stays(row) and row.reachable for row in replicas)
+    live = [row for row in replicas if is_live(row)]
+    if live and all(row.evacuated for row in live):
+        return True
+    return any(row.reachable for row in live if not row.evacuated)
 
 
 def resume_in_s(
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -123,6 +123,8 @@
             options.failure_domain,
             int(options.memory_bytes * REPLY_MEMORY_FRACTION),
         )
+        own = {options.failure_domain: options.region}
+        self.known.regions = {**own, **options.regions}
         self.calls = calls.create_calls(platform, self.known)
         self.budget = retry_budget.create_budget(options.extra_call_policy)
         self.service_split = routes.WeightedSplit()
@@ -145,7 +147,9 @@
         self.follower = platform_follower.PlatformFollower(
             *(source, row, self.known, self.apply_configuration),
             *(self.apply_vm_entries, self.share_searchers),
+            options.follows_evacuations,
         )
+        self.follower.evacuations.on_change = self.apply_evacuations
         self.sharing = state_sharing.create_state_sharing(
             self.follower, *messaging, self.set_vms
         )
@@ -174,6 +178,7 @@
         return (
             self.follower.table is not None
             and self.follower.searchers_read
+            and self.follower.evacuations.known
             and not self.stopping_s
             and not self.partition_detector.partitioned
             and not self.known.isolated
@@ -204,6 +209,12 @@
         self.apply_assignment(configuration)
         self.sharing.share_configuration(configuration)
 
+    def apply_evacuations(self) -> None:
+        """Shares changed evacuations, and connects to returned searchers."""
+        self.sharing.share_evacuations()
+        if self.follower.table is not None:
+            self.open_connections(self.follower.table.configuration)
+
     def share_searchers(self, changes: list[registry.Change]) -> None:
         """Forwards changes of the searchers to subscribers."""
         self.sharing.share_changes(changes)
@@ -304,7 +315,11 @@
         """Answers a caller."""
         caller_headers = self.platform.read_caller_headers(request.headers)
         table = self.follower.table
-        if table is None or not self.follower.searchers_read:
+        if (
+            table is None
+            or not self.follower.searchers_read
+            or not self.follower.evacuations.known
+        ):
             return self.refuse(
                 caller_headers,
                 503,
@@ -464,6 +479,7 @@
     ) -> None:
         """Counts and logs the end of a request."""
         self.counts[outcome.kind] += 1
+        self.follower.evacuations.record_refusal(outcome.reason)
         elapsed_s = self.loop.time() - context.request.received_s
         self.latency.record(elapsed_s * 1000, {"outcome": outcome.kind})
         _log.info(
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -59,6 +59,11 @@
         lambda: dict(gateway.vm_removal.counts),
         "Checks of other VMs, and those taken from the list",
     )
+    meters.counters(
+        "laurelrock_evacuations_total",
+        lambda: dict(gateway.follower.evacuations.counts),
+        "Evacuations that began and ended, and requests refused by one",
+    )
     register_platform(gateway, meters)
     register_searchers(gateway.known, meters)
 
@@ -109,4 +114,9 @@
         lambda: known.isolated,
         "1 while no searcher responds to this VM",
     )
+    meters.gauge(
+        "laurelrock_evacuated_domains",
+        lambda: len(known.evacuated or ()),
+        "Failure domains that are evacuated",
+    )
     meters.gauge("laurelrock_vms", lambda: known.vms, "VMs that are listed")
--- a/laurelrock/gateways/group_runs.py
+++ b/laurelrock/gateways/group_runs.py
@@ -73,7 +73,7 @@
         placement.begin_request(self.context)
         for part in self.group_parts:
             if not placement.start(part):
-                part.reason = "no searcher"
+                part.reason = placement.no_searcher_reason(part)
                 part.finish(parts.PartState.FAILED)
         typical = placement.known.typical_latencies[self.group_request.route]
         next_check_s = loop.time() + typical.late_after_s
--- a/laurelrock/gateways/isolation_detector.py
+++ b/laurelrock/gateways/isolation_detector.py
@@ -83,9 +83,12 @@
             row.searcher.id: row.replica.silent_since_s
             for row in self.known.by_id.values()
             if row.replica.silent_since_s > since_s
+            and not row.replica.evacuated
         }
         typical = self.known.typical_latencies
         for pending_call in self.calls.in_flight:
+            if pending_call.upstream.replica.evacuated:
+                continue
             # Calls that began long before the last response wait for a searcher
             # that was down before.
             begun_s = pending_call.begun_s
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -175,15 +175,22 @@
             return []
         rows = {
             row.replica: row
-            for row in self.known.searchers_of(part.service)
+            for row in self.known.searchers_of(
+                part.service, part.context.route.regions
+            )
             if row.searcher.id not in part.tried
         }
         working = replicas.usable(rows, self.calls.loop.time())
         return [rows[replica] for replica in working]
 
-    def reachable(self, service: str) -> bool:
+    def reachable(self, service: str, regions: tuple[str, ...] = ()) -> bool:
         """Returns whether any searcher of a service may be reached."""
-        return self.known.reachable(service, self.calls.loop.time())
+        return self.known.reachable(service, self.calls.loop.time(), regions)
+
+    def no_searcher_reason(self, part: Part) -> str:
+        """Returns why there is no searcher to call for a part, for logs."""
+        regions = part.context.route.regions
+        return self.known.blocker(part.service, regions) or "no searcher"
 
     def resume_in_s(self, service: str) -> float:
         """Returns the time until a service accepts calls, in seconds."""
@@ -311,6 +318,10 @@
         if end.status is calls.CallStatus.UNSENT:
             part.attempts -= 1
             self.budget.refund(part.service, self.calls.loop.time())
+            part.reason = (
+                self.known.blocker(part.service, part.context.route.regions)
+                or part.reason
+            )
         self.retry(part, pending_call, end)
 
     def retry(
--- a/laurelrock/gateways/peers.py
+++ b/laurelrock/gateways/peers.py
@@ -20,6 +20,7 @@
 from laurelrock.adapters import http_server
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
+from laurelrock.core import evacuations
 from laurelrock.core import registry
 from laurelrock.core import routes
 from laurelrock.gateways import platform_follower
@@ -57,12 +58,14 @@
         searchers: All listed searchers.
         age_s: The age in seconds of that VM's data on searchers.
         vms: The number of listed VMs, 0 if unknown.
+        evacuated: The evacuations in force, if they are known.
     """
 
     configuration: routes.Configuration | None
     searchers: list[registry.Searcher]
     age_s: float
     vms: int = 0
+    evacuated: evacuations.State | None = None
 
 
 class PeerExchange:
@@ -111,6 +114,7 @@
             list(self.known.registry.searchers.values()),
             self.known.age_s(),
             self.known.known.vms,
+            self.known.evacuations.state,
         )
 
     async def answer(
@@ -139,7 +143,10 @@
             await asyncio.sleep(QUERY_INTERVAL_S)
             path = STATE_PATH
             if self.known.age_s() < STALE_AFTER_S:
-                if self.loop.time() > self.known.ask_peers_until_s:
+                if (
+                    self.loop.time() > self.known.ask_peers_until_s
+                    and not self.known.evacuations.is_stale()
+                ):
                     continue
                 path = CONFIGURATION_PATH
             found = await asyncio.gather(
@@ -186,6 +193,7 @@
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Applies what is fresher than this VM's own data."""
         self.known.apply_configuration(snapshot.configuration)
+        self.known.evacuations.offer(snapshot.evacuated)
         if not self.known.known.vms and snapshot.vms:
             self.on_vm_count(snapshot.vms)
         own_age_ms = self.known.age_ms()
--- a/laurelrock/gateways/platform_follower.py
+++ b/laurelrock/gateways/platform_follower.py
@@ -1,8 +1,9 @@
 """Follows the configuration and the searchers on the platform.
 
-Two long polls follow the platform. After a poll that fails, or that finds
-that changes were missed, everything is read again. A configuration older than
-the one in force is never applied.
+Two long polls follow the platform, and a third one where failure domains may
+be evacuated. After a poll that fails, or that finds that changes were missed,
+everything is read again. A configuration older than the one in force is never
+applied.
 """
 
 import asyncio
@@ -17,6 +18,7 @@
 from laurelrock.core import retry
 from laurelrock.core import routes
 from laurelrock.gateways import upstreams
+from laurelrock.gateways.places import evacuations
 from laurelrock.ports import directory
 
 __all__ = ["BackgroundLoop", "PlatformFollower", "run_restarting"]
@@ -26,6 +28,14 @@
 #: poll then ends within 4 s, the shortest time after which a VM counts as in
 #: touch.
 POLL_WAIT_S = 2.4
+#: Longest wait of the poll of evacuations, in seconds. An evacuation has to be
+#: in force 5 s after the store confirmed it, also if the poll's response is
+#: lost: the client's timeout, the wait and the next read take 4.6 s.
+EVACUATION_WAIT_S = 1.0
+#: Interval in seconds at which a VM that learns no evacuations from its source
+#: reads them from the store, before it knows any and later.
+FIRST_EVACUATION_READ_S = 1.0
+EVACUATION_READ_S = 4.0
 #: Wait in seconds between an answer and the next poll. Changes come in bursts,
 #: and the platform counts each poll as a call.
 POLL_GAP_S = 0.15
@@ -55,7 +65,11 @@
 SUSPICION_S = 10.0
 RELIST_INTERVAL_S = 1.0
 #: Names of the polls.
-CONFIGURATION, SEARCHERS = "configuration", "searchers"
+CONFIGURATION, SEARCHERS, EVACUATIONS = (
+    "configuration",
+    "searchers",
+    "evacuations",
+)
 
 _log = logs.get_logger(__name__)
 
@@ -119,6 +133,7 @@
         restored_s: The loop time at which it last came back from a copy.
         confirmed_s: The loop time at which the searchers were last known to be
             up to date; while the poll of searchers is answered, that is now.
+        evacuations: The evacuated failure domains.
     """
 
     def __init__(
@@ -131,6 +146,7 @@
         ],
         on_vms: collections.abc.Callable[[list[directory.VmEntry]], None],
         on_searchers: collections.abc.Callable[[list[registry.Change]], None],
+        follows_evacuations: bool = False,
     ) -> None:
         self.source = source
         self.me = me
@@ -151,6 +167,9 @@
         self.ask_peers_until_s = self.started_s + ASK_PEERS_S
         self.eras: dict[str, int] = {}
         self.restored_s = -math.inf
+        self.evacuations = evacuations.create_evacuations(
+            known, follows_evacuations
+        )
 
     @property
     def version(self) -> int:
@@ -273,6 +292,41 @@
         self.apply_changes(self.registry.apply(found.rows, self.loop.time()))
         return found.revision
 
+    async def read_evacuations(self) -> int:
+        """Reads the evacuations and returns their revision."""
+        found = await self.source.read_evacuations()
+        self.check_restored(EVACUATIONS, found.era)
+        self.evacuations.record_list(found)
+        return found.revision
+
+    async def watch_evacuations(self, revision: int) -> int:
+        """Waits for changed evacuations; returns the revision reached."""
+        found = await self.source.watch_evacuations(revision, EVACUATION_WAIT_S)
+        self.evacuations.record_changes(found)
+        return found.revision
+
+    async def read_unconfirmed_evacuations(self) -> None:
+        """Reads the evacuations if nothing else confirms them, forever.
+
+        The source of a VM that doesn't poll the store may run an earlier
+        version, which doesn't know evacuations.
+        """
+        followed = self.evacuations
+        while True:
+            interval_s = (
+                EVACUATION_READ_S if followed.known else FIRST_EVACUATION_READ_S
+            )
+            await asyncio.sleep(interval_s * (0.75 + random.random() / 2))
+            if self.direct or not followed.is_stale():
+                continue
+            try:
+                found = await self.source.read_evacuations()
+            except errors.StoreError as error:
+                _log.info("evacuations-unavailable", reason=error.message)
+                continue
+            followed.offer(evacuations.state_of(found))
+            followed.confirm()
+
     async def run_poll(self, poll: Poll) -> None:
         """Runs a poll forever."""
         revision, attempt = None, 0
@@ -400,7 +454,13 @@
             CONFIGURATION, self.read_configuration, self.watch_configuration
         )
         searchers = Poll(SEARCHERS, self.read_searchers, self.watch_searchers)
-        return [
+        loops: list[BackgroundLoop] = [
             lambda: self.run_poll(configuration),
             lambda: self.run_poll(searchers),
         ]
+        if self.evacuations.followed:
+            evacuated = Poll(
+                EVACUATIONS, self.read_evacuations, self.watch_evacuations
+            )
+            loops.append(lambda: self.run_poll(evacuated))
+        return loops
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -12,6 +12,7 @@
 from laurelrock.gateways import parts
 from laurelrock.gateways import remote_groups
 from laurelrock.gateways import shard_groups
+from laurelrock.gateways import upstreams
 
 __all__ = ["run_query", "run_single"]
 
@@ -158,6 +159,9 @@
         return refusal._replace(shards=len(context.route.shards))
     route = context.route
     count = len(route.shards)
+    refusal = refuse_blocked(route, placement)
+    if refusal is not None:
+        return refusal
     reachable = group_state.reachability.reachable(route)
     schedule = create_schedule(context, link_bytes_per_s)
     own, remote = group_state.split_shards(route)
@@ -237,6 +241,26 @@
     await wait_until_ready(progress, placement, schedule, typical)
 
 
+def refuse_blocked(
+    route: routes.Route, placement: parts.CallPlacer
+) -> outcomes.Outcome | None:
+    """Returns a refusal if the places of searchers leave too few shards."""
+    if not route.regions and not placement.known.evacuated:
+        return None
+    blocker = placement.known.blocker
+    reasons = [blocker(name, route.regions) for name in route.shards]
+    blocked = [reason for reason in reasons if reason]
+    if len(reasons) - len(blocked) >= route.min_shards:
+        return None
+    evacuated = upstreams.EVACUATED in blocked
+    return outcomes.Outcome(
+        "refused",
+        503,
+        shards=len(route.shards),
+        reason=upstreams.EVACUATED if evacuated else blocked[0],
+    )
+
+
 def refuse_unreachable(
     route: routes.Route,
     reachable: int,
@@ -267,11 +291,11 @@
     progress.unreachable_parts = [
         part
         for part in progress.own_parts
-        if not placement.reachable(part.service)
+        if not placement.reachable(part.service, part.context.route.regions)
     ]
     for part in progress.own_parts:
         if not placement.start(part):
-            part.reason = "no searcher"
+            part.reason = placement.no_searcher_reason(part)
             part.finish(parts.PartState.FAILED)
 
 
@@ -347,11 +371,14 @@
 
 
 def refuse_single(
-    service: str, kind: str, placement: parts.CallPlacer
+    service: str, route: routes.Route, placement: parts.CallPlacer
 ) -> outcomes.Outcome:
     """Returns the refusal of a request that no searcher accepts."""
+    blocker = placement.known.blocker(service, route.regions)
+    if blocker:
+        return outcomes.Outcome("refused", 503, reason=blocker)
     resume_in_s = placement.record_refusal(
-        kind,
+        route.name,
         [service],
         1,
         replicas.retry_in_s([placement.resume_in_s(service)], 1),
@@ -380,8 +407,10 @@
     )
     typical = placement.known.typical_latencies[context.route.name]
     try:
-        if not placement.reachable(service) or not placement.start(part):
-            return refuse_single(service, context.route.name, placement)
+        if not placement.reachable(
+            service, context.route.regions
+        ) or not placement.start(part):
+            return refuse_single(service, context.route, placement)
         await wait_until_ready(progress, placement, schedule, typical)
         sent = any(
             pending_call.call.sent for pending_call in part.pending_calls
--- a/laurelrock/gateways/runner.py
+++ b/laurelrock/gateways/runner.py
@@ -55,6 +55,8 @@
         opened.isolation_detector.run,
     ):
         opened.spawn_loop(run_loop)
+    if options.follows_evacuations:
+        opened.spawn_loop(opened.follower.read_unconfirmed_evacuations)
 
 
 async def run(
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -310,7 +310,9 @@
         """Returns why this VM can't run a group; None if it can."""
         if self.stopping:
             return "stopping"
-        return "isolated" if self.placement.known.isolated else None
+        known = self.placement.known
+        # A VM that doesn't know the evacuations yet calls no searcher.
+        return "isolated" if known.isolated or known.evacuated is None else None
 
     def start_offered(self, link: group_messages.Link, number: int) -> None:
         """Starts to run a group that this VM accepted."""
--- a/laurelrock/gateways/single_requests.py
+++ b/laurelrock/gateways/single_requests.py
@@ -33,6 +33,8 @@
         placement: Makes the calls of this VM.
         group_state: The other VMs, which may call instead.
     """
+    if placement.known.blocker(service, context.route.regions):
+        return queries.refuse_single(service, context.route, placement)
     candidates = group_state.assignment.owners_to_ask(service)
     if candidates:
         return await ask(context, service, candidates, group_state)
--- a/laurelrock/gateways/state_sharing.py
+++ b/laurelrock/gateways/state_sharing.py
@@ -16,6 +16,7 @@
 
 from laurelrock.adapters import frames
 from laurelrock.adapters import logs
+from laurelrock.core import evacuations
 from laurelrock.core import owners
 from laurelrock.core import registry
 from laurelrock.core import routes
@@ -76,6 +77,7 @@
         vms: The listed VMs, if they changed.
         age_s: The age in seconds of the source's data on searchers.
         gone_seqs: The numbers of the last writes of `gone`, in the same order.
+        evacuated: The evacuations in force, unless they may be outdated.
     """
 
     configuration: routes.Configuration | None
@@ -85,6 +87,7 @@
     vms: list[owners.Vm] | None
     age_s: float
     gone_seqs: tuple[int, ...] = ()
+    evacuated: evacuations.State | None = None
 
 
 KINDS: dict[int, type] = {5: Subscribe, 6: StateUpdate}
@@ -197,9 +200,7 @@
                     # Updates that arrived while polling were not applied.
                     self.subscribe(self.source, now_s)
             self.send_delayed_full_states()
-            self.push_update(
-                StateUpdate(None, False, [], [], None, self.known.age_s())
-            )
+            self.push_update(self.heartbeat())
             await self.wait_for_heartbeat()
 
     async def wait_for_heartbeat(self) -> None:
@@ -283,6 +284,10 @@
         self.known.accept_searchers(
             rows, state.full and bool(rows), state.age_s
         )
+        if state.evacuated is not None:
+            self.known.evacuations.offer(state.evacuated)
+            if not state.full:
+                self.known.evacuations.confirm()
         if state.vms is not None:
             self.on_vms(state.vms)
 
@@ -308,6 +313,7 @@
             [],
             self.vms or None,
             self.known.age_s(),
+            evacuated=self.known.evacuations.state,
         )
 
     def send_delayed_full_states(self) -> None:
@@ -319,6 +325,20 @@
                 self.subscribers[link] = True
                 link.send(self.full_state(0))
 
+    def heartbeat(self) -> StateUpdate:
+        """Returns an update without changes."""
+        return StateUpdate(
+            *(None, False, [], [], None, self.known.age_s()),
+            evacuated=self.known.evacuations.confirmed_state(),
+        )
+
+    def share_evacuations(self) -> None:
+        """Sends changed evacuations to subscribers."""
+        update = self.heartbeat()
+        self.push_update(
+            update._replace(evacuated=self.known.evacuations.state)
+        )
+
     def push_update(self, state: StateUpdate) -> None:
         """Sends an update to all subscribers."""
         self.peer_links.broadcast(self.subscribers, state)
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -9,6 +9,7 @@
 from laurelrock.adapters import logs
 from laurelrock.adapters import reply_budget
 from laurelrock.core import event_rate
+from laurelrock.core import homes
 from laurelrock.core import owners
 from laurelrock.core import registry
 from laurelrock.core import replicas
@@ -30,6 +31,9 @@
 
 #: Maximum number of searchers without an entry whose restrictions are kept.
 MAX_RESTRICTIONS = 4096
+#: Reasons why no searcher of a service may be called.
+EVACUATED = "evacuated"
+NOT_ALLOWED = "no searcher in the allowed regions"
 #: Time constant of the demand for services with a limit, in seconds.
 DEMAND_TIME_CONSTANT_S = 2.0
 
@@ -99,6 +103,11 @@
         isolated: Whether this VM has lost all searchers.
         share_of: Returns this VM's share of a searcher's limit, given the
             requests per second that the searcher takes from all VMs.
+        regions: The region of each failure domain.
+        evacuated: The evacuated failure domains; None if they aren't known yet,
+            so that no searcher may be called.
+        blockers: Cached reasons why services can't be called, by service and
+            allowed regions; see `blocker`.
     """
 
     def __init__(
@@ -127,25 +136,97 @@
         self.responded_s = 0.0
         self.isolated = False
         self.share_of: ShareOf = self.equal_share
+        self.regions: dict[str, str] = {}
+        self.evacuated: frozenset[str] | None = frozenset()
+        self.blockers: dict[tuple[str, tuple[str, ...]], str] = {}
 
     def is_local(self, replica: replicas.Replica) -> bool:
         """Returns whether a searcher is in this VM's failure domain."""
         return replica.searcher.failure_domain == self.failure_domain
 
-    def searchers_of(self, service: str) -> collections.abc.Iterable[Upstream]:
-        """Returns the searchers of a service."""
-        return self.by_service.get(service, {}).values()
+    def searchers_of(
+        self, service: str, regions: tuple[str, ...] = ()
+    ) -> collections.abc.Iterable[Upstream]:
+        """Returns the searchers of a service.
 
-    def reachable(self, service: str, now_s: float) -> bool:
+        Args:
+            service: The service.
+            regions: The regions in which a request may run; empty for all.
+        """
+        rows = self.by_service.get(service, {}).values()
+        if not regions:
+            return rows
+        return [
+            row
+            for row in rows
+            if homes.allows(regions, row.searcher.failure_domain, self.regions)
+        ]
+
+    def reachable(
+        self, service: str, now_s: float, regions: tuple[str, ...] = ()
+    ) -> bool:
         """Returns whether any searcher of a service may be reached."""
-        rows = (row.replica for row in self.searchers_of(service))
+        rows = (row.replica for row in self.searchers_of(service, regions))
         return not self.isolated and replicas.any_reachable(rows, now_s)
 
-    def connected(self, service: str) -> bool:
+    def connected(self, service: str, regions: tuple[str, ...] = ()) -> bool:
         """Returns whether any searcher of a service responds to this VM."""
-        rows = (row.replica for row in self.searchers_of(service))
+        rows = (row.replica for row in self.searchers_of(service, regions))
         return not self.isolated and replicas.any_connected(rows)
 
+    def blocker(self, service: str, regions: tuple[str, ...] = ()) -> str:
+        """Returns why the places of its searchers keep a service from calls.
+
+        Args:
+            service: The service.
+            regions: The regions in which a request may run; empty for all.
+
+        Returns:
+            `EVACUATED`, `NOT_ALLOWED`, or an empty string if a searcher may be
+            called, or none is live anyway.
+        """
+        if not regions and not self.evacuated:
+            return ""
+        found = self.blockers.get((service, regions))
+        if found is None:
+            found = self.find_blocker(service, regions)
+            self.blockers[service, regions] = found
+        return found
+
+    def find_blocker(self, service: str, regions: tuple[str, ...]) -> str:
+        """Implements `blocker` without the cache."""
+
+        def live(allowed: tuple[str, ...]) -> list[replicas.Replica]:
+            rows = self.searchers_of(service, allowed)
+            return [r.replica for r in rows if replicas.is_live(r.replica)]
+
+        rows = live(regions)
+        if not rows:
+            return NOT_ALLOWED if live(()) else ""
+        return EVACUATED if all(row.evacuated for row in rows) else ""
+
+    def evacuate(self, failure_domains: frozenset[str] | None) -> None:
+        """Sets the evacuated failure domains.
+
+        Calls that wait for a connection to one of their searchers move to
+        another searcher; calls that were sent continue.
+        """
+        self.evacuated = failure_domains
+        self.blockers.clear()
+        for upstream in self.by_id.values():
+            self.check_evacuated(upstream)
+
+    def check_evacuated(self, upstream: Upstream) -> None:
+        """Applies the evacuations to one searcher."""
+        upstream.replica.evacuated = (
+            self.evacuated is None
+            or upstream.searcher.failure_domain in self.evacuated
+        )
+        if upstream.replica.evacuated:
+            upstream.client.reject_waiting_calls(
+                "the failure domain is evacuated"
+            )
+
     def probe_all_now(self) -> None:
         """Makes the probes of all ejected searchers due."""
         for upstream in self.by_id.values():
@@ -219,6 +300,7 @@
         now_s: float,
     ) -> None:
         """Applies changes of the registry."""
+        self.blockers.clear()
         for change in changes:
             self.apply_one(change, now_s)
 
@@ -246,6 +328,7 @@
             if searcher.state == "draining":
                 known.client.reject_waiting_calls("the searcher is draining")
             known.replica.warm_up_end_s = now_s + searcher.warm_up_left_s
+            self.check_evacuated(known)
             return
         client = http_client.open_client(
             searcher.address,
@@ -261,6 +344,7 @@
                 self.limited[searcher.id] = upstream
         self.by_id[searcher.id] = upstream
         self.by_service[searcher.service][searcher.id] = upstream
+        self.check_evacuated(upstream)
 
     def remove(self, upstream: Upstream) -> None:
         """Removes a searcher; its calls in flight continue."""
@@ -291,6 +375,7 @@
         if upstream.replica.leaving:
             return
         upstream.replica.leaving = True
+        self.blockers.clear()
         upstream.client.reject_waiting_calls("the searcher leaves")
         _log.info(
             "searcher-leaving", searcher=start.id, started_ms=start.started_ms
@@ -461,6 +546,8 @@
         """Opens a first connection to each searcher of some services."""
         for name in names:
             for upstream in list(self.searchers_of(name)):
+                if upstream.replica.evacuated:
+                    continue
                 if not upstream.client.connections:
                     upstream.client.preconnect()
                     await asyncio.sleep(WARM_INTERVAL_S)
@@ -471,6 +558,7 @@
     replica = upstream.replica
     return bool(
         replica.ejections
+        and not replica.evacuated
         and not replica.probe_succeeded
         and loop.time() >= replica.next_probe_s
     )
--- a/laurelrock/platform/store.py
+++ b/laurelrock/platform/store.py
@@ -21,9 +21,10 @@
 __all__ = ["Store", "open_store"]
 
 #: Kinds of objects in the store; only the last one is written by laurelrock.
-CONFIGURATION_KIND, SEARCHERS_KIND, VMS_KIND = (
+CONFIGURATION_KIND, SEARCHERS_KIND, EVACUATIONS_KIND, VMS_KIND = (
     "config",
     "servers",
+    "evacuations",
     "laurelrock-vms",
 )
 #: Name of the object that holds the current configuration.
@@ -32,6 +33,8 @@
 TIMEOUT_S = 1.5
 #: Maximum number of connections: two for the watches and two for other calls.
 MAX_CONNECTIONS = 4
+#: Maximum number where evacuations are watched too.
+MAX_EVACUATION_CONNECTIONS = MAX_CONNECTIONS + 1
 #: Maximum number of pages that are read of one list.
 MAX_PAGES = 200
 
@@ -321,6 +324,21 @@
         self.unreadable.pop(name, None)
         return registry.Change(name, searcher)
 
+    async def read_evacuations(self) -> directory.EvacuationEntries:
+        """Implements `Directory`."""
+        self.client.limit = MAX_EVACUATION_CONNECTIONS
+        page = await self.list_all(EVACUATIONS_KIND)
+        rows = [(name, True) for name, _ in page.rows]
+        return directory.EvacuationEntries(rows, page.revision, page.era)
+
+    async def watch_evacuations(
+        self, revision: int, wait_s: float
+    ) -> directory.EvacuationEntries:
+        """Implements `Directory`."""
+        rows, at = await self.watch(EVACUATIONS_KIND, revision, wait_s)
+        changes = [(row.name, not row.deleted) for row in rows]
+        return directory.EvacuationEntries(changes, at)
+
     async def register_vm(self, row: directory.VmEntry) -> None:
         """Implements `Directory`."""
         name = row["vm"]
--- a/laurelrock/ports/directory.py
+++ b/laurelrock/ports/directory.py
@@ -10,7 +10,7 @@
 from laurelrock.core import registry
 from laurelrock.core import routes
 
-__all__ = ["Directory", "SearcherEntries", "VmEntry"]
+__all__ = ["Directory", "EvacuationEntries", "SearcherEntries", "VmEntry"]
 
 
 class SearcherEntries(typing.NamedTuple):
@@ -28,6 +28,21 @@
     era: int = 0
 
 
+class EvacuationEntries(typing.NamedTuple):
+    """Evacuations and the revision at which they were read.
+
+    Attributes:
+        rows: Failure domains, and whether each is evacuated: all that are, or
+            from a watch the changes in their order.
+        revision: Revision of the platform's store, to continue watching from.
+        era: See `SearcherEntries`.
+    """
+
+    rows: list[tuple[str, bool]]
+    revision: int
+    era: int = 0
+
+
 class VersionedConfiguration(typing.NamedTuple):
     """A configuration and the revision at which it was read.
 
@@ -83,6 +98,14 @@
     ) -> SearcherEntries:
         """Waits up to `wait_s` seconds; returns no rows if nothing changed."""
 
+    async def read_evacuations(self) -> EvacuationEntries:
+        """Returns the evacuated failure domains."""
+
+    async def watch_evacuations(
+        self, revision: int, wait_s: float
+    ) -> EvacuationEntries:
+        """Waits up to `wait_s` seconds; returns no rows if nothing changed."""
+
     async def register_vm(self, row: VmEntry) -> None:
         """Writes this VM's entry to the list of VMs."""
 
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -27,6 +27,7 @@
 from laurelrock.gateways import state_sharing
 from laurelrock.gateways import upstreams
 from laurelrock.gateways import vm_removal
+from laurelrock.gateways.places import evacuations
 from laurelrock.platform import header_codec
 from laurelrock.platform import store
 from tests import builders
@@ -49,6 +50,7 @@
     ),
     *(crash_watch, isolation_detector, lending, owner_selection),
     *(parts, peers, partition_detector, state_sharing, upstreams, store),
+    evacuations,
 )
 
 
