--- a/laurelrock/gateways/crash_watch.py
+++ b/laurelrock/gateways/crash_watch.py
@@ -233,6 +233,9 @@
         replica, searcher = upstream.replica, upstream.searcher
         if replica.leaving or replica.misplaced or searcher.state != "live":
             return False
+        if replica.evacuated:
+            # Operators may end the searchers of an evacuated failure domain.
+            return False
         present = self.known.by_id.get(searcher.id)
         if present is None or present.searcher.start != searcher.start:
             return True
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -486,6 +486,7 @@
         running: Calls that searchers run, by searcher.
         limits: Requests per second that searchers name as their limit, by
             searcher.
+        failure_domains: Failure domains of searchers that aren't in "a".
         cuts: How VMs are cut from all searchers, by IP address; see
             `CUT_KINDS`.
         state_changes: Changes of searchers' states, in order.
@@ -516,6 +517,7 @@
         self.crashes: list[tuple[str, float]] = []
         self.running: dict[str, set[Call]] = collections.defaultdict(set)
         self.limits: dict[str, float] = {}
+        self.failure_domains: dict[str, str] = {}
         self.cuts: dict[str, str] = {}
         self.state_changes: list[StateChange] = []
         self.sent_bytes: collections.Counter[str] = collections.Counter()
@@ -584,7 +586,11 @@
         row = None
         if state is not None:
             row = build.searcher(
-                searcher, service=service, state=state, started_ms=started_ms
+                searcher,
+                service=service,
+                state=state,
+                started_ms=started_ms,
+                failure_domain=self.failure_domains.get(searcher, "a"),
             )
         now_s = asyncio.get_running_loop().time()
         self.state_changes.append(
