--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -64,6 +64,11 @@
         lambda: dict(gateway.cap_sharing.counts),
         "Requests of workspaces with a cap by decision, and messages for them",
     )
+    meters.counters(
+        "laurelrock_evacuations_total",
+        lambda: dict(gateway.follower.evacuations.counts),
+        "Evacuations that began and ended, and requests refused by one",
+    )
     register_platform(gateway, meters)
     register_searchers(gateway.known, meters)
 
@@ -114,4 +119,9 @@
         lambda: known.isolated,
         "1 while no searcher responds to this VM",
     )
+    meters.gauge(
+        "laurelrock_evacuated_domains",
+        lambda: len(known.evacuated or ()),
+        "Failure domains that are evacuated",
+    )
     meters.gauge("laurelrock_vms", lambda: known.vms, "VMs that are listed")
