Keep keys out of trailers, contexts and early refusals

Cause, from fuzz tests of keys through the HTTP server: a key in a trailer was accepted, since the parser reports trailers as headers; the key stayed in the request's context; and a VM whose polls of the configuration fail answered 401 as long as those of the searchers were answered. Change: trailers of callers' requests are dropped, the key is dropped once it has been looked up, and an unknown key gets 503 if the configuration may be outdated, also for a while after the platform came back from a copy.

--- a/laurelrock/adapters/http_server.py
+++ b/laurelrock/adapters/http_server.py
@@ -168,6 +168,7 @@
         round_trip_s: Round-trip time of the connection, in seconds.
         requests: Number of complete requests received.
         target: Path and query of the request being received.
+        headers_complete: Whether all of its header fields are received.
         headers: Header fields of the request being received.
         header_bytes: Size of target and header fields received so far.
         body: Parts of the body received so far.
@@ -252,6 +253,7 @@
         self.receiving = True
         self.phase_start_s = self.loop.time()
         self.target = b""
+        self.headers_complete = False
         self.headers = []
         self.body = []
         self.header_bytes = self.body_bytes = self.later_bytes = 0
@@ -263,10 +265,14 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.header_bytes += len(name) + len(value) + 4
+        if self.headers_complete:
+            # Trailers must not pass as headers, such as a key.
+            return
         if self.header_bytes <= self.server.limits.max_header_bytes:
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
+        self.headers_complete = True
         # Headers beyond the limit were dropped, so that others may seem faulty.
         self.check_size()
         if self.input_closed:
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -342,6 +342,7 @@
             request = request._replace(
                 headers=self.platform.replace_key(request.headers, name)
             )
+            caller_headers = caller_headers._replace(key=None)
         context = self.create_context(
             request, caller_headers, route, table, workspace
         )
@@ -455,7 +456,7 @@
 
         A VM whose configuration may be old can't tell that a key is unknown.
         """
-        if self.follower.age_s() > keys.MAX_CONFIGURATION_AGE_S:
+        if self.follower.may_be_outdated(keys.MAX_CONFIGURATION_AGE_S):
             return self.refuse(
                 caller_headers,
                 503,
--- a/laurelrock/gateways/platform_follower.py
+++ b/laurelrock/gateways/platform_follower.py
@@ -185,6 +185,19 @@
             return 0.0
         return self.loop.time() - self.confirmed_s
 
+    def may_be_outdated(self, max_age_s: float) -> bool:
+        """Tells whether a newer configuration than this VM's may be in force.
+
+        That is so if its data is older than `max_age_s`, if its polls of the
+        configuration get no answer, or if the platform has just come back from
+        a copy.
+        """
+        return (
+            self.age_s() > max_age_s
+            or CONFIGURATION in self.failing_polls
+            or self.loop.time() - self.restored_s < ASK_PEERS_S
+        )
+
     def age_ms(self) -> int | None:
         """Returns the age of the data on searchers in ms, for logs."""
         age_s = self.age_s()
