--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -359,6 +359,7 @@
             request = request._replace(
                 headers=self.platform.replace_key(request.headers, name)
             )
+            caller_headers = caller_headers._replace(key=None)
         context = self.create_context(
             request, caller_headers, route, table, workspace
         )
@@ -472,7 +473,7 @@
 
         A VM whose configuration may be old can't tell that a key is unknown.
         """
-        if self.follower.age_s() > keys.MAX_CONFIGURATION_AGE_S:
+        if self.follower.may_be_outdated(keys.MAX_CONFIGURATION_AGE_S):
             return self.refuse(
                 caller_headers,
                 503,
@@ -563,6 +564,7 @@
         """Stops the process without interrupting requests."""
         self.stopping_s = begun_s = self.loop.time()
         self.groups.stopping = True
+        self.cap_sharing.lending.leave(self.cap_sharing.clock())
         _log.info("stopping", in_hand=self.servers[0].busy)
         for server in self.servers:
             server.closing = True
