Run requests only in the regions that they allow

Cause: routes and workspaces may name regions, and the settings say in which region each failure domain is, but requests went anywhere.

Change: the gateway combines the regions of route and workspace into those of the request's route. Calls, hedges and retries choose among searchers there, the group message carries the regions to owners, and VMs in other regions than these and the entry VM's own are not asked. What an owner can't reach in some regions is not taken for a report on its group.

--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -356,14 +356,9 @@
 def any_connected(replicas: collections.abc.Iterable[Replica]) -> bool:
     """Tells whether any searcher of a service responds, or isn't known not to.
 
-    Unlike `any_reachable`, it counts those that ask for no calls at present. A
-    service whose live searchers are all evacuated isn't lost: no other VM may
-    call them either.
+    Unlike `any_reachable`, it counts those that ask for no calls at present.
     """
-    live = [row for row in replicas if is_live(row)]
-    if live and all(row.evacuated for row in live):
-        return True
-    return any(row.reachable for row in live if not row.evacuated)
+    return any(stays(row) and row.reachable for row in replicas)
 
 
 def resume_in_s(
--- a/laurelrock/gateways/assignment.py
+++ b/laurelrock/gateways/assignment.py
@@ -7,6 +7,7 @@
 
 import random
 
+from laurelrock.core import homes
 from laurelrock.core import owners
 from laurelrock.core import routes
 from laurelrock.gateways import upstreams
@@ -32,6 +33,8 @@
             domain.
         callers: Cached VMs that call a service, by service.
         rankings: Cached rankings of all VMs, by key.
+        forbidden: Cached names of the VMs that must not receive the bodies of
+            requests, by the regions that the requests may run in.
     """
 
     def __init__(self, known: upstreams.Upstreams, me: owners.Vm) -> None:
@@ -44,6 +47,7 @@
         self.ranked_owners: dict[tuple[str, int], list[owners.Vm]] = {}
         self.callers: dict[str, list[owners.Vm]] = {}
         self.rankings: dict[str, list[owners.Vm]] = {}
+        self.forbidden: dict[tuple[str, ...], frozenset[str]] = {}
 
     def set_vms(self, vms: list[owners.Vm]) -> None:
         """Sets the list of VMs."""
@@ -51,6 +55,7 @@
         self.ranked_owners.clear()
         self.callers.clear()
         self.rankings.clear()
+        self.forbidden.clear()
 
     def configure(self, configuration: routes.Configuration) -> None:
         """Applies the groups of a configuration; call `set_vms` first."""
@@ -64,6 +69,20 @@
         self.groups_by_key = {row[0]: row for row in self.groups}
         self.ranked_owners.clear()
         self.callers.clear()
+        self.forbidden.clear()
+
+    def forbidden_vms(self, regions: tuple[str, ...]) -> frozenset[str]:
+        """Returns the names of the VMs that must not receive a request's body.
+
+        Args:
+            regions: The regions in which the request may run; empty for all.
+        """
+        names = self.forbidden.get(regions)
+        if names is None:
+            names = self.forbidden[regions] = homes.forbidden_vms(
+                regions, self.vms, self.me, self.known.regions
+            )
+        return names
 
     def members(self, key: str) -> tuple[str, ...]:
         """Returns the services of a group, given its first one."""
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -11,6 +11,7 @@
 from laurelrock.adapters import logs
 from laurelrock.adapters import metrics
 from laurelrock.core import answer_schedule
+from laurelrock.core import homes
 from laurelrock.core import owners
 from laurelrock.core import registry
 from laurelrock.core import retry_budget
@@ -123,8 +124,7 @@
             options.failure_domain,
             int(options.memory_bytes * REPLY_MEMORY_FRACTION),
         )
-        own = {options.failure_domain: options.region}
-        self.known.regions = {**own, **options.regions}
+        self.known.set_regions(regions_of(options))
         self.calls = calls.create_calls(platform, self.known)
         self.budget = retry_budget.create_budget(options.extra_call_policy)
         self.service_split = routes.WeightedSplit()
@@ -288,6 +288,8 @@
         """Applies changed settings; addresses apply from the next start."""
         self.deployment = options
         self.budget.policy = options.extra_call_policy
+        self.known.set_regions(regions_of(options))
+        self.groups.assignment.forbidden.clear()
         _log.info(
             "reloaded",
             retry_budget=options.extra_call_policy,
@@ -367,6 +369,8 @@
         name = ""
         if workspace is not None:
             name = workspace.name
+            regions = homes.combine(route.regions, workspace.regions)
+            route = route._replace(regions=regions)
             if workspace.priority is not None:
                 route = route._replace(priority=workspace.priority)
         time_limit_s = route.timeout_s
@@ -530,6 +534,11 @@
         )
 
 
+def regions_of(options: deployment.Deployment) -> dict[str, str]:
+    """Returns the region of each failure domain, including this VM's own."""
+    return {options.failure_domain: options.region, **options.regions}
+
+
 def create_vm_entry(options: deployment.Deployment) -> directory.VmEntry:
     """Returns this VM's entry for the list of VMs."""
     return directory.VmEntry(
--- a/laurelrock/gateways/group_messages.py
+++ b/laurelrock/gateways/group_messages.py
@@ -51,6 +51,7 @@
             answers; the owner then returns that searcher's whole answer.
         idempotent: Whether the request may run more than once.
         workspace: The name of the caller's workspace; empty if there is none.
+        regions: The regions in which the request may run; empty for all.
     """
 
     number: int
@@ -69,6 +70,7 @@
     single: bool = False
     idempotent: bool = True
     workspace: str = ""
+    regions: tuple[str, ...] = ()
 
 
 class GroupAccepted(typing.NamedTuple):
--- a/laurelrock/gateways/group_runs.py
+++ b/laurelrock/gateways/group_runs.py
@@ -168,6 +168,7 @@
         shards=group_request.services,
         attempts=group_request.attempts,
         max_records=group_request.max_records,
+        regions=group_request.regions,
     )
     head = platform.encode_common_headers(group_request.headers, caller_headers)
     end_s = now_s + group_request.remaining_s
--- a/laurelrock/gateways/owner_selection.py
+++ b/laurelrock/gateways/owner_selection.py
@@ -139,22 +139,41 @@
         candidates = self.assignment.owners_of(group[0])
         return self.next_owner(candidates, set(), group[0])
 
-    def reaching_owner(self, group: tuple[str, ...]) -> owners.Vm | None:
-        """Returns the owner of a group, unless all have lost searchers."""
-        candidates = self.assignment.owners_of(group[0])
-        return self.first_owner(candidates, set(), group[0])
+    def reaching_owner(
+        self,
+        group: tuple[str, ...],
+        forbidden: collections.abc.Iterable[str] = (),
+    ) -> owners.Vm | None:
+        """Returns the owner of a group, unless all have lost searchers.
 
-    def passes_on(self, services: tuple[str, ...], needed: int) -> bool:
+        Args:
+            group: The services of the group.
+            forbidden: The names of the VMs that may not be asked.
+        """
+        candidates = self.assignment.owners_of(group[0])
+        return self.first_owner(candidates, set(forbidden), group[0])
+
+    def passes_on(
+        self,
+        services: tuple[str, ...],
+        needed: int,
+        regions: tuple[str, ...] = (),
+    ) -> bool:
         """Returns whether other VMs should call services for this one.
 
         Args:
             services: The services of a request that this VM calls otherwise.
             needed: The number of them that have to respond.
+            regions: The regions in which the request may run; empty for all.
         """
-        connected = self.known.connected
-        if not services or sum(map(connected, services)) >= needed:
+        connected = sum(
+            self.known.connected(name, regions) for name in services
+        )
+        if not services or connected >= needed:
             return False
-        return self.reaching_owner(services) not in (None, self.me)
+        forbidden = self.assignment.forbidden_vms(regions)
+        vm = self.reaching_owner(services, forbidden)
+        return vm not in (None, self.me)
 
     def mark_isolated(self, vm: str) -> None:
         """Skips a VM that has lost all searchers for a short time."""
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -167,7 +167,7 @@
     own, remote = group_state.split_shards(route)
     if reachable < route.min_shards:
         needed = route.min_shards - (count - len(own))
-        if not group_state.selection.passes_on(own, needed):
+        if not group_state.selection.passes_on(own, needed, route.regions):
             return refuse_unreachable(route, reachable, placement, group_state)
         own, remote = (), [*remote, own]
     if not remote:
@@ -229,7 +229,9 @@
     if (
         loop.time() >= context.end_s
         or len(again) < needed
-        or not group_state.selection.passes_on(tuple(again), needed)
+        or not group_state.selection.passes_on(
+            tuple(again), needed, route.regions
+        )
     ):
         return
     progress.abandon(loop.time())
--- a/laurelrock/gateways/reachability_reports.py
+++ b/laurelrock/gateways/reachability_reports.py
@@ -69,17 +69,31 @@
         self.queried_s: dict[str, float] = {}
         self.loop = asyncio.get_running_loop()
 
-    def count_unreachable(self, services: collections.abc.Iterable[str]) -> int:
-        """Returns how many services this VM can't reach."""
+    def count_unreachable(
+        self,
+        services: collections.abc.Iterable[str],
+        regions: tuple[str, ...] = (),
+    ) -> int:
+        """Returns how many services this VM can't reach.
+
+        Args:
+            services: The services.
+            regions: The regions in which a request may run; empty for all.
+        """
         reachable = self.placement.reachable
-        return sum(1 for name in services if not reachable(name))
+        return sum(1 for name in services if not reachable(name, regions))
 
     def count_disconnected(
-        self, services: collections.abc.Iterable[str]
+        self,
+        services: collections.abc.Iterable[str],
+        regions: tuple[str, ...] = (),
     ) -> int:
-        """Returns how many services have no searcher that responds."""
+        """Returns how many services have no searcher that responds.
+
+        See `count_unreachable` for the arguments.
+        """
         connected = self.placement.known.connected
-        return sum(1 for name in services if not connected(name))
+        return sum(1 for name in services if not connected(name, regions))
 
     def resume_times_s(
         self, services: collections.abc.Iterable[str]
@@ -143,12 +157,14 @@
     def reachable(self, route: routes.Route) -> int:
         """Returns how many shards of a query may be reached."""
         if not self.assignment.uses_owners(route):
-            return len(route.shards) - self.count_unreachable(route.shards)
+            return len(route.shards) - self.count_unreachable(
+                route.shards, route.regions
+            )
         unreachable = 0
         for group in owners.split_into_groups(route.shards):
             owner = self.selection.owner_of(group)
             if owner == self.assignment.me:
-                unreachable += self.count_unreachable(group)
+                unreachable += self.count_unreachable(group, route.regions)
             elif owner is None and self.placement.known.isolated:
                 unreachable += len(group)
             else:
--- a/laurelrock/gateways/remote_groups.py
+++ b/laurelrock/gateways/remote_groups.py
@@ -28,7 +28,7 @@
         on_change: Called when parts completed or the group ended.
         single: Whether the group is a request that one searcher answers.
         reply: The result of such a request.
-        tried: The names of the owners that were asked.
+        tried: The names of the owners that were asked or may not be asked.
         owner: The owner that is asked now.
         link: The connection to that owner.
         number: The number of the group in messages.
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -143,6 +143,7 @@
         group = remote_groups.RemoteGroup(
             context, services, candidates, due_s, on_change
         )
+        group.tried |= self.assignment.forbidden_vms(context.route.regions)
         self.ask_next(group)
         return group
 
@@ -175,6 +176,7 @@
         group = remote_groups.RemoteGroup(
             context, (service,), candidates, due_s, on_change, single=True
         )
+        group.tried |= self.assignment.forbidden_vms(context.route.regions)
         self.ask_next(group)
         return group
 
@@ -228,6 +230,7 @@
             single=group.single,
             idempotent=context.route.idempotent,
             workspace=context.workspace,
+            regions=context.route.regions,
         )
 
     def handle_accept_timeout(self, group: remote_groups.RemoteGroup) -> None:
@@ -293,8 +296,9 @@
             group_request,
             self.loop.time(),
         )
+        regions = group_request.regions
         unreachable = self.reachability.count_unreachable(
-            group_request.services
+            group_request.services, regions
         )
         link.send(
             group_messages.GroupAccepted(
@@ -302,7 +306,9 @@
                 unreachable,
                 self.reachability.remote_domains_silent(),
                 self.reachability.latest_resume_s(group_request.services),
-                self.reachability.count_disconnected(group_request.services),
+                self.reachability.count_disconnected(
+                    group_request.services, regions
+                ),
             )
         )
 
@@ -401,7 +407,8 @@
                 to=group.owner.name if group.owner else "",
                 services=len(group.services),
             )
-        elif not group.single:
+        elif not group.single and not group.context.route.regions:
+            # What isn't reached in some regions says nothing about others.
             self.reachability.record(
                 group_messages.ReachabilityReport(
                     group.services[0],
@@ -428,7 +435,8 @@
         key = group.services[0]
         if group.owner is None or group.link is None:
             return False
-        self.selection.mark_disconnected(group.owner.name, key)
+        if not group.context.route.regions:
+            self.selection.mark_disconnected(group.owner.name, key)
         better = self.selection.first_owner(group.owners, group.tried, key)
         useless = 2 * accepted.disconnected > len(group.services)
         if better is None and not (useless and self.assignment.all_call(key)):
--- a/laurelrock/gateways/single_requests.py
+++ b/laurelrock/gateways/single_requests.py
@@ -33,19 +33,20 @@
         placement: Makes the calls of this VM.
         group_state: The other VMs, which may call instead.
     """
-    if placement.known.blocker(service, context.route.regions):
+    regions = context.route.regions
+    if placement.known.blocker(service, regions):
         return queries.refuse_single(service, context.route, placement)
     candidates = group_state.assignment.owners_to_ask(service)
     if candidates:
         return await ask(context, service, candidates, group_state)
-    if group_state.selection.passes_on((service,), 1):
+    if group_state.selection.passes_on((service,), 1, regions):
         refusal = placement.begin_request(context)
         return refusal or await pass_on(context, service, group_state)
     outcome = await queries.run_single(context, service, placement)
     if not (
         may_run_again(context, outcome)
         and group_state.loop.time() < context.end_s
-        and group_state.selection.passes_on((service,), 1)
+        and group_state.selection.passes_on((service,), 1, regions)
     ):
         return outcome
     attempts_left = context.route.attempts - outcome.attempts
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -170,9 +170,17 @@
         return not self.isolated and replicas.any_reachable(rows, now_s)
 
     def connected(self, service: str, regions: tuple[str, ...] = ()) -> bool:
-        """Returns whether any searcher of a service responds to this VM."""
+        """Returns whether any searcher of a service responds to this VM.
+
+        A service whose searchers may not be called isn't lost, since no other
+        VM may call them either.
+        """
+        if self.isolated:
+            return False
         rows = (row.replica for row in self.searchers_of(service, regions))
-        return not self.isolated and replicas.any_connected(rows)
+        return bool(self.blocker(service, regions)) or replicas.any_connected(
+            rows
+        )
 
     def blocker(self, service: str, regions: tuple[str, ...] = ()) -> str:
         """Returns why the places of its searchers keep a service from calls.
@@ -205,6 +213,11 @@
             return NOT_ALLOWED if live(()) else ""
         return EVACUATED if all(row.evacuated for row in rows) else ""
 
+    def set_regions(self, regions: dict[str, str]) -> None:
+        """Sets the region of each failure domain."""
+        self.regions = regions
+        self.blockers.clear()
+
     def evacuate(self, failure_domains: frozenset[str] | None) -> None:
         """Sets the evacuated failure domains.
 
