--- a/laurelrock/gateways/deployment.py
+++ b/laurelrock/gateways/deployment.py
@@ -32,7 +32,8 @@
         extra_call_policy: The limits of extra calls, over all VMs.
         grace_s: The time in seconds between SIGTERM and SIGKILL.
         regions: The region of each failure domain.
-        follows_evacuations: Whether operators may evacuate failure domains.
+        follows_evacuations: Whether operators may evacuate failure domains; a
+            change applies from the next start.
         cap_policy: How far the requests of a workspace may exceed its cap.
         warm_up_policy: How far the requests to a cold searcher may exceed what
             it takes.
