Share the simulated fleet of the tests of places

Cause: the tests of evacuations and of regions had a fleet and a load each.

Change: tests/place_simulation.py has the fleet and the load; one test checks these two rules. The bounds of all tests are unchanged.

--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -16,6 +16,7 @@
 from tests import gateway_builders as build
 from tests import gateway_simulation as simulations
 from tests import gateways
+from tests import place_simulation
 from tests import virtual_time
 
 #: Time in seconds after the store's confirmation from which no request may
@@ -23,10 +24,9 @@
 #: target while the store is stable.
 EVACUATE_S = 5.0
 TARGET_S = 1.0
-SHARDS = [f"shard-{n}" for n in range(8)]
-QUERY = build.query_route(SHARDS)
-SINGLE = build.single_route("files")
-SAVE = build.single_route("files", name="save", idempotent=False)
+SHARDS = place_simulation.SHARDS
+SINGLE, SAVE = place_simulation.SINGLE, place_simulation.SAVE
+ANSWERED = place_simulation.ANSWERED
 DOMAINS = ("a", "b", "c")
 ME = directory.VmEntry(
     vm="vm-1", failure_domain="a", address="10.0.0.1:8082", cores=1.0
@@ -305,38 +305,6 @@
         self.play(script)
 
 
-class Contact(typing.NamedTuple):
-    """A request, probe or health request at a searcher."""
-
-    host: str
-    searcher: str
-    at_s: float
-
-
-class Client(simulations.Client):
-    """Client that records every attempt to reach its searcher."""
-
-    contacts: typing.ClassVar[list[Contact]] = []
-
-    def record(self):
-        now_s = asyncio.get_running_loop().time()
-        self.contacts.append(Contact(self.host, self.searcher, now_s))
-
-    async def try_connect(self):
-        self.record()
-        return await super().try_connect()
-
-    def send(self, call, encode, kind, delay_s=0.02):
-        if not call.future.done():
-            self.record()
-        super().send(call, encode, kind, delay_s)
-
-    def call(self, encode, accept, bodiless=False):
-        if simulations.target_of(encode()) == simulations.HEALTH_PATH:
-            self.record()
-        return super().call(encode, accept, bodiless)
-
-
 class Step(typing.NamedTuple):
     """A change of the evacuations, which VMs learn one after another.
 
@@ -349,74 +317,41 @@
     failure_domains: tuple[str, ...]
 
 
-class Ended(typing.NamedTuple):
-    sent_s: float
-    seconds: float
-    outcome: typing.Any
-    single: bool
+class Played(typing.NamedTuple):
+    """A load, with the changes that each VM learned, by its IP address."""
 
+    simulation: simulations.Simulation
+    ended: list[place_simulation.Ended]
+    contacts: list[place_simulation.Contact]
+    learned: dict[str, list[Step]]
 
-async def play(steps, behaviours, *, connections=26, seed=1, seconds=10.0):
-    """Plays a load on six VMs while failure domains are evacuated.
 
-    Every service has a searcher in each failure domain. Each VM learns a change
-    at a random time within the target, so that entry VM and owner disagree.
+async def play(steps, behaviours, connections=26, seed=1):
+    """Plays a load while failure domains are evacuated.
 
-    Returns:
-        The simulation, the ended requests, and the times at which each VM
-        learned its changes, from the start of the load.
+    Each VM learns a change at a random time within the target, so that entry VM
+    and owner disagree.
     """
     rng = random.Random(seed)
     loop = asyncio.get_running_loop()
-    configuration = build.configuration(QUERY, SINGLE, SAVE)
-    services = {
-        name: service._replace(connections=connections)
-        for name, service in configuration.services.items()
-    }
-    simulation = simulations.Simulation(
-        configuration._replace(services=services), behaviours
-    )
-    simulation.client_class = Client
-    Client.contacts = []
-    for number in range(6):
-        node = simulation.add_node(number, DOMAINS[number % 3], 6)
-        for service in (*SHARDS, "files"):
-            for n, domain in enumerate(DOMAINS):
-                simulation.failure_domains[f"{service}-{n}"] = domain
-                simulation.change_searcher(node, f"{service}-{n}", "live")
-    everyone = [node.me for node in simulation.nodes]
     begun_s = loop.time()
+    simulation = place_simulation.create(DOMAINS, behaviours, connections)
     learned = collections.defaultdict(list)
     for node in simulation.nodes:
-        node.set_vms(everyone)
-        simulation.run(node.known.probe())
-        simulation.run(node.isolation_detector.run())
         state = followed.create_evacuations(node.known, True)
         state.offer(evacuations.State(1, 0))
         for revision, step in enumerate(steps, 1):
-            at_s = step.at_s + rng.random() * TARGET_S
-            learned[node.me.host].append((at_s, set(step.failure_domains)))
+            at_s = begun_s + step.at_s + rng.random() * TARGET_S
+            learned[node.me.host].append(step._replace(at_s=at_s))
             found = evacuations.State(1, revision, step.failure_domains)
-            loop.call_at(begun_s + at_s, state.offer, found)
-
-    async def send(number):
-        sent_s = loop.time()
-        route = rng.choices((QUERY, SINGLE, SAVE), (4, 2, 1))[0]
-        node = rng.choice(simulation.nodes)
-        outcome = await node.run(route, b"r-%d" % number, 1.0)
-        now_s = loop.time()
-        single = not route.shards
-        return Ended(sent_s - begun_s, now_s - sent_s, outcome, single)
-
-    tasks = []
-    while loop.time() < begun_s + seconds:
-        await asyncio.sleep(rng.expovariate(60))
-        tasks.append(asyncio.create_task(send(len(tasks))))
-    ended = await asyncio.gather(*tasks)
-    contacts = [
-        row._replace(at_s=row.at_s - begun_s) for row in Client.contacts
-    ]
-    return simulation, ended, contacts, learned
+            loop.call_at(at_s, state.offer, found)
+    routes = (place_simulation.QUERY, SINGLE, SAVE)
+    ended = await place_simulation.play(
+        *(simulation, rng, 10.0),
+        lambda number: (rng.choices(routes, (4, 2, 1))[0], b"r-%d" % number),
+    )
+    contacts = list(place_simulation.Client.contacts)
+    return Played(simulation, ended, contacts, learned)
 
 
 class LoadTest(unittest.TestCase):
@@ -428,87 +363,58 @@
         Step(5.0, DOMAINS),
         Step(7.0, ()),
     )
-    BEHAVIOURS = (
-        *[simulations.ScriptedCall("answer", 0.02)] * 12,
-        simulations.ScriptedCall("queued", 0.3),
-        simulations.ScriptedCall("silent", 0.02),
-        simulations.ScriptedCall("full", 0.01),
-        simulations.ScriptedCall("unsent", 0.01),
-        simulations.ScriptedCall("broken", 0.03),
-        simulations.ScriptedCall("answer", 0.2),
-    )
 
     def setUp(self):
         self.events = []
         self.enterContext(gateways.capture_log_events(self.events))
 
-    def check_contacts(self, simulation, contacts, learned):
-        for row in contacts:
-            evacuated = set()
-            for at_s, failure_domains in learned[row.host]:
-                if row.at_s > at_s:
-                    evacuated = failure_domains
-            self.assertNotIn(
-                simulation.failure_domains[row.searcher], evacuated, row
-            )
+    def play(self, *arguments):
+        """Plays a load and checks what holds in each."""
+        self.events.clear()
+        played = virtual_time.run(play(*arguments))
+        for row in played.contacts:
+            evacuated = ()
+            for step in played.learned[row.host]:
+                if row.at_s > step.at_s:
+                    evacuated = step.failure_domains
+            domain = played.simulation.failure_domains[row.searcher]
+            self.assertNotIn(domain, evacuated, row)
+        self.assertNotIn("isolated", {row["event"] for row in self.events})
+        return played.ended
 
     def test_domains_one_after_the_other_and_the_last_one(self):
-        # Searchers of owners accept fewer connections than there are VMs.
-        for connections in (26, 6):
+        for connections in place_simulation.CONNECTIONS:
             for seed in range(4):
                 with self.subTest(connections=connections, seed=seed):
-                    self.check_all(connections, seed)
-
-    def check_all(self, connections, seed):
-        simulation, ended, contacts, learned = virtual_time.run(
-            play(
-                *(self.STEPS, self.BEHAVIOURS),
-                connections=connections,
-                seed=seed,
-            )
-        )
-        self.check_contacts(simulation, contacts, learned)
-        self.assertFalse(any(node.known.isolated for node in simulation.nodes))
-        names = {row["event"] for row in self.events}
-        self.assertNotIn("isolated", names)
+                    faults = place_simulation.FAULTS
+                    ended = self.play(self.STEPS, faults, connections, seed)
+                    self.check_last(ended)
+
+    def check_last(self, ended):
         gone = [row for row in ended if 6.0 < row.sent_s < 7.0]
-        self.assertTrue(gone)
+        back = [row for row in ended if row.sent_s > 8.0]
+        self.assertTrue(gone and back)
         for row in gone:
             self.assertEqual(row.outcome.kind, "refused")
             self.assertEqual(row.outcome.status, 503)
             self.assertEqual(row.outcome.reason, upstreams.EVACUATED)
             self.assertLess(row.seconds, 0.01)
             self.assertEqual(row.outcome.attempts, 0)
-        back = [row for row in ended if row.sent_s > 8.0]
-        self.assertTrue(back)
         for row in back:
             self.assertNotEqual(row.outcome.reason, upstreams.EVACUATED)
-        self.events.clear()
 
     def test_healthy_searchers_elsewhere_serve_everything(self):
-        for connections in (26, 6):
-            _, ended, _, _ = virtual_time.run(
-                play(
-                    [Step(1.0, ("a",)), Step(3.0, ("a", "b")), Step(5.0, ())],
-                    [simulations.ScriptedCall("answer", 0.02)],
-                    connections=connections,
-                )
-            )
-            for row in ended:
+        steps = [Step(1.0, ("a",)), Step(3.0, ("a", "b")), Step(5.0, ())]
+        for connections in place_simulation.CONNECTIONS:
+            for row in self.play(steps, ANSWERED, connections):
                 self.assertEqual(row.outcome.kind, "answered", row)
 
     def test_flapping_domain(self):
         steps = [
             Step(1.0 + n * 1.1, ("b",) if n % 2 == 0 else ()) for n in range(8)
         ]
-        simulation, ended, contacts, learned = virtual_time.run(
-            play(steps, self.BEHAVIOURS)
-        )
-        self.check_contacts(simulation, contacts, learned)
-        self.assertFalse(any(node.known.isolated for node in simulation.nodes))
-        self.assertFalse(
-            any(row.outcome.reason == upstreams.EVACUATED for row in ended)
-        )
+        for row in self.play(steps, place_simulation.FAULTS):
+            self.assertNotEqual(row.outcome.reason, upstreams.EVACUATED)
 
 
 class NodeCase(unittest.TestCase):
@@ -518,7 +424,8 @@
     def create(self, behaviours, searchers):
         """Returns a simulated VM, given failure domains by searcher."""
         simulation = simulations.Simulation(
-            build.configuration(QUERY, SINGLE, SAVE), behaviours
+            build.configuration(place_simulation.QUERY, SINGLE, SAVE),
+            behaviours,
         )
         node = simulation.add_node(1, "a", 1)
         simulation.failure_domains = searchers
@@ -581,11 +488,11 @@
         async def run():
             searchers = {f"{name}-0": "a" for name in SHARDS[:7]}
             _, node = self.create(
-                [simulations.ScriptedCall("answer", 0.02)],
+                ANSWERED,
                 {**searchers, "shard-7-0": "b"},
             )
             node.known.evacuate(frozenset({"b"}))
-            outcome = await node.run(QUERY, b"r", 1.0)
+            outcome = await node.run(place_simulation.QUERY, b"r", 1.0)
             self.assertEqual(outcome.kind, "partial")
             self.assertEqual(outcome.missing, ("shard-7: evacuated",))
 
@@ -593,9 +500,7 @@
 
     def test_searcher_that_appears_in_an_evacuated_domain_gets_no_calls(self):
         async def run():
-            simulation, node = self.create(
-                [simulations.ScriptedCall("answer", 0.02)], {"files-0": "a"}
-            )
+            simulation, node = self.create(ANSWERED, {"files-0": "a"})
             node.known.evacuate(frozenset({"b"}))
             simulation.failure_domains["files-1"] = "b"
             simulation.change_searcher(node, "files-1", "live")
@@ -610,9 +515,7 @@
         async def run():
             now_s = asyncio.get_running_loop().time()
             searchers = {f"{name}-0": "b" for name in SHARDS}
-            _, node = self.create(
-                [simulations.ScriptedCall("answer", 0.02)], searchers
-            )
+            _, node = self.create(ANSWERED, searchers)
             for upstream in node.known.by_id.values():
                 upstream.replica.record_no_response(now_s)
                 upstream.replica.record_no_response(now_s)
@@ -623,11 +526,30 @@
 
         virtual_time.run(run())
 
-    def test_vm_without_evacuations_declines_groups(self):
+    def test_silent_calls_and_lost_ones_there_say_nothing(self):
+        # Neither an isolation nor a crash, which would be looked into by calls.
         async def run():
             _, node = self.create(
-                [simulations.ScriptedCall("answer", 0.02)], {"files-0": "a"}
+                [simulations.ScriptedCall("silent", 0.0)], {"files-0": "a"}
             )
+            upstream = node.known.by_id["files-0"]
+            asking = asyncio.create_task(node.run(SINGLE, b"r", 3.0))
+            await asyncio.sleep(0.9)
+            self.assertEqual(node.isolation_detector.evidence().silent, 1)
+            node.known.evacuate(frozenset({"a"}))
+            self.assertEqual(node.isolation_detector.evidence().silent, 0)
+            node.simulation.down.add("files-0")
+            self.assertFalse(await node.crash_watch.has_crashed(upstream))
+            await asking
+            now_s = asyncio.get_running_loop().time()
+            upstream.replica.record_no_response(now_s)
+            self.assertEqual(node.isolation_detector.evidence().silent, 0)
+
+        virtual_time.run(run())
+
+    def test_vm_without_evacuations_declines_groups(self):
+        async def run():
+            _, node = self.create(ANSWERED, {"files-0": "a"})
             node.known.evacuate(None)
             self.assertEqual(node.groups.decline_reason(), "isolated")
             node.known.evacuate(frozenset())
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -13,14 +13,14 @@
 from tests import gateway_builders as build
 from tests import gateway_simulation as simulations
 from tests import gateways
+from tests import place_simulation
 from tests import virtual_time
 
 REGIONS = {"a": "x", "b": "x", "c": "y", "d": "y"}
 DOMAINS = tuple(REGIONS)
-SHARDS = [f"shard-{n}" for n in range(8)]
 #: Regions that the requests of the load may run in.
 ALLOWED = ((), ("x",), ("y",), ("x", "y"), (homes.NOWHERE,))
-ANSWERED = [simulations.ScriptedCall("answer", 0.02)]
+ANSWERED, FAULTS = place_simulation.ANSWERED, place_simulation.FAULTS
 VM = owners.Vm("vm-1", "a", "10.0.0.1", 1.0)
 
 
@@ -86,55 +86,29 @@
     node.handle_message = record
 
 
-async def play(connections, behaviours, events=(), seed=1, seconds=6.0):
-    """Plays a load on eight VMs in two regions.
+async def play(connections, behaviours, events=(), seed=1):
+    """Plays a load whose requests may run in some regions.
 
-    Every service has a searcher in each failure domain. The id of a request
-    begins with the index of its regions in `ALLOWED`.
+    The id of a request begins with the index of its regions in `ALLOWED`.
     """
     rng = random.Random(seed)
-    loop = asyncio.get_running_loop()
-    query = build.query_route(SHARDS)
-    single = build.single_route("files")
-    configuration = build.configuration(query, single)
-    services = {
-        name: service._replace(connections=connections)
-        for name, service in configuration.services.items()
-    }
-    simulation = simulations.Simulation(
-        configuration._replace(services=services), behaviours
-    )
+    simulation = place_simulation.create(DOMAINS, behaviours, connections)
     deliveries: list[Delivery] = []
-    for number in range(8):
-        node = simulation.add_node(number, DOMAINS[number % 4], 8)
+    for node in simulation.nodes:
         node.known.set_regions(REGIONS)
         record_deliveries(node, deliveries)
-        for service in (*SHARDS, "files"):
-            for n, domain in enumerate(DOMAINS):
-                simulation.failure_domains[f"{service}-{n}"] = domain
-                simulation.change_searcher(node, f"{service}-{n}", "live")
-    everyone = [node.me for node in simulation.nodes]
-    for node in simulation.nodes:
-        node.set_vms(everyone)
-        simulation.run(node.known.probe())
-        simulation.run(node.isolation_detector.run())
     for at_s, event in events:
-        loop.call_later(at_s, event, simulation)
-    ended = {}
+        asyncio.get_running_loop().call_later(at_s, event, simulation)
 
-    async def send(number):
+    def request(number):
         allowed = number % len(ALLOWED)
-        route = rng.choice((query, single))._replace(regions=ALLOWED[allowed])
-        request_id = b"%d-%d" % (allowed, number)
-        node = rng.choice(simulation.nodes)
-        ended[request_id] = await node.run(route, request_id, 1.0)
+        route = rng.choice((place_simulation.QUERY, place_simulation.SINGLE))
+        route = route._replace(regions=ALLOWED[allowed])
+        return route, b"%d-%d" % (allowed, number)
 
-    begun_s, tasks = loop.time(), []
-    while loop.time() < begun_s + seconds:
-        await asyncio.sleep(rng.expovariate(60))
-        tasks.append(asyncio.create_task(send(len(tasks))))
-    await asyncio.gather(*tasks)
-    return Played(simulation, ended, deliveries)
+    ended = await place_simulation.play(simulation, rng, 6.0, request)
+    found = {row.request_id: row.outcome for row in ended}
+    return Played(simulation, found, deliveries)
 
 
 def allowed_of(request_id):
@@ -158,16 +132,6 @@
 class LoadTest(unittest.TestCase):
     """No request leaves its regions: first calls, hedges, groups, retries."""
 
-    FAULTS = (
-        *ANSWERED * 8,
-        simulations.ScriptedCall("queued", 0.1),
-        simulations.ScriptedCall("silent", 0.02),
-        simulations.ScriptedCall("error", 0.02),
-        simulations.ScriptedCall("unsent", 0.01),
-        simulations.ScriptedCall("broken", 0.03),
-        simulations.ScriptedCall("answer", 0.25),
-    )
-
     def setUp(self):
         self.events = collections.deque(maxlen=1)
         self.enterContext(gateways.capture_log_events(self.events))
@@ -186,7 +150,7 @@
             )
 
     def test_healthy_searchers_serve_every_request_that_may_run(self):
-        for connections in (26, 6):
+        for connections in place_simulation.CONNECTIONS:
             played = virtual_time.run(play(connections, ANSWERED))
             self.check(played)
             for request_id, outcome in played.ended.items():
@@ -199,30 +163,26 @@
             self.assertEqual(connections == 6, bool(played.deliveries))
 
     def test_failing_calls(self):
-        for connections in (26, 6):
+        for connections in place_simulation.CONNECTIONS:
             for seed in range(3):
                 with self.subTest(connections=connections, seed=seed):
                     self.check(
-                        virtual_time.run(
-                            play(connections, self.FAULTS, seed=seed)
-                        )
+                        virtual_time.run(play(connections, FAULTS, seed=seed))
                     )
 
     def test_vms_that_lost_their_searchers_pass_requests_on(self):
         for kind in ("hang", "reset", "refuse"):
             # Both VMs of "a", so that others stand in, and one of "c".
             events = [(1.0, cut(kind, (0, 2, 4))), (4.0, cut("", (0, 2, 4)))]
-            for connections in (26, 6):
+            for connections in place_simulation.CONNECTIONS:
                 with self.subTest(kind=kind, connections=connections):
-                    played = virtual_time.run(
-                        play(connections, self.FAULTS, events)
-                    )
+                    played = virtual_time.run(play(connections, FAULTS, events))
                     self.check(played)
                     self.assertTrue(played.deliveries)
 
     def test_region_whose_domains_are_evacuated(self):
         events = [(1.0, evacuate("a")), (2.0, evacuate("ab"))]
-        for connections in (26, 6):
+        for connections in place_simulation.CONNECTIONS:
             played = virtual_time.run(play(connections, ANSWERED, events))
             self.check(played)
             counts = collections.Counter(
