--- a/laurelrock/gateways/single_requests.py
+++ b/laurelrock/gateways/single_requests.py
@@ -33,23 +33,21 @@
         placement: Makes the calls of this VM.
         group_state: The other VMs, which may call instead.
     """
-    known = placement.known
-    if not known.has_live(service) or known.blocker(
-        service, context.route.regions
-    ):
+    known, regions = placement.known, context.route.regions
+    if not known.has_live(service) or known.blocker(service, regions):
         # All VMs know the same searchers.
         return queries.refuse_single(service, context.route, placement)
     candidates = group_state.assignment.owners_to_ask(service)
     if candidates:
         return await ask(context, service, candidates, group_state)
-    if group_state.selection.passes_on((service,), 1):
+    if group_state.selection.passes_on((service,), 1, regions):
         refusal = placement.begin_request(context)
         return refusal or await pass_on(context, service, group_state)
     outcome = await queries.run_single(context, service, placement)
     if not (
         may_run_again(context, outcome)
         and group_state.loop.time() < context.end_s
-        and group_state.selection.passes_on((service,), 1)
+        and group_state.selection.passes_on((service,), 1, regions)
     ):
         return outcome
     attempts_left = context.route.attempts - outcome.attempts
