Divide shared rates by offers and grants that end by themselves

Cause: keepers told each VM its share, and a VM used it for 2.5 s. While shares changed, or when a reply was late or a VM started again, the shares of all VMs could add up to more than the whole. A limit that a crash depends on, as that of a cold searcher, must not be exceeded by that.

Change: core/shared_rate.py has the token bucket, the equal division by demand (moved from core/request_limit.py) and a lease protocol. A VM offers what it does not keep of its equal share for 5 s; the keeper grants it to others for 1.75 s, counts offers from the time stamp that they echo, and only those made to its own start. Reports and replies get fields at the end; VMs of the previous version keep their shares. Replicas may have a second limit, for a cold searcher, which nothing sets yet.

--- a/laurelrock/core/registry.py
+++ b/laurelrock/core/registry.py
@@ -20,6 +20,7 @@
     "Start",
     "State",
     "create_registry",
+    "is_same_start",
 ]
 
 State = typing.Literal["live", "draining"]
@@ -243,6 +244,15 @@
         ]
 
 
+def is_same_start(one: Searcher, other: Searcher) -> bool:
+    """Returns whether two entries describe the same start of a searcher."""
+    return (one.started_ms, one.service, one.address) == (
+        other.started_ms,
+        other.service,
+        other.address,
+    )
+
+
 def create_registry() -> Registry:
     """Returns an empty registry."""
     return Registry()
--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -12,6 +12,7 @@
 
 from laurelrock.core import registry
 from laurelrock.core import request_limit
+from laurelrock.core import warm_up
 
 __all__ = [
     "LatencyStats",
@@ -137,6 +138,7 @@
         limit: The limit of requests that it named; None if there is none.
         unlimited_s: Loop time of its last response that named no limit, in
             seconds.
+        cold: The limit of requests while it is cold; None while it is warm.
     """
 
     def __init__(self, searcher: registry.Searcher, now_s: float) -> None:
@@ -160,6 +162,7 @@
         self.resume_s = 0.0
         self.limit: request_limit.RequestLimit | None = None
         self.unlimited_s = -math.inf
+        self.cold: warm_up.ColdLimit | None = None
 
     def begin_call(self, now_s: float) -> int:
         """Records the start of a call and returns the call's number."""
@@ -167,6 +170,8 @@
         self.calls_in_flight[self.call_count] = now_s
         if self.limit is not None:
             self.limit.take(now_s)
+        if self.cold is not None:
+            self.cold.take(now_s)
         return self.call_count
 
     def end_call(self, number: int) -> None:
@@ -325,14 +330,29 @@
 
 def accepts_work(row: Replica, now_s: float) -> bool:
     """Tells whether a searcher takes a call of this VM now."""
-    return has_resumed(row, now_s) and (
-        row.limit is None or not row.limit.wait_s(now_s)
+    return has_resumed(row, now_s) and not limit_wait_s(row, now_s)
+
+
+def limit_wait_s(row: Replica, now_s: float) -> float:
+    """Returns the time until a searcher's limits allow a call, in seconds."""
+    return max(
+        row.limit.wait_s(now_s) if row.limit else 0.0,
+        row.cold.wait_s(now_s) if row.cold else 0.0,
     )
 
 
 def takes_extra_work(row: Replica, now_s: float) -> bool:
     """Tells whether a searcher takes a call that isn't needed yet."""
-    return row.limit is None or row.limit.is_plentiful(now_s)
+    return row.cold is None and (
+        row.limit is None or row.limit.is_plentiful(now_s)
+    )
+
+
+def is_probe_due(row: Replica, now_s: float) -> bool:
+    """Tells whether a searcher is ejected and due for a probe."""
+    return bool(
+        row.ejections and not row.probe_succeeded and now_s >= row.next_probe_s
+    )
 
 
 def any_reachable(
@@ -358,7 +378,7 @@
     It is 0 if one does so now, and infinite if nothing says when one will.
     """
     waits = [
-        max(row.resume_s - now_s, row.limit.wait_s(now_s) if row.limit else 0.0)
+        max(row.resume_s - now_s, limit_wait_s(row, now_s))
         for row in replicas
         if stays(row)
     ]
@@ -371,7 +391,10 @@
     It is infinite if one of its searchers has no limit.
     """
     return math.fsum(
-        row.limit.own_per_s if row.limit else math.inf
+        min(
+            row.limit.own_per_s if row.limit else math.inf,
+            row.cold.own_per_s if row.cold else math.inf,
+        )
         for row in replicas
         if stays(row)
     )
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import enum
+import functools
 import typing
 
 import xxhash
@@ -143,7 +144,9 @@
         idempotent: Whether the request may run more than once.
         call: The call in the HTTP client, sent or waiting for a connection.
         number: The number of the call among those of the searcher.
-        limit: The limit of the searcher that counted the call, if any.
+        limits: The limits of the searcher that counted the call.
+        cold: The limit of a cold searcher while the call waits for a
+            connection.
         begun_s: The loop time at which the call began.
         limit_s: The loop time at which the call is ended.
         on_end: Called with the result; None once the call is abandoned.
@@ -167,7 +170,14 @@
         self.idempotent = idempotent
         self.call = call
         self.number = upstream.replica.begin_call(begun_s)
-        self.limit = upstream.replica.limit
+        self.limits = [
+            row
+            for row in (upstream.replica.limit, upstream.replica.cold)
+            if row is not None
+        ]
+        self.cold = None if call.sent else upstream.replica.cold
+        if self.cold is not None:
+            self.cold.waiting += 1
         self.begun_s = begun_s
         self.limit_s = limit_s
         self.trial = trial
@@ -176,6 +186,12 @@
             collections.abc.Callable[[PendingCall, CallResult], None] | None
         ) = on_end
 
+    def end_wait(self) -> None:
+        """Records that the call is sent, or will not be."""
+        if self.cold is not None:
+            self.cold.waiting -= 1
+            self.cold = None
+
     def abandon(self, now_s: float) -> None:
         """Abandons the call, since its result is no longer needed."""
         self.on_end = None
@@ -184,6 +200,9 @@
         self.limit_s = min(self.limit_s, now_s + ABANDONED_GRACE_S)
 
 
+RecordWarmUp = collections.abc.Callable[[upstreams.Upstream, float], None]
+
+
 class Calls:
     """All pending calls.
 
@@ -192,6 +211,8 @@
         upstreams: The searchers that are called.
         in_flight: The pending calls, the oldest first.
         counts: The number of ended calls by status, for the metrics.
+        record_warm_up: Called with a searcher and the time in seconds for which
+            it says that it is cold.
     """
 
     def __init__(
@@ -201,6 +222,7 @@
         self.upstreams = known
         self.loop = asyncio.get_running_loop()
         self.in_flight: dict[PendingCall, None] = {}
+        self.record_warm_up: RecordWarmUp = lambda upstream, left_s: None
         self.counts: dict[str, int] = {
             call_status.value: 0 for call_status in CallStatus
         }
@@ -221,8 +243,11 @@
         request = context.request
         searcher = upstream.searcher.id
         request_id = context.caller_headers.request_id
+        pending_call: PendingCall | None = None
 
         def encode() -> bytes:
+            if pending_call is not None:
+                pending_call.end_wait()
             left_s = context.end_s - self.loop.time()
             target = self.platform.encode_call_headers(searcher, left_s)
             return http_wire.encode_request(
@@ -258,7 +283,7 @@
         context.trial.begin_call()
         self.in_flight[pending_call] = None
         call.future.add_done_callback(
-            lambda future: self.settle(pending_call, future)
+            functools.partial(self.settle, pending_call)
         )
         return pending_call
 
@@ -288,6 +313,8 @@
                 sent_s,
                 self.loop.time(),
             )
+            if searcher_headers.warm_up_left_s is not None:
+                self.record_warm_up(upstream, searcher_headers.warm_up_left_s)
 
     def settle(
         self,
@@ -296,11 +323,13 @@
     ) -> None:
         """Processes the end of a call and passes the result on."""
         self.in_flight.pop(pending_call, None)
+        pending_call.end_wait()
         pending_call.upstream.replica.end_call(pending_call.number)
         result = self.classify(pending_call, future)
         self.counts[result.status.value] += 1
-        if result.status is CallStatus.UNSENT and pending_call.limit:
-            pending_call.limit.give_back()
+        if result.status is CallStatus.UNSENT:
+            for limit in pending_call.limits:
+                limit.give_back()
         self.update_statistics(pending_call, result)
         trial = pending_call.trial
         trial.end_call(
--- a/laurelrock/gateways/limit_sharing.py
+++ b/laurelrock/gateways/limit_sharing.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import collections.abc
+import secrets
 import typing
 
 import xxhash
@@ -18,6 +19,7 @@
 from laurelrock.core import owners
 from laurelrock.core import registry
 from laurelrock.core import request_limit
+from laurelrock.core import shared_rate
 from laurelrock.gateways import assignment
 from laurelrock.gateways import upstreams
 
@@ -46,6 +48,24 @@
 MAX_STORED = 256
 
 
+class ColdReport(typing.NamedTuple):
+    """What a searcher said about its warm-up, as VMs tell it to each other.
+
+    Attributes:
+        service: Service of the searcher.
+        searcher: Id of the searcher.
+        started_ms: Start of the searcher, in milliseconds since 1970.
+        left_s: Time for which it was cold when it said so, in seconds.
+        age_s: Time since it said so, in seconds.
+    """
+
+    service: str
+    searcher: str
+    started_ms: int
+    left_s: float
+    age_s: float
+
+
 class LimitReport(typing.NamedTuple):
     """Says how many requests a VM needs of services with a limited searcher.
 
@@ -55,6 +75,12 @@
         demands: The services and the requests per second that it needs.
         limits: The limits that the VM knows.
         ask_all: Whether the VM asks for all limits of the slot.
+        sent_s: The sender's loop time.
+        offers: What the VM offers of its equal share of each service in
+            `demands`; empty if it offers nothing.
+        keeper: The start id of the keeper to which it offers that.
+        stamp_s: The time stamp of that keeper's last reply.
+        cold: The searchers that said lately whether they are cold.
     """
 
     sender: str
@@ -62,6 +88,11 @@
     demands: list[tuple[str, float]]
     limits: list[request_limit.NamedLimit]
     ask_all: bool = False
+    sent_s: float = 0.0
+    offers: list[float] = []
+    keeper: str = ""
+    stamp_s: float = 0.0
+    cold: list[ColdReport] = []
 
 
 class LimitShares(typing.NamedTuple):
@@ -72,11 +103,22 @@
         shares: The services of the report, and the VM's share of the limits of
             their searchers.
         limits: The limits that the keeper knows for these services.
+        keeper: The start id of the keeper; empty if this is no reply.
+        stamp_s: The keeper's loop time.
+        sent_s: The sender's loop time of the report.
+        extras: What the VM is granted in addition to the share that it keeps,
+            for each of `shares`. VMs of the previous version use `shares`.
+        cold: The searchers that said lately whether they are cold.
     """
 
     slot: int
     shares: list[tuple[str, float]]
     limits: list[request_limit.NamedLimit]
+    keeper: str = ""
+    stamp_s: float = 0.0
+    sent_s: float = 0.0
+    extras: list[float] = []
+    cold: list[ColdReport] = []
 
 
 KINDS: dict[int, type] = {17: LimitReport, 18: LimitShares}
@@ -99,11 +141,19 @@
         me: This VM.
         port: The port of messages between VMs, the same on all of them.
         started_s: The loop time of the start.
-        shares: The shares that keepers replied, by service.
+        members: What this VM offered and was granted, by slot.
+        peaks: The largest numbers of VMs that call a service of late.
+        cold_news: Returns what searchers said about their warm-up lately.
+        apply_cold: Applies what another VM reports about that; returns whether
+            it was news.
         keeper_number: The position of the present keeper in the ranking, by
             slot.
         asked_s: The loop time of the first report without a reply, by slot.
+        repeated_s: The loop time of the last report that was sent in addition
+            to the regular ones, by slot.
         demands: As keeper: the reported demands by service and VM.
+        start_id: As keeper: the id of this start.
+        grants: As keeper: the offers and grants, by service.
         limits: As keeper: the reported limits, and the loop times at which
             responses named them, by searcher.
     """
@@ -123,33 +173,49 @@
         self.port = port
         self.loop = asyncio.get_running_loop()
         self.started_s = self.loop.time()
-        self.shares: dict[str, Timed] = {}
+        self.members: dict[int, shared_rate.Member] = {}
+        self.peaks: dict[str, shared_rate.RecentPeak] = collections.defaultdict(
+            shared_rate.RecentPeak
+        )
+        self.cold_news: collections.abc.Callable[[], list[ColdReport]] = list
+        self.apply_cold: collections.abc.Callable[[ColdReport], bool] = (
+            lambda row: False
+        )
+        self.start_id = f"{me.name}/{secrets.token_hex(4)}"
+        self.grants: dict[str, shared_rate.Grants] = {}
         self.keeper_number: dict[int, int] = collections.defaultdict(int)
         self.asked_s: dict[int, float] = {}
+        self.repeated_s: dict[int, float] = {}
         self.demands: dict[str, dict[str, Timed]] = {}
         self.limits: dict[str, tuple[request_limit.NamedLimit, float]] = {}
         known.share_of = self.share_of
 
     def share_of(
-        self, searcher: registry.Searcher, per_s: float
-    ) -> request_limit.Share:
+        self, searcher: registry.Searcher, max_callers: int, strict: bool
+    ) -> shared_rate.Share:
         """Returns this VM's share of a limit; see `upstreams.Upstreams`."""
         service = searcher.service
         callers = self.assignment.callers_of(service)
         if not callers:
-            return self.known.equal_share(searcher, per_s)
+            return self.known.equal_share(searcher, max_callers, strict)
         if self.me not in callers:
-            return request_limit.Share(0.0, turn=len(callers))
-        allowed = request_limit.max_callers(per_s)
-        if len(callers) > allowed:
+            return shared_rate.Share(0.0, turn=len(callers))
+        now_s = self.loop.time()
+        count = self.peaks[service].record(len(callers), now_s)
+        if count > max_callers:
             turn = self.rank_callers(searcher, callers).index(self.me) + 1
-            if turn > allowed:
-                return request_limit.Share(0.0, turn - allowed)
-            return request_limit.Share(1.0 / allowed)
-        share = self.shares.get(service)
-        if share and self.loop.time() - share.at_s < REPORT_VALID_S:
-            return request_limit.Share(share.value)
-        return request_limit.Share(1.0 / len(callers))
+            if turn > max_callers:
+                return shared_rate.Share(0.0, turn - max_callers)
+            equal = 1.0 / max_callers
+            return shared_rate.Share(equal, equal=equal)
+        member = self.member(slot_of(service))
+        return member.share(service, 1.0 / count, strict, now_s)
+
+    def member(self, slot: int) -> shared_rate.Member:
+        """Returns what this VM offered and was granted in a slot."""
+        if slot not in self.members:
+            self.members[slot] = shared_rate.create_member(self.started_s)
+        return self.members[slot]
 
     def rank_callers(
         self, searcher: registry.Searcher, callers: list[owners.Vm]
@@ -169,38 +235,74 @@
             self.report()
             await asyncio.sleep(REPORT_INTERVAL_S)
 
-    def report(self) -> None:
-        """Applies the present shares and reports to the keepers."""
+    def report(self, slot: int | None = None) -> None:
+        """Applies the present shares and reports to the keepers.
+
+        Args:
+            slot: The slot to report; None for all of them.
+        """
         now_s = self.loop.time()
         self.known.share_limits(now_s)
         limited: dict[str, list[request_limit.NamedLimit]] = {}
-        for upstream in list(self.known.limited.values())[:MAX_REPORTED]:
+        rows = {**self.known.cold, **self.known.limited}
+        for upstream in list(rows.values())[:MAX_REPORTED]:
+            named = limited.setdefault(upstream.searcher.service, [])
             row = name_limit(upstream, now_s)
             if row is not None:
-                limited.setdefault(row.service, []).append(row)
+                named.append(row)
         for service in [
             row for row in self.known.demands if row not in limited
         ]:
             del self.known.demands[service]
-        for service in [row for row in self.shares if row not in limited]:
-            del self.shares[service]
+        news = self.cold_news()[:MAX_REPORTED]
         ask_all = now_s - self.started_s < ASK_ALL_S
         services_by_slot: dict[int, list[str]] = {
             slot: [] for slot in range(SLOTS if ask_all else 0)
         }
         for service in limited:
             services_by_slot.setdefault(slot_of(service), []).append(service)
-        for slot, services in services_by_slot.items():
+        for told in news:
+            services_by_slot.setdefault(slot_of(told.service), [])
+        for number, services in services_by_slot.items():
+            if slot not in (None, number):
+                continue
             self.send_report(
                 LimitReport(
                     self.me.name,
-                    slot,
+                    number,
                     [(name, self.demand(name, now_s)) for name in services],
                     [row for name in services for row in limited[name]],
                     ask_all,
+                    now_s,
+                    cold=[
+                        row for row in news if slot_of(row.service) == number
+                    ],
                 )
             )
 
+    def add_offer(self, report: LimitReport, now_s: float) -> LimitReport:
+        """Returns a report with what this VM offers to the keeper."""
+        member = self.member(report.slot)
+        if not report.demands or not member.begin_offer(now_s):
+            return report
+        self.known.share_limits(now_s)
+        offered = 1.0 - shared_rate.KEPT_FRACTION
+        return report._replace(
+            offers=[
+                offered / max(1, self.caller_count(service, now_s))
+                if self.me in self.assignment.callers_of(service)
+                else 0.0
+                for service, _ in report.demands
+            ],
+            keeper=member.keeper,
+            stamp_s=member.stamp_s,
+        )
+
+    def caller_count(self, service: str, now_s: float) -> int:
+        """Returns the largest number of VMs that call a service of late."""
+        callers = len(self.assignment.callers_of(service))
+        return self.peaks[service].record(callers, now_s)
+
     def demand(self, service: str, now_s: float) -> float:
         """Returns the requests per second that this VM needs of a service."""
         rate = self.known.demands.get(service)
@@ -220,7 +322,10 @@
         if now_s - self.asked_s.setdefault(slot, now_s) > REPORT_VALID_S:
             self.keeper_number[slot] += 1
             self.asked_s[slot] = now_s
+            self.member(slot).forget_keeper()
         keeper = self.keeper_of(slot)
+        if keeper is not None:
+            report = self.add_offer(report, now_s)
         if keeper == self.me:
             self.apply(self.answer(report))
         elif keeper is not None:
@@ -239,13 +344,38 @@
         """Applies a keeper's reply."""
         now_s = self.loop.time()
         self.asked_s.pop(reply.slot, None)
-        for service, share in reply.shares[:MAX_REPORTED]:
-            if 0.0 <= share <= 1.0:
-                self.shares[service] = Timed(share, now_s)
+        if reply.keeper:
+            services = [service for service, _ in reply.shares]
+            self.member(reply.slot).record_reply(
+                reply.keeper,
+                reply.stamp_s,
+                reply.sent_s,
+                zip(services, reply.extras, strict=False),
+                now_s,
+            )
+        for told in reply.cold[:MAX_REPORTED]:
+            self.apply_cold(told)
         for row in reply.limits[:MAX_REPORTED]:
             self.apply_limit(row, now_s)
         if reply.shares:
             self.known.share_limits(now_s)
+            self.offer_soon(reply, now_s)
+
+    def offer_soon(self, reply: LimitShares, now_s: float) -> None:
+        """Reports again if the report of a reply could not offer anything.
+
+        A VM needs a time stamp of the keeper before it can offer.
+        """
+        slot = reply.slot
+        last_s = self.repeated_s.get(slot, -REPORT_INTERVAL_S)
+        if (
+            reply.extras
+            or now_s - last_s < REPORT_INTERVAL_S
+            or not self.member(slot).can_offer(now_s)
+        ):
+            return
+        self.repeated_s[slot] = now_s
+        self.report(slot)
 
     def apply_limit(self, row: request_limit.NamedLimit, now_s: float) -> None:
         """Applies a limit unless this VM knows something newer."""
@@ -279,40 +409,89 @@
                 self.limits[row.searcher] = (row, named_s)
                 if old is None:
                     self.announce(row, report.sender)
+        for cold in report.cold[:MAX_REPORTED]:
+            if self.apply_cold(cold):
+                self.tell_callers(cold.service, report.sender, cold=[cold])
+        self.record_offers(report)
         services = {service for service, _ in report.demands}
+        shares = [
+            (service, self.divide(service)[report.sender])
+            for service in services
+            if report.sender in self.demands.get(service, {})
+        ]
         return LimitShares(
             report.slot,
-            [
-                (service, self.divide(service)[report.sender])
-                for service in services
-                if report.sender in self.demands.get(service, {})
-            ],
+            shares,
             [
                 row._replace(age_s=round(now_s - named_s, 3))
                 for row, named_s in self.limits.values()
                 if row.service in services
                 or (report.ask_all and slot_of(row.service) == report.slot)
             ][:MAX_REPORTED],
+            self.start_id,
+            now_s,
+            report.sent_s,
+            [self.grant(service, report.sender, now_s) for service, _ in shares]
+            if report.keeper == self.start_id
+            else [],
+            [
+                row
+                for row in self.cold_news()
+                if row.service in services
+                or (report.ask_all and slot_of(row.service) == report.slot)
+            ][:MAX_REPORTED],
         )
 
+    def record_offers(self, report: LimitReport) -> None:
+        """Records what a VM offers, if it is meant for this start."""
+        if report.keeper != self.start_id:
+            return
+        for (service, _), fraction in zip(
+            report.demands, report.offers, strict=False
+        ):
+            if report.sender in self.demands.get(service, {}):
+                row = self.grants.setdefault(
+                    service, shared_rate.create_grants()
+                )
+                row.record_offer(report.sender, fraction, report.stamp_s)
+
+    def grant(self, service: str, vm: str, now_s: float) -> float:
+        """Grants a VM a part of what others offered."""
+        if service not in self.grants:
+            return 0.0
+        callers = len(self.assignment.callers_of(service))
+        equal = 1.0 / max(1, callers, len(self.demands[service]))
+        wanted = self.divide(service)[vm] - equal * shared_rate.KEPT_FRACTION
+        return self.grants[service].grant(vm, wanted, now_s)
+
     def announce(self, row: request_limit.NamedLimit, sender: str) -> None:
         """Tells the other callers of a service of a new limit.
 
         Those without requests for it report as well then, so that their shares
         are redistributed.
         """
-        for vm in self.assignment.callers_of(row.service):
-            if vm == self.me:
-                self.apply_limit(row, self.loop.time())
-            elif vm.name != sender:
-                link = self.peer_links.link((vm.host, self.port))
-                link.send(LimitShares(slot_of(row.service), [], [row]))
+        if self.me in self.assignment.callers_of(row.service):
+            self.apply_limit(row, self.loop.time())
+        self.tell_callers(row.service, sender, limits=[row])
+
+    def tell_callers(
+        self,
+        service: str,
+        sender: str,
+        limits: list[request_limit.NamedLimit] = [],  # noqa: B006
+        cold: list[ColdReport] = [],  # noqa: B006
+    ) -> None:
+        """Tells the other callers of a service what a VM reported."""
+        message = LimitShares(slot_of(service), [], limits, cold=cold)
+        for vm in self.assignment.callers_of(service):
+            if vm != self.me and vm.name != sender:
+                self.peer_links.link((vm.host, self.port)).send(message)
 
     def divide(self, service: str) -> dict[str, float]:
         """Returns the shares of the VMs that reported a service."""
         callers = len(self.assignment.callers_of(service))
         demands = {vm: row.value for vm, row in self.demands[service].items()}
-        return request_limit.divide(demands, callers)
+        return shared_rate.divide(demands, callers)
 
     def drop_old(self, now_s: float) -> None:
         """Drops reports that no longer count."""
@@ -325,6 +504,10 @@
                 del by_vm[vm]
             if not by_vm:
                 del self.demands[service]
+        for service, row in list(self.grants.items()):
+            row.drop_ended(now_s)
+            if not row.offers and not row.granted:
+                del self.grants[service]
         for searcher, (_, named_s) in list(self.limits.items()):
             if now_s - named_s >= request_limit.LAPSE_S:
                 del self.limits[searcher]
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -14,6 +14,7 @@
 from laurelrock.core import replicas
 from laurelrock.core import request_limit
 from laurelrock.core import routes
+from laurelrock.core import shared_rate
 from laurelrock.core import throughput
 
 __all__ = ["Upstream", "Upstreams", "create_upstreams"]
@@ -51,9 +52,11 @@
 
 
 ShareOf = collections.abc.Callable[
-    [registry.Searcher, float], request_limit.Share
+    [registry.Searcher, int, bool], shared_rate.Share
 ]
 
+EntryApplied = collections.abc.Callable[["Upstream", float], None]
+
 
 class Upstream:
     """One searcher, with its state and its connections.
@@ -97,8 +100,12 @@
             service.
         responded_s: Loop time of the last response of any searcher, in seconds.
         isolated: Whether this VM has lost all searchers.
+        cold: The searchers that are cold and take few requests, by id.
         share_of: Returns this VM's share of a searcher's limit, given the
-            requests per second that the searcher takes from all VMs.
+            number of VMs that may call the searcher, and whether the limit
+            holds strictly.
+        entry_applied: Called with a searcher whose entry was applied, and the
+            loop time.
     """
 
     def __init__(
@@ -126,7 +133,9 @@
         self.demands: dict[str, event_rate.EventRate] = {}
         self.responded_s = 0.0
         self.isolated = False
+        self.cold: dict[str, Upstream] = {}
         self.share_of: ShareOf = self.equal_share
+        self.entry_applied: EntryApplied = lambda upstream, now_s: None
 
     def is_local(self, replica: replicas.Replica) -> bool:
         """Returns whether a searcher is in this VM's failure domain."""
@@ -227,7 +236,8 @@
         known = self.by_id.get(change.id)
         searcher = change.searcher
         if known is not None and (
-            searcher is None or not is_same_start(known.searcher, searcher)
+            searcher is None
+            or not registry.is_same_start(known.searcher, searcher)
         ):
             self.remove(known)
             known = None
@@ -246,6 +256,7 @@
             if searcher.state == "draining":
                 known.client.reject_waiting_calls("the searcher is draining")
             known.replica.warm_up_end_s = now_s + searcher.warm_up_left_s
+            self.entry_applied(known, now_s)
             return
         client = http_client.open_client(
             searcher.address,
@@ -261,6 +272,7 @@
                 self.limited[searcher.id] = upstream
         self.by_id[searcher.id] = upstream
         self.by_service[searcher.service][searcher.id] = upstream
+        self.entry_applied(upstream, now_s)
 
     def remove(self, upstream: Upstream) -> None:
         """Removes a searcher; its calls in flight continue."""
@@ -272,6 +284,7 @@
                 Restriction(replica.leaving, replica.resume_s, replica.limit),
             )
         self.limited.pop(upstream.searcher.id, None)
+        self.cold.pop(upstream.searcher.id, None)
         self.opened += upstream.client.opened
         del self.by_id[upstream.searcher.id]
         del self.by_service[upstream.searcher.service][upstream.searcher.id]
@@ -318,16 +331,24 @@
         )
 
     def equal_share(
-        self, searcher: registry.Searcher, per_s: float
-    ) -> request_limit.Share:
+        self, searcher: registry.Searcher, max_callers: int, strict: bool
+    ) -> shared_rate.Share:
         """Returns an equal share of a searcher's limit.
 
         A VM that doesn't know how many there are has none.
         """
         callers = self.callers(searcher.service) if self.vms else 0
         if not callers:
-            return request_limit.Share(0.0, turn=1)
-        return request_limit.Share(1.0 / callers)
+            return shared_rate.Share(0.0, turn=1)
+        return shared_rate.Share(1.0 / callers, equal=1.0 / callers)
+
+    def named_share(
+        self, upstream: Upstream, per_s: float
+    ) -> shared_rate.Share:
+        """Returns this VM's share of a limit that a searcher named."""
+        return self.share_of(
+            upstream.searcher, request_limit.max_callers(per_s), False
+        )
 
     def limit_requests(
         self, upstream: Upstream, per_s: float, named_s: float, now_s: float
@@ -343,7 +364,7 @@
         replica, searcher = upstream.replica, upstream.searcher
         limit = replica.limit
         if limit is None:
-            share = self.share_of(searcher, per_s)
+            share = self.named_share(upstream, per_s)
             replica.limit = request_limit.create_request_limit(
                 per_s, share, named_s, now_s
             )
@@ -358,7 +379,7 @@
             return
         limit.named_s = max(limit.named_s, named_s)
         if per_s != limit.named_per_s:
-            limit.change(per_s, self.share_of(searcher, per_s), now_s)
+            limit.change(per_s, self.named_share(upstream, per_s), now_s)
 
     def share_limits(self, now_s: float) -> None:
         """Applies this VM's shares of all limits and ends those that lapsed."""
@@ -368,7 +389,12 @@
                 self.end_limit(upstream, "not named for a long time")
                 continue
             per_s = limit.named_per_s
-            limit.change(per_s, self.share_of(upstream.searcher, per_s), now_s)
+            limit.change(per_s, self.named_share(upstream, per_s), now_s)
+        for upstream in self.cold.values():
+            cold = upstream.replica.cold
+            if cold is not None:
+                share = self.share_of(upstream.searcher, cold.max_callers, True)
+                cold.set_share(share, now_s)
 
     def record_limit(
         self,
@@ -408,7 +434,7 @@
 
     def record_demand(self, service: str, now_s: float) -> None:
         """Records a request that needs a service, whether it is served."""
-        if not self.limited:
+        if not self.limited and not self.cold:
             return
         if service not in self.demands:
             self.demands[service] = event_rate.create_event_rate(
@@ -438,7 +464,9 @@
         while True:
             await asyncio.sleep(PROBE_CHECK_INTERVAL_S)
             due = [
-                row for row in self.by_id.values() if is_probe_due(row, loop)
+                row
+                for row in self.by_id.values()
+                if replicas.is_probe_due(row.replica, loop.time())
             ]
             if due:
                 await asyncio.gather(*[self.probe_one(row) for row in due])
@@ -466,25 +494,6 @@
                     await asyncio.sleep(WARM_INTERVAL_S)
 
 
-def is_probe_due(upstream: Upstream, loop: asyncio.AbstractEventLoop) -> bool:
-    """Returns whether a searcher is ejected and due for a probe."""
-    replica = upstream.replica
-    return bool(
-        replica.ejections
-        and not replica.probe_succeeded
-        and loop.time() >= replica.next_probe_s
-    )
-
-
-def is_same_start(one: registry.Searcher, other: registry.Searcher) -> bool:
-    """Returns whether two entries describe the same start of a searcher."""
-    return (one.started_ms, one.service, one.address) == (
-        other.started_ms,
-        other.service,
-        other.address,
-    )
-
-
 def create_upstreams(
     failure_domain: str, reply_bytes: int = reply_budget.DEFAULT_BYTES
 ) -> Upstreams:
--- a/tests/test_searcher_limits.py
+++ b/tests/test_searcher_limits.py
@@ -12,6 +12,7 @@
 from laurelrock.core import request_limit
 from laurelrock.core import return_times
 from laurelrock.core import routes
+from laurelrock.core import shared_rate
 from laurelrock.gateways import limit_sharing
 from laurelrock.platform import header_codec
 from tests import gateway_builders as build
@@ -159,7 +160,7 @@
 
 def create_limit(per_s: float, fraction: float) -> request_limit.RequestLimit:
     """Returns a limit that was named at 0 s."""
-    share = request_limit.Share(fraction)
+    share = shared_rate.Share(fraction)
     return request_limit.create_request_limit(per_s, share, 0.0, 0.0)
 
 
@@ -202,18 +203,18 @@
                 f"vm-{n}": rng.choice((0.0, 0.5, 3.0, 900.0))
                 for n in range(reported)
             }
-            shares = request_limit.divide(demands, callers)
+            shares = shared_rate.divide(demands, callers)
             total = sum(shares.values())
             self.assertAlmostEqual(total, reported / callers)
             by_demand = sorted(demands, key=lambda vm: demands[vm])
             ranked = [shares[vm] for vm in by_demand]
             self.assertEqual(ranked, sorted(ranked))
-            floor = request_limit.KEPT_FRACTION / callers
+            floor = shared_rate.KEPT_FRACTION / callers
             self.assertGreaterEqual(min(ranked), floor)
 
     def test_vms_that_a_keeper_does_not_list_do_not_raise_the_whole(self):
         demands = {f"vm-{n}": 1.0 for n in range(5)}
-        shares = request_limit.divide(demands, 2)
+        shares = shared_rate.divide(demands, 2)
         self.assertAlmostEqual(sum(shares.values()), 1.0)
 
     def test_saved_up_requests_of_all_callers_fit_the_rule(self):
