Limit the requests to cold searchers over all VMs

Cause: a cold searcher accepts warmup_per_s requests per second from all VMs and crashes well above that. The gateway only expected it to be slower.

Change: a replica has a second limit while it is cold. gateways/places/ cold_searchers.py knows from entries, responses, new starts, ended evacuations (presume_cold) and reports of other VMs which searchers are cold, requests their health within the same limit, and keeps requests from them if a warm searcher is expected to respond within the objective. Requests that wait for a connection take up room in the bucket. A response to a call of an earlier start no longer changes the limit of the present one.

--- a/laurelrock/core/shared_rate.py
+++ b/laurelrock/core/shared_rate.py
@@ -44,8 +44,8 @@
 #: nobody uses.
 MIN_DEMAND_PER_S = 0.1
 #: Time in seconds for which an offer binds, and for which a grant may be used.
-#: Reports are sent once a second and echo a time stamp that is a second old. The
-#: difference lets an offer count until the next report even so.
+#: Reports are sent once a second and echo a time stamp that is a second old; an
+#: offer has to count until the next report even so.
 OFFER_S, GRANT_S = 5.0, 1.75
 #: Age in seconds of the keeper's last reply up to which an offer is useful: the
 #: keeper counts it from its time stamp, and it has to outlast a grant.
@@ -222,7 +222,8 @@
         """
         if not self.started_s <= sent_s <= now_s:
             return
-        self.keeper, self.stamp_s, self.replied_s = keeper, stamp_s, sent_s
+        if sent_s >= self.replied_s:
+            self.keeper, self.stamp_s, self.replied_s = keeper, stamp_s, sent_s
         for service, fraction in extras:
             if 0.0 <= fraction <= 1.0:
                 self.grants[service] = Grant(fraction, sent_s + GRANT_S)
--- a/laurelrock/core/warm_up.py
+++ b/laurelrock/core/warm_up.py
@@ -60,8 +60,6 @@
         per_s: Requests per second that the searcher takes from all VMs.
         policy: How far they may be exceeded.
         until_s: Time at which the searcher is warm, in seconds.
-        evidence: What showed that last.
-        learned_s: Time at which it did, in seconds.
         waiting: Counted requests that wait for a connection. They may be sent
             at any moment, so they take up room like saved-up requests.
     """
@@ -77,8 +75,6 @@
         self.per_s = per_s
         self.policy = policy
         self.until_s = math.inf
-        self.evidence = Evidence.PRESUMED
-        self.learned_s = now_s
         self.waiting = 0
 
     @property
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -36,6 +36,7 @@
 from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
 from laurelrock.gateways import vm_removal
+from laurelrock.gateways.places import cold_searchers
 from laurelrock.gateways.tenants import keys
 from laurelrock.ports import directory
 from laurelrock.ports import header_codec
@@ -92,6 +93,7 @@
         groups: The shard groups that other VMs call for this one, and that it
             calls for them.
         limit_sharing: The shares of the limits that searchers named.
+        cold_searchers: The searchers that are cold.
         follower: The configuration and the registry of searchers.
         crash_watch: The requests that crash searchers.
         vm_removal: Removes VMs that are gone from the platform's list.
@@ -142,6 +144,11 @@
         self.limit_sharing = limit_sharing.create_limit_sharing(
             self.known, self.groups.assignment, *messaging
         )
+        self.cold_searchers = cold_searchers.create_cold_searchers(
+            *(self.known, self.calls, self.limit_sharing),
+            options.warm_up_policy,
+        )
+        self.placement.prefer_warm = self.cold_searchers.prefer_warm
         self.follower = platform_follower.PlatformFollower(
             *(source, row, self.known, self.apply_configuration),
             *(self.apply_vm_entries, self.share_searchers),
@@ -202,6 +209,7 @@
         if self.servers:
             self.servers[0].limits = configuration.limits
         self.apply_assignment(configuration)
+        self.cold_searchers.configure(configuration)
         self.sharing.share_configuration(configuration)
 
     def share_searchers(self, changes: list[registry.Change]) -> None:
@@ -277,6 +285,7 @@
         """Applies changed settings; addresses apply from the next start."""
         self.deployment = options
         self.budget.policy = options.extra_call_policy
+        self.cold_searchers.policy = options.warm_up_policy
         _log.info(
             "reloaded",
             retry_budget=options.extra_call_policy,
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -59,6 +59,11 @@
         lambda: dict(gateway.vm_removal.counts),
         "Checks of other VMs, and those taken from the list",
     )
+    meters.counters(
+        "laurelrock_cold_searchers_total",
+        lambda: dict(gateway.cold_searchers.counts),
+        "Searchers that became cold or warm, and how they were treated",
+    )
     register_platform(gateway, meters)
     register_searchers(gateway.known, meters)
 
@@ -99,6 +104,11 @@
         lambda: len(known.limited),
         "Searchers that name a limit of requests",
     )
+    meters.gauge(
+        "laurelrock_searchers_cold",
+        lambda: len(known.cold),
+        "Searchers that are cold",
+    )
     meters.gauge(
         "laurelrock_reply_bytes",
         lambda: known.replies.held_bytes,
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -102,6 +102,12 @@
 ]
 
 
+PreferWarm = collections.abc.Callable[
+    [calls.RequestContext, str, list[upstreams.Upstream]],
+    list[upstreams.Upstream],
+]
+
+
 class CrashGuard(typing.Protocol):
     """Knows the requests that crash searchers."""
 
@@ -128,6 +134,8 @@
         borrow: Asks another VM for an extra call of a service; returns whether
             there is a VM to ask.
         crash_guard: Knows the requests that crash searchers, if any does.
+        prefer_warm: Returns those of some searchers of a service that a request
+            may be sent to, which excludes cold ones if others will do.
         return_times: The times at which refused callers may return.
         counts: The number of decisions by kind, for the metrics.
     """
@@ -144,6 +152,7 @@
         self.budget = budget
         self.borrow = borrow
         self.crash_guard: CrashGuard | None = None
+        self.prefer_warm: PreferWarm = lambda context, service, rows: rows
         self.return_times = return_times.create_return_times()
         self.counts = {"first": 0, "retry": 0, "hedge": 0, "no-budget": 0}
 
@@ -179,7 +188,8 @@
             if row.searcher.id not in part.tried
         }
         working = replicas.usable(rows, self.calls.loop.time())
-        return [rows[replica] for replica in working]
+        found = [rows[replica] for replica in working]
+        return self.prefer_warm(part.context, part.service, found)
 
     def reachable(self, service: str) -> bool:
         """Returns whether any searcher of a service may be reached."""
--- a/laurelrock/gateways/runner.py
+++ b/laurelrock/gateways/runner.py
@@ -47,6 +47,7 @@
         opened.follower.maintain_vm_list,
         opened.sharing.run,
         opened.limit_sharing.run,
+        opened.cold_searchers.run,
         opened.crash_watch.run,
         opened.vm_removal.run,
         opened.peers.run,
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -413,6 +413,9 @@
                 overtake each other on different connections.
             now_s: The loop time.
         """
+        if self.by_id.get(upstream.searcher.id) is not upstream:
+            # The response to a call of an earlier start says nothing of this.
+            return
         if per_s is not None:
             self.limit_requests(upstream, per_s, now_s, now_s)
             return
