--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -22,6 +22,7 @@
 from laurelrock.core import registry
 from laurelrock.core import retry_budget
 from laurelrock.core import routes
+from laurelrock.core import warm_up
 from laurelrock.gateways import calls
 from laurelrock.gateways import crash_watch
 from laurelrock.gateways import isolation_detector
@@ -34,6 +35,7 @@
 from laurelrock.gateways import single_requests
 from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
+from laurelrock.gateways.places import cold_searchers
 from laurelrock.platform import header_codec as platform_wire
 from laurelrock.ports import header_codec
 from tests import gateway_builders as build
@@ -233,7 +235,10 @@
                 self.send(call, encode, "silent")
             return call
         if target_of(encode()) == HEALTH_PATH:
-            reply = http_client.Reply(200, [], b"")
+            left_s = self.simulation.warm_up_left_s(self.searcher)
+            self.simulation.health_calls.append((self.searcher, loop.time()))
+            header = (b"x-warmup-remaining-ms", b"%d" % (left_s * 1000))
+            reply = http_client.Reply(200, [header], b"")
             loop.call_later(0.001, settle, call.future, reply)
             return call
         behaviour = next(self.simulation.behaviours)
@@ -376,6 +381,12 @@
         self.limit_sharing = limit_sharing.create_limit_sharing(
             self.known, self.groups.assignment, self, me, PORT
         )
+        self.cold_searchers = cold_searchers.create_cold_searchers(
+            *(self.known, self.calls, self.limit_sharing),
+            warm_up.WarmUpPolicy(),
+        )
+        self.cold_searchers.configure(simulation.configuration)
+        self.placement.prefer_warm = self.cold_searchers.prefer_warm
         self.isolation_detector = isolation_detector.create_isolation_detector(
             self.calls
         )
@@ -486,6 +497,8 @@
         running: Calls that searchers run, by searcher.
         limits: Requests per second that searchers name as their limit, by
             searcher.
+        cold_until_s: Times in seconds until which searchers are cold.
+        health_calls: Searchers whose health was requested, and the times.
         cuts: How VMs are cut from all searchers, by IP address; see
             `CUT_KINDS`.
         state_changes: Changes of searchers' states, in order.
@@ -516,6 +529,8 @@
         self.crashes: list[tuple[str, float]] = []
         self.running: dict[str, set[Call]] = collections.defaultdict(set)
         self.limits: dict[str, float] = {}
+        self.cold_until_s: dict[str, float] = {}
+        self.health_calls: list[tuple[str, float]] = []
         self.cuts: dict[str, str] = {}
         self.state_changes: list[StateChange] = []
         self.sent_bytes: collections.Counter[str] = collections.Counter()
@@ -523,6 +538,11 @@
         self.nodes: list[GatewayNode] = []
         self.nodes_by_host: dict[str, GatewayNode] = {}
 
+    def warm_up_left_s(self, searcher: str) -> float:
+        """Returns the time for which a searcher is still cold, in seconds."""
+        now_s = asyncio.get_running_loop().time()
+        return max(0.0, self.cold_until_s.get(searcher, now_s) - now_s)
+
     def run(self, coroutine: collections.abc.Coroutine) -> None:
         """Runs a coroutine in the background."""
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -578,13 +598,17 @@
         searcher: str,
         state: str | None,
         started_ms: int = 1,
+        **fields: typing.Any,
     ) -> None:
         """Changes a searcher's state at a gateway; None removes it."""
         service = searcher.rpartition("-")[0]
         row = None
         if state is not None:
             row = build.searcher(
-                searcher, service=service, state=state, started_ms=started_ms
+                *(searcher,),
+                service=service,
+                state=state,
+                **{"started_ms": started_ms, **fields},
             )
         now_s = asyncio.get_running_loop().time()
         self.state_changes.append(
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -27,6 +27,7 @@
 from laurelrock.gateways import state_sharing
 from laurelrock.gateways import upstreams
 from laurelrock.gateways import vm_removal
+from laurelrock.gateways.places import cold_searchers
 from laurelrock.platform import header_codec
 from laurelrock.platform import store
 from tests import builders
@@ -48,6 +49,7 @@
         shard_groups,
     ),
     *(crash_watch, isolation_detector, lending, owner_selection),
+    *(cold_searchers,),
     *(parts, peers, partition_detector, state_sharing, upstreams, store),
 )
 
