--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -38,6 +38,7 @@
 from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
 from laurelrock.gateways import vm_removal
+from laurelrock.gateways.places import cold_searchers
 from laurelrock.gateways.tenants import cap_accounts
 from laurelrock.gateways.tenants import cap_sharing
 from laurelrock.gateways.tenants import keys
@@ -97,6 +98,7 @@
             calls for them.
         limit_sharing: The shares of the limits that searchers named.
         cap_sharing: The caps of workspaces over all VMs.
+        cold_searchers: The searchers that are cold.
         follower: The configuration and the registry of searchers.
         crash_watch: The requests that crash searchers.
         vm_removal: Removes VMs that are gone from the platform's list.
@@ -152,12 +154,20 @@
         self.cap_sharing = cap_sharing.create_cap_sharing(
             *messaging, options.cap_policy
         )
+        self.cold_searchers = cold_searchers.create_cold_searchers(
+            *(self.known, self.calls, self.limit_sharing),
+            options.warm_up_policy,
+        )
+        self.placement.prefer_warm = self.cold_searchers.prefer_warm
         self.follower = platform_follower.PlatformFollower(
             *(source, row, self.known, self.apply_configuration),
             *(self.apply_vm_entries, self.share_searchers),
             options.follows_evacuations,
         )
         self.follower.evacuations.on_change = self.apply_evacuations
+        self.follower.evacuations.on_evacuation_ended = (
+            self.cold_searchers.presume_cold
+        )
         self.sharing = state_sharing.create_state_sharing(
             self.follower, *messaging, self.set_vms
         )
@@ -216,6 +226,7 @@
             self.servers[0].limits = configuration.limits
         self.apply_assignment(configuration)
         self.cap_sharing.configure(configuration)
+        self.cold_searchers.configure(configuration)
         self.sharing.share_configuration(configuration)
 
     def apply_evacuations(self) -> None:
@@ -301,6 +312,7 @@
         self.budget.policy = options.extra_call_policy
         self.known.set_regions(regions_of(options))
         self.groups.assignment.forbidden.clear()
+        self.cold_searchers.policy = options.warm_up_policy
         _log.info(
             "reloaded",
             retry_budget=options.extra_call_policy,
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -69,6 +69,11 @@
         lambda: dict(gateway.follower.evacuations.counts),
         "Evacuations that began and ended, and requests refused by one",
     )
+    meters.counters(
+        "laurelrock_cold_searchers_total",
+        lambda: dict(gateway.cold_searchers.counts),
+        "Searchers that became cold or warm, and how they were treated",
+    )
     register_platform(gateway, meters)
     register_searchers(gateway.known, meters)
 
@@ -109,6 +114,11 @@
         lambda: len(known.limited),
         "Searchers that name a limit of requests",
     )
+    meters.gauge(
+        "laurelrock_searchers_cold",
+        lambda: len(known.cold),
+        "Searchers that are cold",
+    )
     meters.gauge(
         "laurelrock_reply_bytes",
         lambda: known.replies.held_bytes,
--- a/laurelrock/gateways/runner.py
+++ b/laurelrock/gateways/runner.py
@@ -48,6 +48,7 @@
         opened.sharing.run,
         opened.limit_sharing.run,
         opened.cap_sharing.run,
+        opened.cold_searchers.run,
         opened.crash_watch.run,
         opened.vm_removal.run,
         opened.peers.run,
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -15,6 +15,7 @@
 from laurelrock.core import replicas
 from laurelrock.core import request_limit
 from laurelrock.core import routes
+from laurelrock.core import shared_rate
 from laurelrock.core import throughput
 
 __all__ = ["Upstream", "Upstreams", "create_upstreams"]
@@ -55,12 +56,14 @@
 
 
 ShareOf = collections.abc.Callable[
-    [registry.Searcher, float], request_limit.Share
+    [registry.Searcher, int, bool], shared_rate.Share
 ]
 CheckHealth = collections.abc.Callable[
     ["Upstreams", "Upstream"], collections.abc.Awaitable[bool]
 ]
 
+EntryApplied = collections.abc.Callable[["Upstream", float], None]
+
 
 class Upstream:
     """One searcher, with its state and its connections.
@@ -106,13 +109,17 @@
         isolated: Whether this VM has lost all searchers.
         check_health: Requests the health of a searcher and returns whether it
             responds; None if health isn't requested.
-        share_of: Returns this VM's share of a searcher's limit, given the
-            requests per second that the searcher takes from all VMs.
         regions: The region of each failure domain.
         evacuated: The evacuated failure domains; None if they aren't known yet,
             so that no searcher may be called.
         blockers: Cached reasons why services can't be called, by service and
             allowed regions; see `blocker`.
+        cold: The searchers that are cold and take few requests, by id.
+        share_of: Returns this VM's share of a searcher's limit, given the
+            number of VMs that may call the searcher, and whether the limit
+            holds strictly.
+        entry_applied: Called with a searcher whose entry was applied, and the
+            loop time.
     """
 
     def __init__(
@@ -141,10 +148,12 @@
         self.responded_s = 0.0
         self.isolated = False
         self.check_health: CheckHealth | None = None
-        self.share_of: ShareOf = self.equal_share
         self.regions: dict[str, str] = {}
         self.evacuated: frozenset[str] | None = frozenset()
         self.blockers: dict[tuple[str, tuple[str, ...]], str] = {}
+        self.cold: dict[str, Upstream] = {}
+        self.share_of: ShareOf = self.equal_share
+        self.entry_applied: EntryApplied = lambda upstream, now_s: None
 
     def is_local(self, replica: replicas.Replica) -> bool:
         """Returns whether a searcher is in this VM's failure domain."""
@@ -333,7 +342,8 @@
         known = self.by_id.get(change.id)
         searcher = change.searcher
         if known is not None and (
-            searcher is None or not is_same_start(known.searcher, searcher)
+            searcher is None
+            or not registry.is_same_start(known.searcher, searcher)
         ):
             self.remove(known)
             known = None
@@ -355,6 +365,7 @@
                 known.client.reject_waiting_calls("the searcher is draining")
             known.replica.warm_up_end_s = now_s + searcher.warm_up_left_s
             self.check_evacuated(known)
+            self.entry_applied(known, now_s)
             return
         client = http_client.open_client(
             searcher.address,
@@ -371,6 +382,7 @@
         self.by_id[searcher.id] = upstream
         self.by_service[searcher.service][searcher.id] = upstream
         self.check_evacuated(upstream)
+        self.entry_applied(upstream, now_s)
 
     def remove(self, upstream: Upstream) -> None:
         """Removes a searcher; its calls in flight continue."""
@@ -382,6 +394,7 @@
                 Restriction(replica.leaving, replica.resume_s, replica.limit),
             )
         self.limited.pop(upstream.searcher.id, None)
+        self.cold.pop(upstream.searcher.id, None)
         self.opened += upstream.client.opened
         del self.by_id[upstream.searcher.id]
         del self.by_service[upstream.searcher.service][upstream.searcher.id]
@@ -429,16 +442,24 @@
         )
 
     def equal_share(
-        self, searcher: registry.Searcher, per_s: float
-    ) -> request_limit.Share:
+        self, searcher: registry.Searcher, max_callers: int, strict: bool
+    ) -> shared_rate.Share:
         """Returns an equal share of a searcher's limit.
 
         A VM that doesn't know how many there are has none.
         """
         callers = self.callers(searcher.service) if self.vms else 0
         if not callers:
-            return request_limit.Share(0.0, turn=1)
-        return request_limit.Share(1.0 / callers)
+            return shared_rate.Share(0.0, turn=1)
+        return shared_rate.Share(1.0 / callers, equal=1.0 / callers)
+
+    def named_share(
+        self, upstream: Upstream, per_s: float
+    ) -> shared_rate.Share:
+        """Returns this VM's share of a limit that a searcher named."""
+        return self.share_of(
+            upstream.searcher, request_limit.max_callers(per_s), False
+        )
 
     def limit_requests(
         self, upstream: Upstream, per_s: float, named_s: float, now_s: float
@@ -454,7 +475,7 @@
         replica, searcher = upstream.replica, upstream.searcher
         limit = replica.limit
         if limit is None:
-            share = self.share_of(searcher, per_s)
+            share = self.named_share(upstream, per_s)
             replica.limit = request_limit.create_request_limit(
                 per_s, share, named_s, now_s
             )
@@ -469,7 +490,7 @@
             return
         limit.named_s = max(limit.named_s, named_s)
         if per_s != limit.named_per_s:
-            limit.change(per_s, self.share_of(searcher, per_s), now_s)
+            limit.change(per_s, self.named_share(upstream, per_s), now_s)
 
     def share_limits(self, now_s: float) -> None:
         """Applies this VM's shares of all limits and ends those that lapsed."""
@@ -479,7 +500,12 @@
                 self.end_limit(upstream, "not named for a long time")
                 continue
             per_s = limit.named_per_s
-            limit.change(per_s, self.share_of(upstream.searcher, per_s), now_s)
+            limit.change(per_s, self.named_share(upstream, per_s), now_s)
+        for upstream in self.cold.values():
+            cold = upstream.replica.cold
+            if cold is not None:
+                share = self.share_of(upstream.searcher, cold.max_callers, True)
+                cold.set_share(share, now_s)
 
     def record_limit(
         self,
@@ -498,6 +524,9 @@
                 overtake each other on different connections.
             now_s: The loop time.
         """
+        if self.by_id.get(upstream.searcher.id) is not upstream:
+            # The response to a call of an earlier start says nothing of this.
+            return
         if per_s is not None:
             self.limit_requests(upstream, per_s, now_s, now_s)
             return
@@ -519,7 +548,7 @@
 
     def record_demand(self, service: str, now_s: float) -> None:
         """Records a request that needs a service, whether it is served."""
-        if not self.limited:
+        if not self.limited and not self.cold:
             return
         if service not in self.demands:
             self.demands[service] = event_rate.create_event_rate(
@@ -549,7 +578,9 @@
         while True:
             await asyncio.sleep(PROBE_CHECK_INTERVAL_S)
             due = [
-                row for row in self.by_id.values() if is_probe_due(row, loop)
+                row
+                for row in self.by_id.values()
+                if replicas.is_probe_due(row.replica, loop.time())
             ]
             if due:
                 await asyncio.gather(*[self.probe_one(row) for row in due])
@@ -586,26 +617,6 @@
                     await asyncio.sleep(WARM_INTERVAL_S)
 
 
-def is_probe_due(upstream: Upstream, loop: asyncio.AbstractEventLoop) -> bool:
-    """Returns whether a searcher is ejected and due for a probe."""
-    replica = upstream.replica
-    return bool(
-        replica.ejections
-        and not replica.evacuated
-        and not replica.probe_succeeded
-        and loop.time() >= replica.next_probe_s
-    )
-
-
-def is_same_start(one: registry.Searcher, other: registry.Searcher) -> bool:
-    """Returns whether two entries describe the same start of a searcher."""
-    return (one.started_ms, one.service, one.address) == (
-        other.started_ms,
-        other.service,
-        other.address,
-    )
-
-
 def create_upstreams(
     failure_domain: str, reply_bytes: int = reply_budget.DEFAULT_BYTES
 ) -> Upstreams:
