--- a/tests/test_evacuated_gateways.py
+++ b/tests/test_evacuated_gateways.py
@@ -124,6 +124,23 @@
         self.assertEqual(await self.status(9), 503)
         self.assertEqual(len(self.searcher.requests), before)
 
+    async def test_slow_store_does_not_delay_an_evacuation_past_the_bound(self):
+        await self.start_one()
+        self.store.faults = objects.Faults(delay_s=1.0)
+        for number, domains in enumerate(({"a"}, {"a", "b"}, {"b"})):
+            await asyncio.sleep(0.7 * number)
+            for name in ("a", "b"):
+                if name in domains:
+                    self.store.put(KIND, name, {})
+                else:
+                    self.store.delete(KIND, name)
+            await self.until(
+                lambda expected=domains: (
+                    self.gateway.known.evacuated == expected
+                ),
+                EVACUATE_S,
+            )
+
     async def test_copy_of_the_store_counts_once_it_was_read(self):
         await self.start_one()
         saved = self.store.copy()
