--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -39,6 +39,7 @@
 from laurelrock.gateways.tenants import cap_accounts
 from laurelrock.gateways.tenants import cap_sharing
 from laurelrock.gateways.tenants import keys
+from laurelrock.gateways.tenants import request_counts
 from laurelrock.ports import directory
 from laurelrock.ports import header_codec
 
@@ -105,6 +106,7 @@
         handlers: The handlers of messages from other VMs, by type.
         servers: The servers for callers, readiness, other VMs and metrics.
         counts: The number of answers by outcome.
+        workspace_counts: The number of requests by workspace.
         stopping_s: The loop time of SIGTERM; 0 before.
         tasks: The background tasks.
     """
@@ -171,6 +173,7 @@
         self.handlers = peer_messages.create_handlers(self)
         self.servers: list[http_server.Server] = []
         self.counts: collections.Counter[str] = collections.Counter()
+        self.workspace_counts = request_counts.create_request_counts()
         self.stopping_s = 0.0
         self.tasks: set[asyncio.Task[typing.Any]] = set()
 
@@ -332,6 +335,8 @@
             workspace = keys.find_workspace(table, caller_headers.key)
             if workspace is None and not route.public:
                 return self.refuse_key(caller_headers)
+            if workspace is not None:
+                self.workspace_counts.record(workspace.name)
             if workspace is not None and workspace.requests_per_s:
                 admission = await self.cap_sharing.admit(
                     workspace, self.loop.time()
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -64,6 +64,11 @@
         lambda: dict(gateway.cap_sharing.counts),
         "Requests of workspaces with a cap by decision, and messages for them",
     )
+    meters.counters(
+        "laurelrock_workspace_requests_total",
+        gateway.workspace_counts.export,
+        "Requests by workspace, for the 20 largest and all others",
+    )
     register_platform(gateway, meters)
     register_searchers(gateway.known, meters)
 
--- a/tests/test_workspace_keys.py
+++ b/tests/test_workspace_keys.py
@@ -1,10 +1,12 @@
 """Tests of keys: they identify a workspace and never leave the gateway."""
 
+import random
 import unittest
 
 from laurelrock.core import routes
 from laurelrock.core import tenancy
 from laurelrock.gateways.tenants import keys
+from laurelrock.gateways.tenants import request_counts
 from laurelrock.platform import header_codec
 from laurelrock.platform import objects
 from tests import gateway_builders
@@ -81,3 +83,21 @@
             headers = [(b"api-key", value) for value in values]
             found = header_codec.read_caller_headers(headers)
             self.assertEqual(found.key, expected)
+
+
+class RequestCountsTest(unittest.TestCase):
+    def test_largest_workspaces_have_labels_and_no_number_falls(self) -> None:
+        counts = request_counts.create_request_counts()
+        rows = [f"w-{n}" for n in range(40) for _ in range(n + 1)]
+        random.Random(1).shuffle(rows)
+        before: dict[str, float] = {}
+        for name in rows:
+            counts.record(name)
+            found = counts.export()
+            self.assertLessEqual(len(found), 21)
+            for label in before.keys() & found.keys():
+                self.assertGreaterEqual(found[label], before[label])
+            before = found
+        largest = {f"w-{n}" for n in range(30, 40)}
+        self.assertLessEqual(largest, before.keys())
+        self.assertIn("other", before)
