--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -74,6 +74,11 @@
         lambda: dict(gateway.cold_searchers.counts),
         "Searchers that became cold or warm, and how they were treated",
     )
+    meters.counters(
+        "laurelrock_workspace_requests_total",
+        gateway.workspace_counts.export,
+        "Requests by workspace, for the 20 largest and all others",
+    )
     register_platform(gateway, meters)
     register_searchers(gateway.known, meters)
 
