Decide by time and spare capacity when another failure domain is used

Cause: a remote searcher cost a fifth of the objective more, whether the local ones were idle, full or gone. VMs with full searchers exchanged work, and all VMs moved at the same moment.

A part stays while the local one is in time; the share that leaves follows the spare capacity of the remote ones and is drawn at random. It decides the first call, retries and hedges. `crossing_price_per_mb` (policy_limits, 0 by default) weighs the bytes. Latencies that the estimate uses leave out the calls that were ahead: otherwise no searcher seemed in time under load, idle or not.

--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -16,7 +16,6 @@
 __all__ = [
     "LatencyStats",
     "Replica",
-    "choose",
     "create_replica",
     "resume_in_s",
     "retry_in_s",
@@ -60,10 +59,6 @@
 MAX_PAUSE_S = 300.0
 #: Latency factor of a searcher that has just started.
 WARM_UP_FACTOR = 1.6
-#: Latency added for a searcher in another failure domain, as a fraction of the
-#: route's objective. Traffic between failure domains is billed, and a response
-#: within the objective gains nothing from being earlier.
-REMOTE_PENALTY_FRACTION = 0.2
 #: Minimum number of unresponsive searchers in other failure domains that
 #: indicates a network partition.
 MIN_UNRESPONSIVE_REMOTE = 4
@@ -83,23 +78,34 @@
 
     Attributes:
         mean_s: Moving average of the latency, in seconds.
+        work_s: Moving average of the latency of a call that doesn't wait for a
+            slot, in seconds.
         late_after_s: Estimated `LATE_QUANTILE` of the latency, in seconds.
         count: Number of latencies recorded.
     """
 
     def __init__(self) -> None:
-        self.mean_s = INITIAL_LATENCY_S
+        self.mean_s = self.work_s = INITIAL_LATENCY_S
         self.late_after_s = INITIAL_LATENCY_S * INITIAL_QUANTILE_FACTOR
         self.count = 0
 
-    def record(self, latency_s: float) -> None:
-        """Adds a latency."""
+    def record(self, latency_s: float, rounds: float = 0.0) -> None:
+        """Adds a latency.
+
+        Args:
+            latency_s: The latency, in seconds.
+            rounds: Number of calls that took the slot before, one after the
+                other.
+        """
+        work_s = latency_s / (1 + rounds)
         if not self.count:
             self.mean_s = latency_s
+            self.work_s = work_s
             self.late_after_s = latency_s * INITIAL_QUANTILE_FACTOR
         self.count += 1
         bounded = min(latency_s, 4 * self.mean_s)
         self.mean_s += 0.05 * (bounded - self.mean_s)
+        self.work_s += 0.05 * (min(work_s, 4 * self.work_s) - self.work_s)
         if latency_s > self.late_after_s:
             self.late_after_s *= 1 + QUANTILE_STEP * LATE_QUANTILE
         else:
@@ -115,7 +121,8 @@
         calls_in_flight: Start time of each call in flight, in seconds, by call
             number.
         call_count: Number of calls started.
-        slowness: Moving average of its latency relative to the typical latency.
+        slowness: Moving average of its latency relative to the typical latency,
+            without the time that calls wait for a slot.
         last_success_s: Time of its last successful response, in seconds.
         failure_rate: Moving average of call results, with 1 for a failure and 0
             for a success.
@@ -174,12 +181,19 @@
         self.calls_in_flight.pop(number, None)
 
     def record_success(
-        self, latency_s: float, typical: LatencyStats, now_s: float
+        self,
+        latency_s: float,
+        typical: LatencyStats,
+        now_s: float,
+        rounds: float = 0.0,
     ) -> None:
-        """Records a successful response and its latency."""
+        """Records a successful response and its latency.
+
+        See `LatencyStats.record` for `rounds`.
+        """
         self.record_response()
         self.failure_rate *= 1 - MEAN_WEIGHT
-        ratio = latency_s / max(typical.mean_s, 0.001)
+        ratio = latency_s / (1 + rounds) / max(typical.work_s, 0.001)
         ratio = min(max(ratio, MIN_SLOWNESS), MAX_SLOWNESS)
         self.slowness += MEAN_WEIGHT * (ratio - self.slowness)
         self.last_success_s = now_s
@@ -256,6 +270,21 @@
         limit = max(limit * STALL_FACTOR, limit + STALL_S)
         return self.oldest_call_age_s(now_s) > limit
 
+    def calls_ahead(self, now_s: float) -> int:
+        """Returns the number of calls ahead of the next one.
+
+        A load report counts only while it is recent.
+        """
+        ahead = len(self.calls_in_flight)
+        if now_s - self.reported_at_s < REPORT_VALIDITY_S:
+            ahead = max(ahead, self.reported_calls)
+        return ahead
+
+    def waiting_rounds(self, now_s: float) -> float:
+        """Returns how many calls take the slot before the next call does."""
+        slots = self.searcher.slots
+        return max(0, self.calls_ahead(now_s) + 1 - slots) / slots
+
     def expected_latency_s(self, typical: LatencyStats, now_s: float) -> float:
         """Returns the expected latency of the next call, in seconds.
 
@@ -267,13 +296,9 @@
             slowness -= (slowness - 1.0) * age
         if now_s < self.warm_up_end_s:
             slowness *= WARM_UP_FACTOR
-        work_s = typical.mean_s * slowness
-        ahead = len(self.calls_in_flight)
-        if now_s - self.reported_at_s < REPORT_VALIDITY_S:
-            ahead = max(ahead, self.reported_calls)
-        rounds = max(0, ahead + 1 - self.searcher.slots) / self.searcher.slots
-        cost = work_s * (1 + rounds)
-        cost += typical.mean_s * FAILURE_PENALTY_FACTOR * self.failure_rate
+        work_s = typical.work_s * slowness
+        cost = work_s * (1 + self.waiting_rounds(now_s))
+        cost += typical.work_s * FAILURE_PENALTY_FACTOR * self.failure_rate
         if now_s < self.overloaded_until_s:
             cost += self.overloaded_until_s - now_s + work_s
         if self.is_stalled(typical, now_s):
@@ -416,33 +441,6 @@
     )
 
 
-def choose(
-    candidates: collections.abc.Sequence[Replica],
-    typical: LatencyStats,
-    is_local: IsLocal,
-    has_idle_connection: HasIdleConnection,
-    objective_s: float,
-    now_s: float,
-) -> Replica:
-    """Returns the searcher with the lowest expected latency.
-
-    A searcher in another failure domain is chosen only if it is faster by a
-    fraction of the route's objective.
-    """
-
-    def cost(row: Replica) -> tuple[float, int, int]:
-        remote_s = (
-            0.0 if is_local(row) else REMOTE_PENALTY_FRACTION * objective_s
-        )
-        connect_s = 0.0 if has_idle_connection(row) else CONNECT_PENALTY_S
-        expected_s = (
-            row.expected_latency_s(typical, now_s) + remote_s + connect_s
-        )
-        return expected_s, len(row.calls_in_flight), row.call_count
-
-    return min(candidates, key=cost)
-
-
 def create_replica(searcher: registry.Searcher, now_s: float) -> Replica:
     """Returns the state of a searcher without observations."""
     return Replica(searcher, now_s)
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -145,6 +145,7 @@
         number: The number of the call among those of the searcher.
         limit: The limit of the searcher that counted the call, if any.
         begun_s: The loop time at which the call began.
+        rounds: The number of calls that take the slot before it.
         limit_s: The loop time at which the call is ended.
         on_end: Called with the result; None once the call is abandoned.
         trial: The trial of the request.
@@ -166,6 +167,7 @@
         self.kind = kind
         self.idempotent = idempotent
         self.call = call
+        self.rounds = upstream.replica.waiting_rounds(begun_s)
         self.number = upstream.replica.begin_call(begun_s)
         self.limit = upstream.replica.limit
         self.begun_s = begun_s
@@ -382,8 +384,9 @@
         if result.status is CallStatus.ANSWERED:
             sent_s = pending_call.call.sent_at_s or pending_call.begun_s
             typical = self.upstreams.typical_latencies[pending_call.kind]
-            typical.record(now_s - sent_s)
-            replica.record_success(now_s - sent_s, typical, now_s)
+            latency_s, rounds = now_s - sent_s, pending_call.rounds
+            typical.record(latency_s, rounds)
+            replica.record_success(latency_s, typical, now_s, rounds)
         elif result.status is CallStatus.ERRED:
             replica.record_error()
         elif result.status is CallStatus.NOT_RUN:
--- a/laurelrock/gateways/deployment.py
+++ b/laurelrock/gateways/deployment.py
@@ -36,6 +36,9 @@
         cap_policy: How far the requests of a workspace may exceed its cap.
         warm_up_policy: How far the requests to a cold searcher may exceed what
             it takes.
+        crossing_price_per_mb: The price of traffic between failure domains, in
+            objectives per MB: the wait, as a fraction of the objective, that a
+            caller accepts to save 1 MB.
     """
 
     vm: str
@@ -57,3 +60,4 @@
     follows_evacuations: bool = False
     cap_policy: tenancy.CapPolicy = tenancy.CapPolicy()
     warm_up_policy: warm_up.WarmUpPolicy = warm_up.WarmUpPolicy()
+    crossing_price_per_mb: float = 0.0
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -136,6 +136,7 @@
         self.placement = parts.CallPlacer(
             self.calls, self.known, self.budget, self.lending.borrow
         )
+        self.placement.domains.price_per_mb = options.crossing_price_per_mb
         self.groups = shard_groups.create_shard_groups(
             self.placement, platform, *messaging, queries.run_single
         )
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -14,6 +14,7 @@
 from laurelrock.core import retry_budget
 from laurelrock.core import return_times
 from laurelrock.gateways import calls
+from laurelrock.gateways import domain_selection
 from laurelrock.gateways import outcomes
 from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
@@ -53,6 +54,9 @@
         asked_lender: Whether another VM was asked for an extra call.
         awaiting_lender: Whether that VM's reply is outstanding.
         parked: Whether a call waits until the request was answered elsewhere.
+        draw: Random number that decides whether it leaves the failure domain;
+            None before the first decision.
+        left_domain: Whether a searcher in another failure domain was called.
         on_finish: Called when the final state is set.
     """
 
@@ -75,6 +79,8 @@
         self.asked_lender = False
         self.awaiting_lender = False
         self.parked = False
+        self.draw: float | None = None
+        self.left_domain = False
         self.on_finish = on_finish
 
     def finish(self, state: PartState) -> None:
@@ -130,6 +136,7 @@
         crash_guard: Knows the requests that crash searchers, if any does.
         return_times: The times at which refused callers may return.
         counts: The number of decisions by kind, for the metrics.
+        domains: Chooses between this failure domain and the others.
     """
 
     def __init__(
@@ -146,6 +153,9 @@
         self.crash_guard: CrashGuard | None = None
         self.return_times = return_times.create_return_times()
         self.counts = {"first": 0, "retry": 0, "hedge": 0, "no-budget": 0}
+        self.domains = domain_selection.create_domain_selection(
+            known, self.counts, in_flight.loop
+        )
 
     def begin_request(
         self, context: calls.RequestContext
@@ -218,22 +228,6 @@
             kind, resume_in_s, rates[needed - 1], now_s
         )
 
-    def choose_fastest(
-        self, part: Part, rows: list[upstreams.Upstream]
-    ) -> upstreams.Upstream:
-        """Returns the searcher that is expected to answer first."""
-        typical = self.known.typical_latencies[part.context.route.name]
-        by_replica = {row.replica: row for row in rows}
-        chosen = replicas.choose(
-            list(by_replica),
-            typical,
-            self.known.is_local,
-            lambda replica: bool(by_replica[replica].client.idle),
-            part.context.route.objective_s,
-            self.calls.loop.time(),
-        )
-        return by_replica[chosen]
-
     def start(self, part: Part) -> bool:
         """Makes the first call of a part.
 
@@ -252,7 +246,8 @@
             return False
         self.budget.record_request(part.service, now_s)
         self.counts["first"] += 1
-        self.call(part, self.choose_fastest(part, rows))
+        self.call(part, self.domains.choose(part, rows))
+        self.domains.record_part(part.service)
         return True
 
     def park(
@@ -297,6 +292,10 @@
             return
         if end.status is calls.CallStatus.ANSWERED:
             part.answer = end
+            if end.reply is not None:
+                self.domains.record_answer(
+                    part.context.route.name, len(end.reply.body)
+                )
             now_s = self.calls.loop.time()
             for other in part.pending_calls:
                 other.abandon(now_s)
@@ -403,13 +402,14 @@
             return rows
         typical = self.known.typical_latencies[part.context.route.name]
         now_s = self.calls.loop.time()
-        return [
+        rows = [
             row
             for row in rows
             if not row.replica.is_stalled(typical, now_s)
             and not row.replica.ejections
             and replicas.takes_extra_work(row.replica, now_s)
         ]
+        return rows if self.domains.is_hedge_useful(part, rows) else []
 
     def handle_lender_reply(self, part: Part, kind: str, granted: bool) -> None:
         """Processes the reply of the VM that was asked for an extra call."""
@@ -431,7 +431,7 @@
         typical = self.known.typical_latencies[part.context.route.name]
         now_s = self.calls.loop.time()
         self.counts[kind] += 1
-        chosen = self.choose_fastest(part, rows)
+        chosen = self.domains.choose(part, rows)
         _log.info(
             "extra-call-made",
             request=part.context.caller_headers.request_id.decode("latin-1"),
--- a/laurelrock/platform/settings.py
+++ b/laurelrock/platform/settings.py
@@ -139,4 +139,8 @@
             bounds.number("warmup_overage", cold.overage),
             bounds.number("warmup_slack", cold.slack),
         ),
+        # A negative price would send every part away.
+        crossing_price_per_mb=max(
+            0.0, bounds.number("crossing_price_per_mb", 0.0)
+        ),
     )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -85,6 +85,10 @@
         self.assertAlmostEqual(found.link_bytes_per_s, 3_150_000)
         self.assertEqual(found.seeds, (("10.2.0.21", 8106),))
         self.assertEqual(found.extra_call_policy, (0.2, 58, 10))
+        self.assertEqual(found.crossing_price_per_mb, 0.0)
+        limits = {**SETTINGS["policy_limits"], "crossing_price_per_mb": 0.4}
+        text = json.dumps({**SETTINGS, "policy_limits": limits}).encode()
+        self.assertEqual(settings.parse(text).crossing_price_per_mb, 0.4)
 
     def test_bad_settings_name_the_field(self):
         for name, value in (
@@ -94,6 +98,7 @@
             ("listen_addrs", {}),
             ("platform", {"address": "nowhere"}),
             ("policy_limits", {"retry_slack": "many"}),
+            ("policy_limits", {"crossing_price_per_mb": "free"}),
         ):
             with self.subTest(name):
                 text = json.dumps({**SETTINGS, name: value}).encode()
