Stay within the connections of a searcher if owners are unresponsive

A VM that heard from no owner of a group within 40 ms each called the searchers itself, with as many connections as an owner (up to 8). So did VMs that hadn't read the list of VMs, which also opened a first connection to every searcher. Former owners kept their idle connections.

Ruled out by a test that passed before: a change of the shard set by half of the VMs. By reading: probes and health requests open at most one connection more and close it.

Change: if all owners are unresponsive, up to 3 VMs stand in, the same for all VMs. A VM that isn't planned to call a service opens at most one connection to each of its searchers (Assignment.is_planned). It opens none in advance before it knows the list. A client closes idle connections above a lowered limit.

The tests of shard groups, isolated VMs, limits, single requests, partitions, gateway, HTTP client, throughput, lending, departures pass.

--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -182,6 +182,14 @@
         self.opening_count += 1
         return await self.connect()
 
+    def set_limit(self, limit: int) -> None:
+        """Sets the maximum of connections; closes idle ones above it."""
+        self.limit = limit
+        excess = len(self.connections) - limit
+        for connection in self.idle[: max(0, excess)]:
+            connection.transport.close()
+        del self.idle[: max(0, excess)]
+
     def drop_idle(self) -> None:
         """Resets the idle connections, whose server may be unresponsive."""
         for connection in self.idle:
@@ -252,6 +260,9 @@
             if not call.future.done():
                 connection.send_request(call)
                 return
+        if len(self.connections) > self.limit:
+            connection.transport.close()
+            return
         connection.idle_since_s = self.loop.time()
         self.idle.append(connection)
 
--- a/laurelrock/gateways/assignment.py
+++ b/laurelrock/gateways/assignment.py
@@ -64,6 +64,23 @@
         self.groups_by_key = {row[0]: row for row in self.groups}
         self.ranked_owners.clear()
         self.callers.clear()
+        self.known.apply_limits()
+
+    def is_planned(self, service: str) -> bool:
+        """Returns whether this VM is one of those that call a service.
+
+        A VM that doesn't know the list of VMs calls all searchers, but so do
+        others that have just started.
+        """
+        if not self.vms:
+            # `all_call` counts the VMs of the list.
+            return bool(self.known.vms) and self.known.all_vms_call(service)
+        if service in self.keys:
+            return self.me in self.rank_owners(self.keys[service])
+        local_count = self.known.local_caller_count(service)
+        if service in self.known.sharded or not local_count:
+            return True
+        return self.me in self.rank_owners(service, local_count)
 
     def members(self, key: str) -> tuple[str, ...]:
         """Returns the services of a group, given its first one."""
@@ -168,4 +185,6 @@
 
 def create_assignment(known: upstreams.Upstreams, me: owners.Vm) -> Assignment:
     """Returns an assignment without other VMs: this VM calls everything."""
-    return Assignment(known, me)
+    assigned = Assignment(known, me)
+    known.is_planned = assigned.is_planned
+    return assigned
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -232,6 +232,9 @@
     def open_connections(self, configuration: routes.Configuration) -> None:
         """Opens connections to the searchers that this VM will call."""
         assigned = self.groups.assignment
+        if not assigned.vms:
+            # Without the list of VMs this VM seems to call all searchers.
+            return
         used = {
             name
             for route in configuration.routes
--- a/laurelrock/gateways/owner_selection.py
+++ b/laurelrock/gateways/owner_selection.py
@@ -25,6 +25,11 @@
 #: Number of VMs that may stand in for owners that have lost their searchers.
 #: They are asked one after another, a message and its reply each.
 MAX_STAND_INS = 64
+#: Number of VMs that may stand in for owners that are all unresponsive. Without
+#: any, all VMs that find them so call the searchers themselves, and searchers
+#: reset the connections above their maximum. Each that is unresponsive as well
+#: costs the time limit of a reply.
+MAX_UNRESPONSIVE_STAND_INS = 3
 
 _log = logs.get_logger(__name__)
 
@@ -86,7 +91,8 @@
 
         Returns:
             The first owner that responds and reaches the searchers, or a VM
-            that stands in if owners are isolated; None if there is none.
+            that stands in if owners are isolated or all are unresponsive; None
+            if there is none.
         """
         isolated = False
         for vm in candidates:
@@ -95,11 +101,13 @@
             isolated = isolated or self.is_isolated(vm)
             if self.may_ask(vm, tried, key):
                 return vm
-        if not isolated or self.assignment.all_call(key):
+        stand_ins = MAX_STAND_INS if isolated else MAX_UNRESPONSIVE_STAND_INS
+        responsive = any(vm.name not in self.unresponsive for vm in candidates)
+        if self.assignment.all_call(key) or (responsive and not isolated):
             return None
         # All VMs choose the same ones, so that few more call a searcher.
         ranked = self.assignment.rank(self.assignment.keys.get(key, key))
-        for vm in ranked[: len(candidates) + MAX_STAND_INS]:
+        for vm in ranked[: len(candidates) + stand_ins]:
             if self.may_ask(vm, tried, key):
                 return vm
         return None
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -23,6 +23,9 @@
 CONNECTION_SHARE = 0.8
 #: Maximum number of connections of one VM to one searcher.
 MAX_CONNECTIONS = 8
+#: Maximum number of connections to one searcher of a VM that isn't planned to
+#: call it, for example because no owner responds to it.
+UNPLANNED_CONNECTIONS = 1
 #: Interval in seconds at which ejected searchers are checked.
 PROBE_CHECK_INTERVAL_S = 0.1
 #: Interval in seconds between connections that are opened in advance.
@@ -50,6 +53,7 @@
     limit: request_limit.RequestLimit | None = None
 
 
+IsPlanned = collections.abc.Callable[[str], bool]
 ShareOf = collections.abc.Callable[
     [registry.Searcher, float], request_limit.Share
 ]
@@ -97,6 +101,8 @@
             service.
         responded_s: Loop time of the last response of any searcher, in seconds.
         isolated: Whether this VM has lost all searchers.
+        is_planned: Returns whether this VM is one of those that are planned to
+            call a service.
         share_of: Returns this VM's share of a searcher's limit, given the
             requests per second that the searcher takes from all VMs.
     """
@@ -126,6 +132,7 @@
         self.demands: dict[str, event_rate.EventRate] = {}
         self.responded_s = 0.0
         self.isolated = False
+        self.is_planned: IsPlanned = lambda service: True
         self.share_of: ShareOf = self.equal_share
 
     def is_local(self, replica: replicas.Replica) -> bool:
@@ -171,22 +178,26 @@
         connections = self.service(service).connections
         return owners.local_caller_count(connections, self.vms, self.domains)
 
+    def all_vms_call(self, service: str) -> bool:
+        """Returns whether the searchers of a service accept all VMs."""
+        if service not in self.sharded:
+            return not self.local_caller_count(service)
+        return owners.all_vms_can_call(
+            self.service(service).connections, max(1, self.vms)
+        )
+
     def callers(self, service: str) -> int:
         """Returns how many VMs call the searchers of a service."""
-        callers = max(1, self.vms)
+        if self.all_vms_call(service):
+            return max(1, self.vms)
         if service in self.sharded:
-            fits = owners.all_vms_can_call(
-                self.service(service).connections, callers
-            )
-            return (
-                callers
-                if fits
-                else owners.max_callers_per_searcher(self.domains)
-            )
-        return self.local_caller_count(service) * self.domains or callers
+            return owners.max_callers_per_searcher(self.domains)
+        return self.local_caller_count(service) * self.domains
 
     def limit(self, service: str) -> int:
         """Returns the maximum of connections to one searcher of a service."""
+        if not self.is_planned(service):
+            return UNPLANNED_CONNECTIONS
         connections = self.service(service).connections
         share = connections * CONNECTION_SHARE / self.callers(service)
         return max(1, min(MAX_CONNECTIONS, int(share)))
@@ -210,8 +221,12 @@
         """Sets how many VMs share the searchers' connections."""
         self.vms = count
         self.domains = domains
+        self.apply_limits()
+
+    def apply_limits(self) -> None:
+        """Limits the connections to each searcher."""
         for upstream in self.by_id.values():
-            upstream.client.limit = self.limit(upstream.searcher.service)
+            upstream.client.set_limit(self.limit(upstream.searcher.service))
 
     def apply(
         self,
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -182,6 +182,9 @@
                 call.future.set_exception(errors.NoMoreWorkError(reason))
         self.waiting_calls.clear()
 
+    def set_limit(self, limit: int) -> None:
+        self.limit = limit
+
     def close(self) -> None:
         """Does nothing: calls in flight continue."""
 
