Decode messages of the next version, and answer unknown kinds

Cause: while two versions run, a VM dropped what it couldn't decode. msgspec accepts shorter arrays for a NamedTuple with defaults but rejects longer ones ("Expected `array` of length 1 to 2, got 3"), so that every message with a new field was lost in the direction from new to old. An unknown kind was dropped as well, and the sender waited for its time limit.

Change: frames.decode drops the fields that a type doesn't have, also in the messages it contains, after a decoding that failed. A frame of an unknown kind gets a reply, kind 0 with the number; earlier versions drop it without one. A VM that gets it for a group request treats the groups of that link that weren't accepted as declined. GroupDeclined.reason may be one that this version doesn't know: the next owner is asked, and the VM isn't skipped.

Tests: test_message_versions has two sets of messages on real sockets, every message type with an added field at each level, and a group whose owner replies so (less than the 40 ms of a silent owner).

--- a/laurelrock/adapters/frames.py
+++ b/laurelrock/adapters/frames.py
@@ -4,10 +4,16 @@
 and the message's fields as a msgpack array, which is compressed if it is long.
 Both ends of a connection may send at any time. ZeroMQ isn't used, since it
 takes 0.35 ms per request and response, and 4 MB of memory, on these VMs.
+
+Both ends may run different versions. A frame of a kind that the receiver
+doesn't know gets a reply. Fields are added at the end of a message, with
+defaults: the receiver drops those that it doesn't know, and uses the defaults
+of those that are missing.
 """
 
 import asyncio
 import collections.abc
+import types
 import typing
 import zlib
 
@@ -17,7 +23,7 @@
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
 
-__all__ = ["Link", "PeerLinks", "create_peer_links"]
+__all__ = ["Link", "PeerLinks", "UnknownKind", "create_peer_links", "decode"]
 
 #: Size of the largest frame that is accepted, in bytes.
 MAX_FRAME_BYTES = 4_194_304
@@ -30,6 +36,8 @@
 COMPRESSION_LEVEL = 1
 #: Bit of the kind byte that marks a compressed body.
 COMPRESSED_FLAG = 0x80
+#: Kind of `UnknownKind`. Versions that don't know it drop it without a reply.
+UNKNOWN_KIND = 0
 #: Time limit for opening a connection, in seconds.
 CONNECT_TIMEOUT_S = 0.3
 #: Unsent bytes above which the connection to a peer that doesn't read is
@@ -42,6 +50,16 @@
 _log = logs.get_logger(__name__)
 
 
+class UnknownKind(typing.NamedTuple):
+    """Reply to a frame whose kind the receiver doesn't know.
+
+    Attributes:
+        kind: The kind of the frame.
+    """
+
+    kind: int
+
+
 class Link(asyncio.Protocol):
     """One connection to another gateway.
 
@@ -97,18 +115,19 @@
     def handle_frame(self, kind: int, body: bytes) -> None:
         """Decodes one frame and passes its message to the handler.
 
-        Frames of an unknown kind and undecodable ones are dropped.
+        Frames of an unknown kind get a reply; undecodable ones are dropped.
         """
         message_type = self.peer_links.message_types.get(
             kind & ~COMPRESSED_FLAG
         )
         if message_type is None:
             _log.warning("frame-kind-unknown", kind=kind)
+            self.send(UnknownKind(kind & ~COMPRESSED_FLAG))
             return
         try:
             if kind & COMPRESSED_FLAG:
                 body = zlib.decompressobj().decompress(body, MAX_FRAME_BYTES)
-            message: Message = msgspec.msgpack.decode(body, type=message_type)
+            message: Message = decode(body, message_type)
         except (msgspec.DecodeError, zlib.error) as error:
             _log.warning("frame-undecodable", kind=kind, reason=str(error))
             return
@@ -239,15 +258,63 @@
     """Returns a set of links, empty and not yet listening.
 
     Args:
-        message_types: Types of the messages by kind, a number from 0 to 127.
+        message_types: Types of the messages by kind, a number from 1 to 127.
         handle: Handler that is called with the link and each message of it.
         on_link_ended: Callback for a link that ended or could not be opened.
 
     Raises:
-        SettingsError: A kind doesn't fit 7 bits.
+        SettingsError: A kind is out of this range.
     """
-    if not all(0 <= kind < COMPRESSED_FLAG for kind in message_types):
+    if not all(0 < kind < COMPRESSED_FLAG for kind in message_types):
         raise errors.SettingsError(
-            f"kinds {sorted(message_types)} do not fit 7 bits"
+            f"kinds {sorted(message_types)} are not from 1 to 127"
         )
-    return PeerLinks(message_types, handle, on_link_ended)
+    return PeerLinks(
+        {**message_types, UNKNOWN_KIND: UnknownKind}, handle, on_link_ended
+    )
+
+
+def decode(body: bytes, message_type: type) -> Message:
+    """Decodes a message, also if it has more fields than its type.
+
+    Raises:
+        DecodeError: The body isn't a message of the type.
+    """
+    try:
+        return msgspec.msgpack.decode(body, type=message_type)
+    except msgspec.ValidationError:
+        # msgspec accepts shorter arrays for a tuple with defaults, but not
+        # longer ones.
+        row = drop_extra_fields(msgspec.msgpack.decode(body), message_type)
+        return msgspec.convert(row, type=message_type)
+
+
+def drop_extra_fields(value: typing.Any, wanted: typing.Any) -> typing.Any:
+    """Returns a decoded value without the fields that its type doesn't have.
+
+    This includes the messages that it contains.
+    """
+    if isinstance(wanted, type) and hasattr(wanted, "_fields"):
+        if not isinstance(value, list):
+            return value
+        hints = typing.get_type_hints(wanted)
+        return [
+            drop_extra_fields(item, hints[name])
+            for item, name in zip(value, wanted._fields, strict=False)
+        ]
+    arguments = typing.get_args(wanted)
+    if isinstance(value, dict) and len(arguments) == 2:
+        return {
+            key: drop_extra_fields(item, arguments[1])
+            for key, item in value.items()
+        }
+    if typing.get_origin(wanted) in (typing.Union, types.UnionType):
+        for option in arguments:
+            value = drop_extra_fields(value, option)
+        return value
+    if not isinstance(value, list) or not arguments:
+        return value
+    if len(arguments) == len(value) and ... not in arguments:
+        pairs = zip(value, arguments, strict=True)
+        return [drop_extra_fields(item, row) for item, row in pairs]
+    return [drop_extra_fields(item, arguments[0]) for item in value]
--- a/laurelrock/gateways/group_messages.py
+++ b/laurelrock/gateways/group_messages.py
@@ -101,11 +101,12 @@
 
     Attributes:
         number: The number of the group.
-        reason: Whether the VM is stopping or has lost all searchers.
+        reason: Whether the VM is stopping or has lost all searchers. VMs of a
+            later version may have more reasons than `DeclineReason`.
     """
 
     number: int
-    reason: DeclineReason = "stopping"
+    reason: str = "stopping"
 
 
 class StartGroup(typing.NamedTuple):
--- a/laurelrock/gateways/peer_messages.py
+++ b/laurelrock/gateways/peer_messages.py
@@ -39,6 +39,7 @@
     handlers = {
         kind: handle for kinds, handle in rows for kind in kinds.values()
     }
+    handlers[frames.UnknownKind] = gateway.groups.handle_message
     handlers[group_messages.PartitionHint] = lambda link, message: (
         gateway.partition_detector.record_hint()
     )
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -274,6 +274,8 @@
             link.send(self.reachability.answer(message))
         elif isinstance(message, group_messages.ReachabilityReport):
             self.reachability.handle_report(message)
+        elif isinstance(message, frames.UnknownKind):
+            self.handle_unknown_kind(link, message.kind)
         else:
             self.handle_owner_reply(message)
 
@@ -363,15 +365,30 @@
             self.ask_next(group)
         group.on_change()
 
+    def handle_unknown_kind(self, link: group_messages.Link, kind: int) -> None:
+        """Asks other owners if one runs a version without group requests."""
+        if group_messages.KINDS.get(kind) is not group_messages.GroupRequest:
+            return
+        # The reply doesn't name the group; none of this link was accepted.
+        for group in [row for row in self.remote.values() if row.link is link]:
+            if not group.started and group.number in self.remote:
+                group.stop_timer()
+                self.handle_decline(group, "unknown kind")
+                self.counts["declined"] += 1
+
     def handle_decline(
         self,
         group: remote_groups.RemoteGroup,
-        reason: group_messages.DeclineReason,
+        reason: str,
     ) -> None:
-        """Asks the next VM for a group that an owner declined."""
+        """Asks the next VM for a group that an owner declined.
+
+        A reason that this version doesn't know says nothing about the next
+        group.
+        """
         if reason == "stopping":
             self.skip(group.owner, "declined")
-        elif group.owner is not None:
+        elif reason == "isolated" and group.owner is not None:
             self.selection.mark_isolated(group.owner.name)
             self.reachability.forget(group.services[0])
             self.counts["lost-searchers"] += 1
