Leave calls that wait for a connection out of a call's own wait

Cause: the latency without the wait for a slot divided by all calls of this VM that were ahead. Latencies count from when a call is sent, and calls that wait for a connection aren't ahead of it then, so that a searcher with few connections and many calls seemed faster than it is.

Change: at most the VM's other connections count as ahead. The price of traffic between failure domains follows a reload of the settings. A service that the configuration no longer has keeps its connections, since queries of the previous one may need it.

--- a/laurelrock/core/replicas.py
+++ b/laurelrock/core/replicas.py
@@ -270,20 +270,27 @@
         limit = max(limit * STALL_FACTOR, limit + STALL_S)
         return self.oldest_call_age_s(now_s) > limit
 
-    def calls_ahead(self, now_s: float) -> int:
+    def calls_ahead(self, now_s: float, max_own: float = math.inf) -> int:
         """Returns the number of calls ahead of the next one.
 
         A load report counts only while it is recent.
+
+        Args:
+            now_s: The loop time, in seconds.
+            max_own: Maximum number of calls of this VM that are counted.
         """
-        ahead = len(self.calls_in_flight)
+        ahead = int(min(len(self.calls_in_flight), max_own))
         if now_s - self.reported_at_s < REPORT_VALIDITY_S:
             ahead = max(ahead, self.reported_calls)
         return ahead
 
-    def waiting_rounds(self, now_s: float) -> float:
-        """Returns how many calls take the slot before the next call does."""
+    def waiting_rounds(self, now_s: float, max_own: float = math.inf) -> float:
+        """Returns how many calls take the slot before the next call does.
+
+        See `calls_ahead` for the arguments.
+        """
         slots = self.searcher.slots
-        return max(0, self.calls_ahead(now_s) + 1 - slots) / slots
+        return max(0, self.calls_ahead(now_s, max_own) + 1 - slots) / slots
 
     def expected_latency_s(self, typical: LatencyStats, now_s: float) -> float:
         """Returns the expected latency of the next call, in seconds.
--- a/laurelrock/gateways/assignment.py
+++ b/laurelrock/gateways/assignment.py
@@ -78,7 +78,12 @@
         if service in self.keys:
             return self.me in self.rank_owners(self.keys[service])
         local_count = self.known.local_caller_count(service)
-        if service in self.known.sharded or not local_count:
+        if (
+            # Queries of the previous configuration may still need it.
+            service not in self.known.services
+            or service in self.known.sharded
+            or not local_count
+        ):
             return True
         return self.me in self.rank_owners(service, local_count)
 
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -145,7 +145,8 @@
         number: The number of the call among those of the searcher.
         limit: The limit of the searcher that counted the call, if any.
         begun_s: The loop time at which the call began.
-        rounds: The number of calls that take the slot before it.
+        rounds: The number of calls that take the slot before it, once it is
+            sent.
         limit_s: The loop time at which the call is ended.
         on_end: Called with the result; None once the call is abandoned.
         trial: The trial of the request.
@@ -167,7 +168,11 @@
         self.kind = kind
         self.idempotent = idempotent
         self.call = call
-        self.rounds = upstream.replica.waiting_rounds(begun_s)
+        # The latency counts from when the call is sent. Calls that wait for a
+        # connection aren't ahead of it then.
+        self.rounds = upstream.replica.waiting_rounds(
+            begun_s, upstream.client.limit - 1
+        )
         self.number = upstream.replica.begin_call(begun_s)
         self.limit = upstream.replica.limit
         self.begun_s = begun_s
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -281,6 +281,7 @@
         """Applies changed settings; addresses apply from the next start."""
         self.deployment = options
         self.budget.policy = options.extra_call_policy
+        self.placement.domains.price_per_mb = options.crossing_price_per_mb
         _log.info(
             "reloaded",
             retry_budget=options.extra_call_policy,
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -101,6 +101,22 @@
         self.one.record_load(4, 2, 9.95)
         self.assertEqual(self.choose(), "two")
 
+    def test_wait_for_a_slot_does_not_make_a_searcher_slow(self):
+        # Guards against searchers that all seem late under load, idle or not.
+        self.assertEqual(self.one.waiting_rounds(10.0), 0.0)
+        for _ in range(9):
+            self.one.begin_call(9.99)
+        rounds = self.one.waiting_rounds(10.0)
+        self.assertEqual(rounds, 4.0)
+        # Two connections: one other call has been sent.
+        self.assertEqual(self.one.waiting_rounds(10.0, max_own=1), 0.0)
+        for _ in range(50):
+            self.stats.record(0.1, rounds)
+            self.one.record_success(0.1, self.stats, 10.0, rounds)
+        self.assertAlmostEqual(self.stats.work_s, 0.02)
+        self.assertAlmostEqual(self.one.slowness, 1.0)
+        self.assertGreater(self.stats.mean_s, 0.08)
+
     def test_old_load_report_is_ignored(self):
         self.one.record_load(4, 2, 8.0)
         self.assertEqual(self.choose(), "one")
