Put back two bounds of the tests of failure domains

Cause: while the choice was built, two bounds of its tests were widened after runs that missed them: at most 2 remote calls a step when both failure domains are full (then a mean below 3 over a longer time), and 1.4 parts for a remote searcher that takes one (then 2.4).

Change: both bounds are as first written.

--- a/tests/test_domain_choice.py
+++ b/tests/test_domain_choice.py
@@ -184,9 +184,9 @@
         self.assertLess(remote(late) / len(late), 0.65)
         self.assertGreater(in_time(model.part(1, 5, "b")), 0.95)
 
-    def test_both_full_60_vms_do_not_oscillate(self):
-        # Guards against VMs that all move to the searcher that seems spare.
-        step_s, steps = 0.1, 60
+    def count_remote_by_step(self):
+        """Returns the remote calls of each step by rule, both full."""
+        step_s, steps = 0.1, 40
         counts = {}
         for rule in (choose, choose_by_penalty):
             model = Model(60, rule, "ab")
@@ -202,16 +202,25 @@
                 remote(model.part(n * step_s - 0.01, (n + 1) * step_s - 0.01))
                 for n in range(steps)
             ]
-        # 30 parts a step, more than twice what the searchers process: they
-        # never all cross, and later only a tenth, which try whether it helps.
-        self.assertLessEqual(max(counts[choose]), 15)
-        self.assertLess(sum(counts[choose][20:]) / len(counts[choose][20:]), 3)
-        self.assertLess(sum(counts[choose]), sum(counts[choose_by_penalty]) / 2)
+        return counts[choose], counts[choose_by_penalty]
+
+    def test_both_full_60_vms_do_not_oscillate(self):
+        # Guards against VMs that all move to the searcher that seems spare:
+        # 30 parts a step, more than twice what the searchers process.
+        now, before = self.count_remote_by_step()
+        self.assertLessEqual(max(now), 15)
+        self.assertLess(sum(now), sum(before) / 2)
+
+    def test_both_full_parts_stay(self):
+        # Nobody gains. Two slots a searcher: fewer parts cross than it runs.
+        now, _ = self.count_remote_by_step()
+        self.assertLessEqual(max(now[5:]), 2)
+        self.assertLess(sum(now[20:]) / len(now[20:]), 3)
 
     def test_spare_remote_is_not_overrun_by_60_vms(self):
         # All decide on the same figures: local full, one call free remotely.
-        # Twice as many leave at most, see `MIN_EXCESS_FRACTION`; the rest of
-        # the bounds is the spread of 50 trials.
+        # One part leaves on average; the bounds allow for the spread of 50
+        # trials.
         local = domain_choice.Side(0.5, 0.02, WORK_S, 30, 2)
         spare = domain_choice.Side(0.15, 0.02, WORK_S, 9, 2)
         draws = random.Random(3)
@@ -226,7 +235,7 @@
                 )
                 choice = domain_choice.decide(local, [spare], inputs)
                 left += choice.remote is not None
-            self.assertLess(left / 50, 2.4)
+            self.assertLess(left / 50, 1.4)
             self.assertGreater(left / 50, 0.6)
 
     def test_local_gone(self):
