--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -148,6 +148,8 @@
         cold: The limit of a cold searcher while the call waits for a
             connection.
         begun_s: The loop time at which the call began.
+        rounds: The number of calls that take the slot before it, once it is
+            sent.
         limit_s: The loop time at which the call is ended.
         on_end: Called with the result; None once the call is abandoned.
         trial: The trial of the request.
@@ -169,6 +171,11 @@
         self.kind = kind
         self.idempotent = idempotent
         self.call = call
+        # The latency counts from when the call is sent. Calls that wait for a
+        # connection aren't ahead of it then.
+        self.rounds = upstream.replica.waiting_rounds(
+            begun_s, upstream.client.limit - 1
+        )
         self.number = upstream.replica.begin_call(begun_s)
         self.limits = [
             row
@@ -411,8 +418,9 @@
         if result.status is CallStatus.ANSWERED:
             sent_s = pending_call.call.sent_at_s or pending_call.begun_s
             typical = self.upstreams.typical_latencies[pending_call.kind]
-            typical.record(now_s - sent_s)
-            replica.record_success(now_s - sent_s, typical, now_s)
+            latency_s, rounds = now_s - sent_s, pending_call.rounds
+            typical.record(latency_s, rounds)
+            replica.record_success(latency_s, typical, now_s, rounds)
         elif result.status is CallStatus.ERRED:
             replica.record_error()
         elif result.status is CallStatus.NOT_RUN:
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -147,6 +147,7 @@
         self.placement = parts.CallPlacer(
             self.calls, self.known, self.budget, self.lending.borrow
         )
+        self.placement.domains.price_per_mb = options.crossing_price_per_mb
         self.groups = shard_groups.create_shard_groups(
             self.placement, platform, *messaging, queries.run_single
         )
@@ -266,6 +267,9 @@
     def open_connections(self, configuration: routes.Configuration) -> None:
         """Opens connections to the searchers that this VM will call."""
         assigned = self.groups.assignment
+        if not assigned.vms:
+            # Without the list of VMs this VM seems to call all searchers.
+            return
         used = {
             name
             for route in configuration.routes
@@ -316,6 +320,7 @@
         self.known.set_regions(regions_of(options))
         self.groups.assignment.forbidden.clear()
         self.cold_searchers.policy = options.warm_up_policy
+        self.placement.domains.price_per_mb = options.crossing_price_per_mb
         _log.info(
             "reloaded",
             retry_budget=options.extra_call_policy,
