Weigh failure domains only where the settings ask for it

Cause: the choice between failure domains had replaced the constant cost of another failure domain on every deployment, but deployments that don't ask for it have to be served as before. Change: deployments with rules on places, or with a price per byte, weigh load and time; the others keep the constant, and their latencies are recorded as before. A searcher counts as cold by its own limit.

--- a/laurelrock/core/domain_choice.py
+++ b/laurelrock/core/domain_choice.py
@@ -19,6 +19,7 @@
     "Inputs",
     "Selection",
     "Side",
+    "choose_nearby",
     "choose_searcher",
     "create_side",
     "decide",
@@ -34,6 +35,9 @@
 #: Measured on four deployments: up to 0.2, fewer bytes crossed and callers were
 #: served as well; at 0.35, fewer were served.
 MIN_GAIN_FRACTION = 0.2
+#: Latency added for a searcher in another failure domain where the load isn't
+#: weighed, as a fraction of the objective, for the same reason.
+REMOTE_PENALTY_FRACTION = MIN_GAIN_FRACTION
 #: Margin of the local searcher, in spreads. It is wider than that of a remote
 #: one, since the parts that are drawn to stay queue there as well.
 LOCAL_MARGIN = 3.0
@@ -366,12 +370,42 @@
         typical.work_s * max(1.0, row.slowness),
         row.calls_ahead(now_s),
         row.searcher.slots,
-        row.limit is not None and now_s < row.warm_up_end_s,
+        row.cold is not None,
         bool(row.call_count)
         and now_s - max(row.reported_at_s, row.last_success_s) < RESPONSE_AGE_S,
     )
 
 
+def choose_nearby(
+    candidates: collections.abc.Sequence[replicas.Replica],
+    typical: replicas.LatencyStats,
+    is_local: replicas.IsLocal,
+    has_idle_connection: replicas.HasIdleConnection,
+    objective_s: float,
+    now_s: float,
+) -> replicas.Replica:
+    """Returns the searcher with the lowest expected latency.
+
+    A searcher in another failure domain is chosen only if it is faster by a
+    fraction of the route's objective, whatever the load. This is the rule where
+    the settings don't call for `choose_searcher`.
+    """
+
+    def cost(row: replicas.Replica) -> tuple[float, int, int]:
+        remote_s = (
+            0.0 if is_local(row) else REMOTE_PENALTY_FRACTION * objective_s
+        )
+        connect_s = (
+            0.0 if has_idle_connection(row) else replicas.CONNECT_PENALTY_S
+        )
+        expected_s = (
+            row.expected_latency_s(typical, now_s) + remote_s + connect_s
+        )
+        return expected_s, len(row.calls_in_flight), row.call_count
+
+    return min(candidates, key=cost)
+
+
 def choose_searcher(
     candidates: collections.abc.Sequence[replicas.Replica],
     typical: replicas.LatencyStats,
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -166,16 +166,13 @@
         limit_s: float,
         trial: trials.Trial,
         on_end: collections.abc.Callable[["PendingCall", CallResult], None],
+        rounds: float = 0.0,
     ) -> None:
         self.upstream = upstream
         self.kind = kind
         self.idempotent = idempotent
         self.call = call
-        # The latency counts from when the call is sent. Calls that wait for a
-        # connection aren't ahead of it then.
-        self.rounds = upstream.replica.waiting_rounds(
-            begun_s, upstream.client.limit - 1
-        )
+        self.rounds = rounds
         self.number = upstream.replica.begin_call(begun_s)
         self.limits = [
             row
@@ -286,6 +283,7 @@
             context.end_s + TIMEOUT_MARGIN_S,
             context.trial,
             on_end,
+            self.rounds_ahead(upstream, now_s),
         )
         context.trial.begin_call()
         self.in_flight[pending_call] = None
@@ -294,6 +292,16 @@
         )
         return pending_call
 
+    def rounds_ahead(self, upstream: upstreams.Upstream, now_s: float) -> float:
+        """Returns how many calls take a searcher's slot before a new one.
+
+        The latency counts from when a call is sent. Calls that wait for a
+        connection aren't ahead of it then.
+        """
+        if not self.upstreams.weighs_domains:
+            return 0.0
+        return upstream.replica.waiting_rounds(now_s, upstream.client.limit - 1)
+
     def restrict(
         self,
         upstream: upstreams.Upstream,
--- a/laurelrock/gateways/deployment.py
+++ b/laurelrock/gateways/deployment.py
@@ -37,6 +37,9 @@
         cap_policy: How far the requests of a workspace may exceed its cap.
         warm_up_policy: How far the requests to a cold searcher may exceed what
             it takes.
+        weighs_domains: Whether the gateway decides by load and time when a
+            searcher in another failure domain is called; otherwise such a
+            searcher costs a constant fraction of the objective.
         crossing_price_per_mb: The price of traffic between failure domains, in
             objectives per MB: the wait, as a fraction of the objective, that a
             caller accepts to save 1 MB.
@@ -61,4 +64,5 @@
     follows_evacuations: bool = False
     cap_policy: tenancy.CapPolicy = tenancy.CapPolicy()
     warm_up_policy: warm_up.WarmUpPolicy = warm_up.WarmUpPolicy()
+    weighs_domains: bool = True
     crossing_price_per_mb: float = 0.0
--- a/laurelrock/gateways/domain_selection.py
+++ b/laurelrock/gateways/domain_selection.py
@@ -59,6 +59,8 @@
 
     def record_part(self, service: str) -> None:
         """Records a part that needs a service."""
+        if not self.known.weighs_domains:
+            return
         if service not in self.rates:
             if len(self.rates) > len(self.known.services) + MAX_STALE:
                 self.rates.clear()
@@ -69,6 +71,8 @@
 
     def record_answer(self, route: str, size: int) -> None:
         """Records the size of an answer, in bytes."""
+        if not self.known.weighs_domains:
+            return
         mean = self.answer_bytes.get(route)
         if mean is None:
             if len(self.answer_bytes) > MAX_STALE:
@@ -106,10 +110,21 @@
     def choose(self, part: "parts.Part", rows: Rows) -> upstreams.Upstream:
         """Returns the searcher that is called for a part."""
         by_replica = {row.replica: row for row in rows}
+        route = part.context.route
+        if not self.known.weighs_domains:
+            nearby = domain_choice.choose_nearby(
+                list(by_replica),
+                self.known.typical_latencies[route.name],
+                self.known.is_local,
+                lambda replica: bool(by_replica[replica].client.idle),
+                route.objective_s,
+                self.loop.time(),
+            )
+            return by_replica[nearby]
         inputs = self.create_inputs(part)
         selection = domain_choice.choose_searcher(
             list(by_replica),
-            self.known.typical_latencies[part.context.route.name],
+            self.known.typical_latencies[route.name],
             self.known.is_local,
             lambda replica: bool(by_replica[replica].client.idle),
             inputs,
@@ -156,7 +171,9 @@
 
     def is_hedge_useful(self, part: "parts.Part", rows: Rows) -> bool:
         """Returns whether a part may be hedged at one of some searchers."""
-        if any(self.known.is_local(row.replica) for row in rows):
+        if not self.known.weighs_domains or any(
+            self.known.is_local(row.replica) for row in rows
+        ):
             return True
         now_s = self.loop.time()
         typical = self.known.typical_latencies[part.context.route.name]
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -133,6 +133,7 @@
             int(options.memory_bytes * REPLY_MEMORY_FRACTION),
         )
         self.known.check_health = health_checks.responds
+        self.known.weighs_domains = options.weighs_domains
         self.known.set_regions(regions_of(options))
         self.calls = calls.create_calls(platform, self.known)
         self.budget = retry_budget.create_budget(options.extra_call_policy)
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -121,6 +121,8 @@
         cold: The searchers that are cold and take few requests, by id.
         is_planned: Returns whether this VM is one of those that are planned to
             call a service.
+        weighs_domains: Whether the choice between failure domains follows load
+            and time; otherwise another one costs a constant.
         share_of: Returns this VM's share of a searcher's limit, given the
             number of VMs that may call the searcher, and whether the limit
             holds strictly.
@@ -159,6 +161,7 @@
         self.blockers: dict[tuple[str, tuple[str, ...]], str] = {}
         self.cold: dict[str, Upstream] = {}
         self.is_planned: IsPlanned = lambda service: True
+        self.weighs_domains = True
         self.share_of: ShareOf = self.equal_share
         self.entry_applied: EntryApplied = lambda upstream, now_s: None
 
--- a/laurelrock/platform/settings.py
+++ b/laurelrock/platform/settings.py
@@ -43,6 +43,10 @@
 DEFAULT_MEMORY_MB = 200.0
 
 
+#: Name of the rules on evacuations, cold searchers and homes.
+PLACES_POLICY = "places"
+
+
 def load(path: pathlib.Path) -> deployment.Deployment:
     """Reads a settings file; raises `SettingsError`."""
     try:
@@ -140,6 +144,11 @@
             bounds.number("warmup_slack", cold.slack),
         ),
         # A negative price would send every part away.
+        # Deployments with rules on places, or with a price, ask for it.
+        weighs_domains=(
+            PLACES_POLICY in fields.rows("policies")
+            or "crossing_price_per_mb" in bounds.row
+        ),
         crossing_price_per_mb=max(
             0.0, bounds.number("crossing_price_per_mb", 0.0)
         ),
