Order the calls that wait for a connection

Calls waited for a connection in the order of their arrival, so a burst of one kind of request delayed all others, and calls were still sent when their callers could no longer get the response.

A call that can't return before its deadline fails with CallDroppedError, which ends as UNSENT, so that the part fails; it ejects a searcher only if that gave no response meanwhile. GroupRequest carries the priority to owners.

Tried first: one order by objective over all kinds.

--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -7,15 +7,16 @@
 """
 
 import asyncio
-import collections
 import collections.abc
 import typing
 
 import httptools
 
 from laurelrock import errors
+from laurelrock.adapters import call_queue
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import reply_budget
+from laurelrock.core import call_order
 
 __all__ = ["Call", "Client", "Reply", "open_client"]
 
@@ -31,6 +32,7 @@
 DEFAULT_MAX_IDLE_S = 30.0
 
 ReplyCheck = collections.abc.Callable[[int, http_wire.Headers], bool]
+Describe = collections.abc.Callable[[], call_order.WaitingCall]
 
 
 class Reply(typing.NamedTuple):
@@ -100,7 +102,7 @@
         opening_count: Number of connections that are being opened.
         connections: All open connections.
         idle: Open connections without a call, the most recently used last.
-        waiting_calls: Calls that wait for a connection, oldest first.
+        waiting_calls: Calls that wait for a connection.
         opened: Number of connections opened so far.
         closed: Whether the client was closed.
         loop: Event loop of the connections.
@@ -121,10 +123,12 @@
         self.opening_count = 0
         self.connections: set[Connection] = set()
         self.idle: list[Connection] = []
-        self.waiting_calls: collections.deque[Call] = collections.deque()
         self.opened = 0
         self.closed = False
         self.loop = asyncio.get_running_loop()
+        self.waiting_calls: call_queue.CallQueue[Call] = call_queue.CallQueue(
+            self.loop
+        )
         self.tasks: set[asyncio.Task[typing.Any]] = set()
 
     def call(
@@ -132,6 +136,7 @@
         encode: collections.abc.Callable[[], bytes],
         matches: ReplyCheck,
         bodiless: bool = False,
+        describe: Describe | None = None,
     ) -> Call:
         """Starts a call on an idle connection, or queues it for the next one.
 
@@ -141,6 +146,8 @@
                 response belongs to the call. It is called before the
                 connection is used again.
             bodiless: Whether responses to the method have no body.
+            describe: Function that returns what places the call among those
+                that wait; by default, it has no objective or deadline.
 
         Returns:
             The call. Its future ends with a `Reply`, or raises `ConnectError`
@@ -152,7 +159,10 @@
         if connection is not None:
             connection.send_request(call)
             return call
-        self.waiting_calls.append(call)
+        waiting = (
+            describe() if describe else call_queue.arrival(self.loop.time())
+        )
+        self.waiting_calls.add(call, waiting)
         self.open_for_waiting_calls()
         return call
 
@@ -190,7 +200,7 @@
 
     def open_for_waiting_calls(self) -> None:
         """Opens connections for the waiting calls, up to the limit."""
-        wanted = sum(1 for call in self.waiting_calls if not call.future.done())
+        wanted = self.waiting_calls.count()
         room = self.limit - len(self.connections) - self.opening_count
         for _ in range(min(wanted - self.opening_count, room)):
             self.start_connecting()
@@ -217,8 +227,10 @@
             self.opening_count -= 1
             # The open connections may stay busy for long, so one call has to
             # fail now. The others wait for those connections.
-            max_calls = 1 if self.connections else len(self.waiting_calls)
-            self.fail_waiting_calls(errors.ConnectError(repr(error)), max_calls)
+            self.waiting_calls.fail(
+                errors.ConnectError(repr(error)),
+                1 if self.connections else self.waiting_calls.count(),
+            )
             return error
         self.opening_count -= 1
         self.opened += 1
@@ -231,27 +243,16 @@
 
     def reject_waiting_calls(self, reason: str) -> None:
         """Fails all calls that wait for a connection; they are not sent."""
-        self.fail_waiting_calls(
-            errors.NoMoreWorkError(reason), len(self.waiting_calls)
+        self.waiting_calls.fail(
+            errors.NoMoreWorkError(reason), self.waiting_calls.count()
         )
 
-    def fail_waiting_calls(
-        self, error: errors.ConnectError, max_calls: int
-    ) -> None:
-        """Fails up to `max_calls` waiting calls, the oldest first."""
-        while self.waiting_calls and max_calls:
-            call = self.waiting_calls.popleft()
-            if not call.future.done():
-                call.future.set_exception(error)
-                max_calls -= 1
-
     def release(self, connection: "Connection") -> None:
         """Assigns a waiting call to a free connection, or makes it idle."""
-        while self.waiting_calls:
-            call = self.waiting_calls.popleft()
-            if not call.future.done():
-                connection.send_request(call)
-                return
+        call = self.waiting_calls.take()
+        if call is not None:
+            connection.send_request(call)
+            return
         connection.idle_since_s = self.loop.time()
         self.idle.append(connection)
 
@@ -266,8 +267,9 @@
     def close(self) -> None:
         """Closes idle connections and fails waiting calls; sent calls go on."""
         self.closed = True
-        self.fail_waiting_calls(
-            errors.ConnectError("the client is closed"), len(self.waiting_calls)
+        self.waiting_calls.fail(
+            errors.ConnectError("the client is closed"),
+            self.waiting_calls.count(),
         )
         for connection in self.idle:
             connection.transport.close()
--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -343,6 +343,12 @@
     code = "no-more-work"
 
 
+class CallDroppedError(ConnectError):
+    """A call that waited for a connection was dropped; it was not sent."""
+
+    code = "call-dropped"
+
+
 class CallBrokenError(LaurelrockError):
     """A connection ended before the response; the call may have executed."""
 
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -8,10 +8,12 @@
 import xxhash
 
 from laurelrock import errors
+from laurelrock.adapters import call_queue
 from laurelrock.adapters import http_client
 from laurelrock.adapters import http_server
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
+from laurelrock.core import call_order
 from laurelrock.core import routes
 from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
@@ -210,6 +212,7 @@
         context: RequestContext,
         upstream: upstreams.Upstream,
         on_end: collections.abc.Callable[[PendingCall, CallResult], None],
+        coverage: float = 1.0,
     ) -> PendingCall:
         """Sends a request to a searcher.
 
@@ -217,6 +220,7 @@
             context: The caller's request.
             upstream: The searcher to call.
             on_end: Called once with the result, never during `start` itself.
+            coverage: The fraction of the request that the call completes.
         """
         request = context.request
         searcher = upstream.searcher.id
@@ -243,6 +247,7 @@
             encode,
             accept,
             bodiless=request.method == b"HEAD",
+            describe=lambda: self.describe(context, coverage),
         )
         now_s = self.loop.time()
         pending_call = PendingCall(
@@ -262,6 +267,22 @@
         )
         return pending_call
 
+    def describe(
+        self, context: RequestContext, coverage: float
+    ) -> call_order.WaitingCall:
+        """Returns what places a call among those that wait."""
+        route = context.route
+        typical = self.upstreams.typical_latencies[route.name]
+        return call_order.WaitingCall(
+            route.name,
+            route.priority,
+            context.request.received_s,
+            route.objective_s,
+            context.end_s,
+            coverage,
+            typical.mean_s if typical.count else 0.0,
+        )
+
     def restrict(
         self,
         upstream: upstreams.Upstream,
@@ -395,12 +416,28 @@
             replica.record_lost(now_s)
         elif result.status is CallStatus.BROKEN and result.reason != WITHDRAWN:
             replica.record_failure()
+        elif result.reason in call_queue.DROP_REASONS:
+            if self.got_no_response(pending_call):
+                self.eject_if_unresponsive(pending_call, result)
         elif (
             result.reason not in (WITHDRAWN, NO_MORE_WORK)
             or pending_call.timed_out
         ):
             self.eject_if_unresponsive(pending_call, result)
 
+    def got_no_response(self, pending_call: PendingCall) -> bool:
+        """Returns whether a searcher was unresponsive while a call waited.
+
+        A searcher that responds, but has too many calls, is not.
+        """
+        replica, now_s = pending_call.upstream.replica, self.loop.time()
+        typical = self.upstreams.typical_latencies[pending_call.kind]
+        return (
+            now_s - pending_call.begun_s > TIMEOUT_MARGIN_S
+            and replica.last_success_s < pending_call.begun_s
+            and replica.is_stalled(typical, now_s)
+        )
+
     def eject_if_unresponsive(
         self, pending_call: PendingCall, result: CallResult
     ) -> None:
--- a/laurelrock/gateways/group_messages.py
+++ b/laurelrock/gateways/group_messages.py
@@ -51,6 +51,7 @@
             answers; the owner then returns that searcher's whole answer.
         idempotent: Whether the request may run more than once.
         workspace: The name of the caller's workspace; empty if there is none.
+        priority: The priority of the request; 0 is the highest.
     """
 
     number: int
@@ -69,6 +70,7 @@
     single: bool = False
     idempotent: bool = True
     workspace: str = ""
+    priority: int = 0
 
 
 class GroupAccepted(typing.NamedTuple):
--- a/laurelrock/gateways/group_runs.py
+++ b/laurelrock/gateways/group_runs.py
@@ -165,6 +165,7 @@
         idempotent=group_request.idempotent,
         timeout_s=group_request.remaining_s,
         objective_s=group_request.due_in_s,
+        priority=group_request.priority,
         shards=group_request.services,
         attempts=group_request.attempts,
         max_records=group_request.max_records,
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -284,8 +284,11 @@
         ) -> None:
             self.handle_end(part, pending_call, end)
 
+        # Each pending call of a part may complete it.
+        shards = max(1, len(part.context.route.shards))
+        coverage = 1.0 / shards / (1 + len(part.pending_calls))
         part.pending_calls.append(
-            self.calls.start(part.context, upstream, on_end)
+            self.calls.start(part.context, upstream, on_end, coverage)
         )
 
     def handle_end(
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -228,6 +228,7 @@
             single=group.single,
             idempotent=context.route.idempotent,
             workspace=context.workspace,
+            priority=context.route.priority,
         )
 
     def handle_accept_timeout(self, group: remote_groups.RemoteGroup) -> None:
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -211,7 +211,7 @@
         self.connected = True
         return None
 
-    def call(self, encode, accept, bodiless=False) -> Call:
+    def call(self, encode, accept, bodiless=False, describe=None) -> Call:
         loop = asyncio.get_running_loop()
         call = Call(loop.create_future())
         call.accept = accept
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -9,6 +9,7 @@
 from laurelrock import errors
 from laurelrock.adapters import http_client
 from laurelrock.adapters import http_wire
+from laurelrock.core import call_order
 
 
 class Row(typing.NamedTuple):
@@ -195,6 +196,32 @@
         self.assertEqual([row.body for row in replies], [b"good"] * 10)
         self.assertEqual(self.searcher.connections, 2)
 
+    async def test_waiting_calls_are_ordered_and_dropped_in_time(self):
+        # Guards against a pool that ignores the places of the calls.
+        slow = sends(matching, wait_s=0.1)
+        client = await self.open(lambda _, r: slow(r))
+        encode = functools.partial(
+            http_wire.encode_request, b"GET", b"/q", b"x-request-id: id-1\r\n"
+        )
+        now_s = client.loop.time()
+        ended = []
+
+        def start(name, priority, left_s):
+            row = call_order.WaitingCall(
+                *(name, priority, now_s, 0.2, now_s + left_s, 1.0, 0.0)
+            )
+            call = client.call(lambda: encode(b""), accept, False, lambda: row)
+            call.future.add_done_callback(lambda _: ended.append(name))
+            return call
+
+        first = start("first", 0, 5.0)
+        rows = [start("late", 2, 5.0), start("urgent", 0, 5.0)]
+        short = start("short", 1, 0.05)
+        await asyncio.gather(*[self.result(row) for row in (first, *rows)])
+        self.assertEqual(ended, ["short", "first", "urgent", "late"])
+        self.assertFalse(short.sent)
+        self.assertIsInstance(short.future.exception(), errors.CallDroppedError)
+
     async def test_call_fails_if_connecting_fails_beside_a_busy_connection(
         self,
     ):
--- a/tests/test_throughput.py
+++ b/tests/test_throughput.py
@@ -64,7 +64,7 @@
         self.waiting = collections.deque()
         self.running = 0
 
-    def call(self, encode, accept, bodiless=False):
+    def call(self, encode, accept, bodiless=False, describe=None):
         loop = asyncio.get_running_loop()
         call = simulations.Call(loop.create_future())
         call.sent = True
