Decline groups that an overloaded owner can't complete

Where owners call the shards, no query was refused for overload: check_overload runs only on VMs that call all shards themselves, so that in a burst all groups waited and were late.

An owner now declines a group with reason "overloaded" before any call (gateways/group_overload.py, throughput.accepts_group). The requester says in GroupRequest.needed how many shards of the group its query can't do without, so that single slow shards are no reason. Groups that the entry VM owns are judged the same way. The next owner is asked at once; if none accepts, the query is refused with 503 and a time to retry after from GroupDeclined.retry_in_s and the rate at which requests complete here, in turns. For 1 s after a decline, queries start in two steps (all groups accepted, then started), so that a refused query has not run. If a query has begun when an owner declines, owners are asked again with needed 0. Single requests need their only service. The estimate uses the slots' capacity if that is above the rate of completion, since an idle owner completes few calls.

Tried first: each kind judged by its own objective. At twice the limit no small query was in time, since large ones filled the queues at the searchers.

--- a/laurelrock/core/throughput.py
+++ b/laurelrock/core/throughput.py
@@ -13,7 +13,9 @@
 from laurelrock.core import event_rate
 
 __all__ = [
+    "MAX_RETRY_AFTER_S",
     "Backlog",
+    "accepts_group",
     "create_completion_rate",
     "expected_s",
     "is_in_time",
@@ -29,13 +31,24 @@
 #: objective. The expected duration is a mean, and the response must still be
 #: sent.
 MAX_CALL_FRACTION = 0.7
+#: Longest time in seconds after which a caller refused for overload may retry;
+#: the present calls have ended or failed by then.
+MAX_RETRY_AFTER_S = 1.0
 
 
 class Backlog(typing.NamedTuple):
-    """Calls ahead of a new one at a shard, and calls completed per second."""
+    """Work at a shard.
+
+    Attributes:
+        ahead: Calls ahead of a new one.
+        completed_per_s: Calls completed per second.
+        capacity_per_s: Calls per second that the slots run at the present
+            latency; 0 if unknown.
+    """
 
     ahead: int
     completed_per_s: float
+    capacity_per_s: float = 0.0
 
 
 def expected_s(rows: collections.abc.Iterable[Backlog], needed: int) -> float:
@@ -55,7 +68,9 @@
 def _wait_s(row: Backlog) -> float:
     if row.ahead < MIN_AHEAD:
         return 0.0
-    return row.ahead / row.completed_per_s if row.completed_per_s else math.inf
+    # A VM with few requests completes few calls, however fast the searchers.
+    per_s = max(row.completed_per_s, row.capacity_per_s)
+    return row.ahead / per_s if per_s else math.inf
 
 
 def is_in_time(wait_s: float, objective_s: float) -> bool:
@@ -63,6 +78,33 @@
     return wait_s <= objective_s * MAX_CALL_FRACTION
 
 
+def accepts_group(
+    wait_s: float,
+    due_in_s: float,
+    remaining_s: float,
+    mean_s: float,
+    shortest_due_s: float,
+) -> bool:
+    """Tells whether an owner should accept a group of shards.
+
+    Answers the load of a burst at searchers that owners call: if all groups are
+    accepted, all queries wait and soon none is in time.
+
+    Args:
+        wait_s: Expected time until enough shards respond, in seconds.
+        due_in_s: Time until the result is due, in seconds.
+        remaining_s: Time until the caller gives up, in seconds.
+        mean_s: Mean latency of a call, in seconds. A result that is due sooner
+            is late without any load, so that only the deadline counts.
+        shortest_due_s: Shortest time in which groups of the same shards are
+            due, in seconds. If groups with more time could wait for longer,
+            all others would be late.
+    """
+    if due_in_s <= mean_s:
+        return is_in_time(wait_s, remaining_s)
+    return is_in_time(wait_s, min(due_in_s, shortest_due_s))
+
+
 def create_completion_rate() -> event_rate.EventRate:
     """Returns the rate of a service without completed calls."""
     return event_rate.create_event_rate(TIME_CONSTANT_S)
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -222,9 +222,9 @@
     def apply_assignment(self, configuration: routes.Configuration) -> None:
         """Assigns searchers to VMs according to the known VMs and routes."""
         self.groups.assignment.configure(configuration)
-        self.groups.reachability.configure(
-            {row.name for row in configuration.routes}
-        )
+        names = {row.name for row in configuration.routes}
+        self.groups.reachability.configure(names)
+        self.groups.overload.retain(names)
         self.lending.set_groups(self.groups.assignment.groups)
         self.open_connections(configuration)
 
--- a/laurelrock/gateways/group_messages.py
+++ b/laurelrock/gateways/group_messages.py
@@ -52,6 +52,8 @@
         idempotent: Whether the request may run more than once.
         workspace: The name of the caller's workspace; empty if there is none.
         priority: The priority of the request; 0 is the highest.
+        needed: The number of services that have to respond; an owner that
+            expects fewer in time declines the group. 0 if it should run it.
     """
 
     number: int
@@ -71,6 +73,7 @@
     idempotent: bool = True
     workspace: str = ""
     priority: int = 0
+    needed: int = 0
 
 
 class GroupAccepted(typing.NamedTuple):
@@ -95,7 +98,7 @@
     disconnected: int = 0
 
 
-DeclineReason = typing.Literal["stopping", "isolated"]
+DeclineReason = typing.Literal["stopping", "isolated", "overloaded"]
 
 
 class GroupDeclined(typing.NamedTuple):
@@ -103,11 +106,15 @@
 
     Attributes:
         number: The number of the group.
-        reason: Whether the VM is stopping or has lost all searchers.
+        reason: Whether the VM is stopping, has lost all searchers, or expects
+            too few shards to respond in time.
+        retry_in_s: The time in seconds until an overloaded VM could complete
+            the group; 0 if unknown.
     """
 
     number: int
     reason: DeclineReason = "stopping"
+    retry_in_s: float = 0.0
 
 
 class StartGroup(typing.NamedTuple):
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -8,6 +8,7 @@
 from laurelrock.core import routes
 from laurelrock.core import throughput
 from laurelrock.gateways import calls
+from laurelrock.gateways import group_overload
 from laurelrock.gateways import outcomes
 from laurelrock.gateways import parts
 from laurelrock.gateways import remote_groups
@@ -15,10 +16,6 @@
 
 __all__ = ["run_query", "run_single"]
 
-#: Longest time in seconds after which a caller refused for overload may retry;
-#: the present calls have ended or failed by then.
-MAX_RETRY_AFTER_S = 1.0
-
 
 class GatherState:
     """Progress of a request that waits for its parts.
@@ -170,14 +167,15 @@
         outcome = check_overload(route, placement)
         if outcome is not None:
             return outcome
+    declined: list[tuple[str, ...]] = []
+    if remote:
+        due_s = schedule.partial_at_s
+        own, declined = group_state.overload.split_own(context, own, due_s)
     progress = GatherState(context, own)
     try:
-        progress.groups = [
-            group_state.ask(
-                context, services, schedule.partial_at_s, progress.changed.set
-            )
-            for services in remote
-        ]
+        ask_owners(progress, context, group_state, schedule, remote, declined)
+        if not await wait_until_accepted(progress, context, group_state):
+            return refuse_declined(progress, route, group_state)
         start_parts(progress, placement)
         await gather_parts(progress, context, placement, group_state, schedule)
     finally:
@@ -189,6 +187,7 @@
     if len(stamps) < route.min_shards:
         late = placement.calls.loop.time() >= context.end_s
         return fail_query(progress, route, late)
+    group_state.overload.record_completion(route.name)
     return outcomes.Outcome(
         "answered" if len(stamps) == count else "partial",
         200,
@@ -200,6 +199,87 @@
     )
 
 
+def ask_owners(
+    progress: GatherState,
+    context: calls.RequestContext,
+    group_state: shard_groups.ShardGroups,
+    schedule: answer_schedule.AnswerSchedule,
+    remote: list[tuple[str, ...]],
+    declined: list[tuple[str, ...]],
+) -> None:
+    """Asks the owners of a query's groups.
+
+    Args:
+        progress: The progress of the query, which has no groups yet.
+        context: The query.
+        group_state: The other VMs.
+        schedule: The schedule of the query.
+        remote: The groups that other VMs own.
+        declined: The groups that this VM owns, but can't complete in time.
+    """
+    overload, me = group_state.overload, group_state.me.name
+    held = overload.declines_lately()
+    for services in (*remote, *declined):
+        progress.groups.append(
+            group_state.ask(
+                *(context, services, schedule.partial_at_s),
+                progress.changed.set,
+                group_overload.needed_of(context.route, services),
+                held,
+                (me,) if services in declined else (),
+            )
+        )
+
+
+async def wait_until_accepted(
+    progress: GatherState,
+    context: calls.RequestContext,
+    group_state: shard_groups.ShardGroups,
+) -> bool:
+    """Waits until owners accepted all groups, if these are held.
+
+    Returns:
+        Whether the query is started; False if no owner accepts a group.
+    """
+    loop = group_state.loop
+    held = [group for group in progress.groups if group.held]
+    if not held:
+        return True
+    timer = loop.call_at(context.end_s, progress.changed.set)
+    while loop.time() < context.end_s:
+        if any(group.declined for group in held):
+            timer.cancel()
+            return False
+        if all(group.accepted or not group.pending for group in held):
+            break
+        progress.changed.clear()
+        await progress.changed.wait()
+    timer.cancel()
+    for group in held:
+        group_state.release(group)
+    return True
+
+
+def refuse_declined(
+    progress: GatherState,
+    route: routes.Route,
+    group_state: shard_groups.ShardGroups,
+) -> outcomes.Outcome:
+    """Returns the refusal of a query that owners can't complete in time."""
+    rows = [group for group in progress.groups if group.declined]
+    wait_s = max(group.retry_in_s for group in rows)
+    return outcomes.Outcome(
+        "refused",
+        503,
+        shards=len(route.shards),
+        reason=(
+            f"owners of {rows[0].services[0]} are overloaded,"
+            f" expected latency is {wait_s * 1000:.0f} ms"
+        ),
+        retry_after_s=group_state.overload.retry_after_s(route.name, wait_s),
+    )
+
+
 async def gather_parts(
     progress: GatherState,
     context: calls.RequestContext,
@@ -308,7 +388,7 @@
         503,
         shards=len(route.shards),
         reason=f"expected latency is {wait_s * 1000:.0f} ms",
-        retry_after_s=min(wait_s, MAX_RETRY_AFTER_S),
+        retry_after_s=min(wait_s, throughput.MAX_RETRY_AFTER_S),
     )
 
 
--- a/laurelrock/gateways/remote_groups.py
+++ b/laurelrock/gateways/remote_groups.py
@@ -27,6 +27,9 @@
         due_s: The loop time at which the first result is due.
         on_change: Called when parts completed or the group ended.
         single: Whether the group is a request that one searcher answers.
+        needed: The number of services that have to respond; owners may decline
+            the group if they expect fewer.
+        held: Whether owners that accept the group aren't told to start yet.
         reply: The result of such a request.
         tried: The names of the owners that were asked.
         owner: The owner that is asked now.
@@ -34,6 +37,10 @@
         number: The number of the group in messages.
         started: Whether the owner was told to start.
         may_have_run: Whether any owner was told to start.
+        accepted: The owner's message, while the group is held.
+        retry_in_s: The shortest time in seconds until an owner that declined
+            for overload could complete the group; 0 if none did.
+        declined: Whether no owner accepts the group because of overload.
         stamps: The server stamps of the completed parts.
         records: The records of the completed parts.
         missing: The services whose parts haven't completed.
@@ -52,6 +59,8 @@
         due_s: float,
         on_change: collections.abc.Callable[[], None],
         single: bool = False,
+        needed: int = 0,
+        held: bool = False,
     ) -> None:
         self.context = context
         self.services = services
@@ -60,6 +69,8 @@
         self.due_s = due_s
         self.on_change = on_change
         self.single = single
+        self.needed = needed
+        self.held = held
         self.reply: group_messages.SingleResult | None = None
         self.tried: set[str] = set()
         self.owner: owners.Vm | None = None
@@ -67,6 +78,9 @@
         self.number = 0
         self.started = False
         self.may_have_run = False
+        self.accepted: group_messages.GroupAccepted | None = None
+        self.retry_in_s = 0.0
+        self.declined = False
         self.stamps: list[bytes] = []
         self.records: list[bytes] = []
         self.missing = set(services)
@@ -95,6 +109,8 @@
                 each.
         """
         self.started = False
+        # The query has begun, so that it is not refused any more.
+        self.needed = 0
         self.services = tuple(self.services[n] for n in places)
         self.attempts = attempts
         self.pending = len(self.services)
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -22,6 +22,7 @@
 from laurelrock.gateways import assignment
 from laurelrock.gateways import calls
 from laurelrock.gateways import group_messages
+from laurelrock.gateways import group_overload
 from laurelrock.gateways import group_runs
 from laurelrock.gateways import outcomes
 from laurelrock.gateways import owner_selection
@@ -66,6 +67,7 @@
             start, with the loop time of the request.
         serving: The groups that this VM runs, by link and number.
         selection: Chooses the VMs that are asked.
+        overload: Declines groups for overload.
         last_number: The number of the last group that was asked for.
         stopping: Whether this VM accepts no more groups.
         counts: The number of events by kind, for the metrics.
@@ -90,6 +92,7 @@
         self.reachability = reachability_reports.create_reachability_reports(
             placement, self.assignment, self.selection, self.send
         )
+        self.overload = group_overload.create_group_overload(placement)
         self.me = me
         self.port = port
         self.remote: dict[int, remote_groups.RemoteGroup] = {}
@@ -103,7 +106,10 @@
         self.last_number = 0
         self.stopping = False
         self.counts = dict.fromkeys(
-            ("asked", "declined", "lost", "lost-searchers", "served", "silent"),
+            (
+                *("asked", "declined", "lost", "lost-searchers"),
+                *("overloaded", "served", "silent"),
+            ),
             0,
         )
         self.peer_links = peer_links
@@ -137,12 +143,18 @@
         services: tuple[str, ...],
         due_s: float,
         on_change: collections.abc.Callable[[], None],
+        needed: int = 0,
+        held: bool = False,
+        tried: collections.abc.Collection[str] = (),
     ) -> remote_groups.RemoteGroup:
-        """Asks the owners of a group to run it."""
+        """Asks the owners of a group to run it; see `RemoteGroup`."""
         candidates = self.assignment.owners_of(services[0])
         group = remote_groups.RemoteGroup(
-            context, services, candidates, due_s, on_change
+            *(context, services, candidates, due_s, on_change),
+            needed=needed,
+            held=held,
         )
+        group.tried.update(tried)
         self.ask_next(group)
         return group
 
@@ -173,7 +185,9 @@
         """Asks one of some VMs to run a request that one searcher answers."""
         due_s = context.request.received_s + context.route.objective_s
         group = remote_groups.RemoteGroup(
-            context, (service,), candidates, due_s, on_change, single=True
+            *(context, (service,), candidates, due_s, on_change),
+            single=True,
+            needed=1,
         )
         self.ask_next(group)
         return group
@@ -187,13 +201,19 @@
             vm is None
             and self.me.name not in group.tried
             and not self.placement.known.isolated
+            and not group.retry_in_s
         ):
             vm = self.me
+        if vm is None and group.retry_in_s and not (group.held or group.single):
+            self.run_declined(group)
+            return
         if vm is None:
+            group.declined = group.retry_in_s > 0
             group.finish()
             return
         group.tried.add(vm.name)
         group.owner = vm
+        group.accepted = None
         self.last_number += 1
         group.number = self.last_number
         self.remote[group.number] = group
@@ -229,6 +249,7 @@
             idempotent=context.route.idempotent,
             workspace=context.workspace,
             priority=context.route.priority,
+            needed=group.needed,
         )
 
     def handle_accept_timeout(self, group: remote_groups.RemoteGroup) -> None:
@@ -290,6 +311,14 @@
                 group_messages.GroupDeclined(group_request.number, reason)
             )
             return
+        wait_s = self.overload.check(group_request)
+        if wait_s:
+            link.send(
+                group_messages.GroupDeclined(
+                    group_request.number, "overloaded", wait_s
+                )
+            )
+            return
         self.offered[link, group_request.number] = (
             group_request,
             self.loop.time(),
@@ -336,7 +365,7 @@
             return
         group.stop_timer()
         if isinstance(message, group_messages.GroupDeclined):
-            self.handle_decline(group, message.reason)
+            self.handle_decline(group, message)
             return
         if group.owner is not None:
             self.selection.mark_responsive(group.owner.name)
@@ -367,11 +396,14 @@
     def handle_decline(
         self,
         group: remote_groups.RemoteGroup,
-        reason: group_messages.DeclineReason,
+        message: group_messages.GroupDeclined,
     ) -> None:
         """Asks the next VM for a group that an owner declined."""
-        if reason == "stopping":
+        if message.reason == "stopping":
             self.skip(group.owner, "declined")
+        elif message.reason == "overloaded":
+            self.counts["overloaded"] += 1
+            self.overload.record_declined(group, message.retry_in_s)
         elif group.owner is not None:
             self.selection.mark_isolated(group.owner.name)
             self.reachability.forget(group.services[0])
@@ -389,6 +421,10 @@
             return
         if accepted.disconnected and self.passes_over(group, accepted):
             return
+        if group.held:
+            group.accepted = accepted
+            group.on_change()
+            return
         group.started = group.may_have_run = True
         group.link.send(group_messages.StartGroup(group.number))
         if self.assignment.all_call(group.services[0]):
@@ -413,6 +449,20 @@
             group.unreachable = accepted.unreachable
             group.on_change()
 
+    def release(self, group: remote_groups.RemoteGroup) -> None:
+        """Lets the owner of a held group start, now or when it accepts."""
+        group.held = False
+        group.needed = 0
+        accepted, group.accepted = group.accepted, None
+        if accepted is not None:
+            self.start_remote(group, accepted)
+
+    def run_declined(self, group: remote_groups.RemoteGroup) -> None:
+        """Asks the owners to run a group anyway, since its query has begun."""
+        group.needed, group.retry_in_s = 0, 0.0
+        group.tried.clear()
+        self.ask_next(group)
+
     def passes_over(
         self,
         group: remote_groups.RemoteGroup,
--- a/laurelrock/gateways/single_requests.py
+++ b/laurelrock/gateways/single_requests.py
@@ -91,9 +91,19 @@
     finally:
         timer.cancel()
         group_state.drop(group)
+    overload, name = group_state.overload, context.route.name
     if group.reply is not None:
-        return group_messages.decode_outcome(group.reply)
+        outcome = group_messages.decode_outcome(group.reply)
+        if outcome.kind == "answered":
+            overload.record_completion(name)
+        return outcome
     owner = group.owner.name if group.owner else "nobody"
+    if group.declined:
+        retry_after_s = overload.retry_after_s(name, group.retry_in_s)
+        reason = f"overloaded, the last one asked is {owner}"
+        return outcomes.Outcome(
+            "refused", 503, reason=reason, retry_after_s=retry_after_s
+        )
     if not group.may_have_run:
         reason = f"not started by {owner}"
         return outcomes.Outcome("refused", 503, reason=reason)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -15,6 +15,7 @@
 from laurelrock.gateways import calls
 from laurelrock.gateways import crash_watch
 from laurelrock.gateways import gateway
+from laurelrock.gateways import group_overload
 from laurelrock.gateways import isolation_detector
 from laurelrock.gateways import lending
 from laurelrock.gateways import owner_selection
@@ -47,7 +48,8 @@
         gateway,
         shard_groups,
     ),
-    *(crash_watch, isolation_detector, lending, owner_selection),
+    *(crash_watch, group_overload, isolation_detector),
+    *(lending, owner_selection),
     *(parts, peers, partition_detector, state_sharing, upstreams, store),
 )
 
--- a/tests/load_builders.py
+++ b/tests/load_builders.py
@@ -12,6 +12,8 @@
 
 from laurelrock.adapters import call_queue
 from laurelrock.core import call_order
+from laurelrock.gateways import outcomes
+from tests import gateway_builders as build
 from tests import gateway_simulation as simulations
 
 
@@ -202,3 +204,82 @@
         call = self.queue.take()
         if call is not None:
             self.begin(call)
+
+
+SHARDS = tuple(f"shard-{n}" for n in range(18))
+#: Searchers per shard; each has two slots.
+SEARCHERS = 2
+
+
+def query_route(kind: Kind, shards=SHARDS):
+    """Returns the route of a kind of query."""
+    return build.query_route(
+        shards,
+        name=kind.name,
+        objective_s=kind.objective_s,
+        timeout_s=kind.deadline_s,
+        priority=kind.priority,
+        min_shard_share=0.85,
+    )
+
+
+def owned_fleet(routes, vms=6, shards=SHARDS, slots=2):
+    """Returns VMs in two failure domains whose owners call all shards."""
+    configuration = build.configuration(*routes)
+    services = {
+        name: service._replace(connections=6)
+        for name, service in configuration.services.items()
+    }
+    configuration = configuration._replace(services=services)
+    simulation = simulations.Simulation(
+        configuration, [simulations.ScriptedCall("answer", 0.0)]
+    )
+    simulation.client_class = SlotClient
+    simulation.slots = Slots(slots)
+    for number in range(vms):
+        node = simulation.add_node(number, "ab"[number % 2], vms)
+        for name in shards:
+            for n in range(SEARCHERS):
+                simulation.change_searcher(node, f"{name}-{n}", "live")
+    for node in simulation.nodes:
+        node.set_vms([other.me for other in simulation.nodes])
+    return simulation
+
+
+class Result(typing.NamedTuple):
+    """Outcome of a caller's request, without its retries."""
+
+    arrival: Arrival
+    outcome: outcomes.Outcome
+    took_s: float
+    calls: int
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the response met the objective."""
+        whole = self.outcome.kind in ("answered", "partial")
+        return whole and self.took_s <= self.arrival.kind.objective_s
+
+
+async def play_fleet(simulation, rows: list[Arrival], seed=0, **fields):
+    """Sends requests to random VMs; returns their results by arrival."""
+    loop = asyncio.get_running_loop()
+    begin_s = loop.time()
+    draw = random.Random(f"fleet {seed}")
+    routes = {row.name: row for row in simulation.configuration.routes}
+
+    async def one(row: Arrival, number: int) -> Result:
+        kind, request_id = row.kind, b"r-%d" % number
+        node = draw.choice(simulation.nodes)
+        started_s = loop.time()
+        outcome = await node.run(
+            routes[kind.name], request_id, kind.deadline_s, kind.target
+        )
+        calls = len(simulation.received_calls_of(request_id))
+        return Result(row, outcome, loop.time() - started_s, calls)
+
+    tasks = []
+    for number, row in enumerate(sorted(rows)):
+        await asyncio.sleep(max(0.0, begin_s + row.at_s - loop.time()))
+        tasks.append(asyncio.create_task(one(row, number)))
+    return await asyncio.gather(*tasks)
