Refuse workspaces above their share first under overload

A burst of one workspace pushed all others out: of eight workspaces that used 0.4 of the limit, 0.2 to 0.5 of the queries were in time beside one that sent twice the limit.

For 1 s after a refusal for overload, the wait up to which groups are accepted is lower for workspaces above the mean and for less urgent requests, and their calls wait a level of priority lower (two places per kind of request, no queue per workspace). Owners know the workspace from GroupRequest.

These refusals don't prolong the overload. All kinds of request have the same limit; with a limit of their own, small queries were refused more often than large ones. A VM that owns all groups of a query used check_overload, which judged each kind by its own objective and asked nobody; it does so no longer.

In the tests, small and large queries now have the same priority: with unequal ones the less urgent is refused first by intent, so that the bound of 0.9 for each kind, which is unchanged, can't hold for it.

--- a/laurelrock/core/throughput.py
+++ b/laurelrock/core/throughput.py
@@ -51,7 +51,11 @@
     capacity_per_s: float = 0.0
 
 
-def expected_s(rows: collections.abc.Iterable[Backlog], needed: int) -> float:
+def expected_s(
+    rows: collections.abc.Iterable[Backlog],
+    needed: int,
+    min_ahead: int = MIN_AHEAD,
+) -> float:
     """Returns the expected time until enough shards respond, in seconds.
 
     The estimate is 0 if too few calls are ahead.
@@ -60,13 +64,14 @@
         rows: Backlog of each shard.
         needed: Number of shards that the query needs; the others may be slow or
             unreachable.
+        min_ahead: Minimum number of calls ahead for an estimate.
     """
-    waits = sorted(_wait_s(row) for row in rows)
+    waits = sorted(_wait_s(row, min_ahead) for row in rows)
     return waits[needed - 1] if 0 < needed <= len(waits) else 0.0
 
 
-def _wait_s(row: Backlog) -> float:
-    if row.ahead < MIN_AHEAD:
+def _wait_s(row: Backlog, min_ahead: int) -> float:
+    if row.ahead < min_ahead:
         return 0.0
     # A VM with few requests completes few calls, however fast the searchers.
     per_s = max(row.completed_per_s, row.capacity_per_s)
@@ -84,6 +89,7 @@
     remaining_s: float,
     mean_s: float,
     shortest_due_s: float,
+    factor: float = 1.0,
 ) -> bool:
     """Tells whether an owner should accept a group of shards.
 
@@ -97,12 +103,14 @@
         mean_s: Mean latency of a call, in seconds. A result that is due sooner
             is late without any load, so that only the deadline counts.
         shortest_due_s: Shortest time in which groups of the same shards are
-            due, in seconds. If groups with more time could wait for longer,
-            all others would be late.
+            due, in seconds. It is the limit of all kinds: if groups with more
+            time could wait for longer, all others would be late, and if those
+            with less had a lower limit, only they would be declined.
+        factor: Factor of the accepted wait; see `fair_queue.limit_factor`.
     """
     if due_in_s <= mean_s:
-        return is_in_time(wait_s, remaining_s)
-    return is_in_time(wait_s, min(due_in_s, shortest_due_s))
+        return is_in_time(wait_s, remaining_s * factor)
+    return is_in_time(wait_s, shortest_due_s * factor)
 
 
 def create_completion_rate() -> event_rate.EventRate:
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -14,6 +14,7 @@
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
 from laurelrock.core import call_order
+from laurelrock.core import fair_queue
 from laurelrock.core import routes
 from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
@@ -150,6 +151,7 @@
         limit_s: The loop time at which the call is ended.
         on_end: Called with the result; None once the call is abandoned.
         trial: The trial of the request.
+        workspace: The name of the caller's workspace; empty if there is none.
         timed_out: Whether the call was ended because it passed its limit.
     """
 
@@ -163,6 +165,7 @@
         limit_s: float,
         trial: trials.Trial,
         on_end: collections.abc.Callable[["PendingCall", CallResult], None],
+        workspace: str = "",
     ) -> None:
         self.upstream = upstream
         self.kind = kind
@@ -173,6 +176,7 @@
         self.begun_s = begun_s
         self.limit_s = limit_s
         self.trial = trial
+        self.workspace = workspace
         self.timed_out = False
         self.on_end: (
             collections.abc.Callable[[PendingCall, CallResult], None] | None
@@ -194,6 +198,7 @@
         upstreams: The searchers that are called.
         in_flight: The pending calls, the oldest first.
         counts: The number of ended calls by status, for the metrics.
+        shares: The completed work of workspaces.
     """
 
     def __init__(
@@ -206,6 +211,7 @@
         self.counts: dict[str, int] = {
             call_status.value: 0 for call_status in CallStatus
         }
+        self.shares = fair_queue.create_fair_shares()
 
     def start(
         self,
@@ -259,6 +265,7 @@
             context.end_s + TIMEOUT_MARGIN_S,
             context.trial,
             on_end,
+            context.workspace,
         )
         context.trial.begin_call()
         self.in_flight[pending_call] = None
@@ -273,9 +280,10 @@
         """Returns what places a call among those that wait."""
         route = context.route
         typical = self.upstreams.typical_latencies[route.name]
+        now_s = self.loop.time()
         return call_order.WaitingCall(
             route.name,
-            route.priority,
+            route.priority + self.shares.deferral(context.workspace, now_s),
             context.request.received_s,
             route.objective_s,
             context.end_s,
@@ -404,6 +412,7 @@
             sent_s = pending_call.call.sent_at_s or pending_call.begun_s
             typical = self.upstreams.typical_latencies[pending_call.kind]
             typical.record(now_s - sent_s)
+            self.shares.record(pending_call.workspace, now_s - sent_s, now_s)
             replica.record_success(now_s - sent_s, typical, now_s)
         elif result.status is CallStatus.ERRED:
             replica.record_error()
--- a/laurelrock/gateways/group_overload.py
+++ b/laurelrock/gateways/group_overload.py
@@ -10,9 +10,11 @@
 """
 
 import math
+import typing
 
 from laurelrock.adapters import logs
 from laurelrock.core import event_rate
+from laurelrock.core import fair_queue
 from laurelrock.core import owners
 from laurelrock.core import routes
 from laurelrock.core import throughput
@@ -26,15 +28,47 @@
 #: Time in seconds after a declined group for which queries are started in two
 #: steps. Figures of an owner are out of date after this time.
 DECLINE_VALID_S = 1.0
-#: Time in seconds for which the objective of a kind of request is respected by
-#: other kinds.
-OBJECTIVE_VALID_S = 1.0
+#: Time in seconds for which the objective and the priority of a kind of request
+#: are respected by other kinds.
+DEMAND_VALID_S = 1.0
 #: Time constant of the rate at which requests complete, in seconds.
 COMPLETION_TIME_CONSTANT_S = 2.0
 
 _log = logs.get_logger(__name__)
 
 
+class Claim(typing.NamedTuple):
+    """What a group is judged by.
+
+    Attributes:
+        route: The name of the route.
+        workspace: The name of the caller's workspace; empty if there is none.
+        priority: The priority of the request; 0 is the highest.
+        due_in_s: The time in seconds until the result is due.
+        remaining_s: The time in seconds until the caller gives up.
+    """
+
+    route: str
+    workspace: str
+    priority: int
+    due_in_s: float
+    remaining_s: float
+
+
+class Demand(typing.NamedTuple):
+    """The groups of a route that need some shards.
+
+    Attributes:
+        due_in_s: The time in seconds in which they are due.
+        priority: Their highest priority.
+        seen_s: The loop time of the last one.
+    """
+
+    due_in_s: float
+    priority: int
+    seen_s: float
+
+
 class GroupOverload:
     """What this VM knows about overload, as an owner and as a requester.
 
@@ -42,20 +76,24 @@
         placement: Makes the calls of this VM.
         declined_s: The loop time of the last group that an owner declined.
         completions: The rates at which requests complete here, by route.
-        objectives: By the first service of a group and the route, the time in
-            seconds in which groups are due, and the loop time of the last one.
+        demands: The recent demands, by the first service of a group and by
+            route.
     """
 
     def __init__(self, placement: parts.CallPlacer) -> None:
         self.placement = placement
         self.declined_s = -math.inf
         self.completions: dict[str, event_rate.EventRate] = {}
-        self.objectives: dict[str, dict[str, tuple[float, float]]] = {}
+        self.demands: dict[str, dict[str, Demand]] = {}
 
     # At the owner
 
     def expected_wait_s(
-        self, route: str, services: tuple[str, ...], needed: int
+        self,
+        route: str,
+        services: tuple[str, ...],
+        needed: int,
+        strict: bool = False,
     ) -> float:
         """Returns the time until enough shards of a group respond.
 
@@ -63,6 +101,9 @@
             route: The name of the route.
             services: The services of the group, one per shard.
             needed: The number of them that have to respond.
+            strict: Whether the searchers are known to be busy, so that the rate
+                of completion is all that they can do for this VM, and each call
+                ahead counts.
         """
         if needed <= 0:
             return 0.0
@@ -73,7 +114,7 @@
         for name in services:
             backlog = known.backlog(name, now_s)
             rows.append(backlog)
-            if backlog.ahead < throughput.MIN_AHEAD:
+            if strict or backlog.ahead < throughput.MIN_AHEAD:
                 continue
             capacity_per_s = sum(
                 row.searcher.slots / (mean_s * row.replica.slowness)
@@ -81,46 +122,60 @@
                 if row.replica.reachable
             )
             rows[-1] = backlog._replace(capacity_per_s=capacity_per_s)
-        return throughput.expected_s(rows, needed)
+        min_ahead = 1 if strict else throughput.MIN_AHEAD
+        return throughput.expected_s(rows, needed, min_ahead)
 
     def excess_wait_s(
-        self,
-        route: str,
-        services: tuple[str, ...],
-        needed: int,
-        due_in_s: float,
-        remaining_s: float,
+        self, claim: Claim, services: tuple[str, ...], needed: int
     ) -> float:
         """Returns the expected wait for a group if it is too long, else 0."""
-        shortest_s = self.shortest_due_s(route, services[0], due_in_s)
-        wait_s = self.expected_wait_s(route, services, needed)
-        mean_s = self.placement.known.typical_latencies[route].mean_s
-        if throughput.accepts_group(
-            wait_s, due_in_s, remaining_s, mean_s, shortest_s
-        ):
+        now_s = self.placement.calls.loop.time()
+        shares = self.placement.calls.shares
+        shortest_s, levels = self.compare(claim, services[0], now_s)
+        mean_s = self.placement.known.typical_latencies[claim.route].mean_s
+        limits = (claim.due_in_s, claim.remaining_s, mean_s, shortest_s)
+        wait_s = self.expected_wait_s(claim.route, services, needed)
+        if not throughput.accepts_group(wait_s, *limits):
+            shares.record_refusal(now_s)
+            return min(wait_s, throughput.MAX_RETRY_AFTER_S)
+        if not shares.overloaded(now_s):
+            return 0.0
+        # These refusals don't prolong the overload, so that it can't outlast
+        # the requests that caused it.
+        wait_s = self.expected_wait_s(claim.route, services, needed, True)
+        ratio = shares.ratio(claim.workspace, now_s)
+        factor = fair_queue.limit_factor(ratio, levels)
+        if throughput.accepts_group(wait_s, *limits, factor):
             return 0.0
         return min(wait_s, throughput.MAX_RETRY_AFTER_S)
 
-    def shortest_due_s(self, route: str, key: str, due_in_s: float) -> float:
-        """Returns the shortest time in which groups of the shards are due.
+    def compare(
+        self, claim: Claim, key: str, now_s: float
+    ) -> tuple[float, int]:
+        """Compares a group with others that need the same shards.
 
         Args:
-            route: The name of the route of a group.
+            claim: The group.
             key: The first service of the group.
-            due_in_s: The time in seconds until its result is due.
+            now_s: The loop time.
+
+        Returns:
+            The shortest time in seconds in which groups are due, and the number
+            of levels by which others are more urgent.
         """
-        now_s = self.placement.calls.loop.time()
-        rows = self.objectives.setdefault(key, {})
-        last_due_s, last_s = rows.get(route, (0.0, -math.inf))
-        if now_s - last_s < OBJECTIVE_VALID_S:
+        rows = self.demands.setdefault(key, {})
+        last = rows.get(claim.route)
+        due_in_s, priority = claim.due_in_s, claim.priority
+        if last is not None and now_s - last.seen_s < DEMAND_VALID_S:
             # Groups that were declined elsewhere are due a little earlier.
-            due_in_s = max(due_in_s, last_due_s)
-        rows[route] = (due_in_s, now_s)
-        return min(
-            due_s
-            for due_s, seen_s in rows.values()
-            if now_s - seen_s < OBJECTIVE_VALID_S
-        )
+            due_in_s = max(due_in_s, last.due_in_s)
+            priority = min(priority, last.priority)
+        rows[claim.route] = Demand(due_in_s, priority, now_s)
+        recent = [
+            row for row in rows.values() if now_s - row.seen_s < DEMAND_VALID_S
+        ]
+        levels = claim.priority - min(row.priority for row in recent)
+        return min(row.due_in_s for row in recent), levels
 
     def check(self, request: group_messages.GroupRequest) -> float:
         """Returns the wait for which a group is declined; 0 if it is accepted.
@@ -128,8 +183,14 @@
         The wait is the time in seconds until the group could be completed.
         """
         wait_s = self.excess_wait_s(
-            *(request.route, request.services, request.needed),
-            *(request.due_in_s, request.remaining_s),
+            Claim(
+                request.route,
+                request.workspace,
+                request.priority,
+                request.due_in_s,
+                request.remaining_s,
+            ),
+            *(request.services, request.needed),
         )
         if not wait_s:
             return 0.0
@@ -138,6 +199,7 @@
             request=request.request_id.decode("latin-1"),
             reason="overloaded",
             service=request.services[0],
+            workspace=request.workspace,
             needed=request.needed,
             expected_ms=round(wait_s * 1000),
             due_ms=round(request.due_in_s * 1000),
@@ -166,8 +228,11 @@
             if group[0] not in own:
                 continue
             wait_s = self.excess_wait_s(
-                *(route.name, group, needed_of(route, group)),
-                *(due_s - now_s, context.end_s - now_s),
+                Claim(
+                    *(route.name, context.workspace, route.priority),
+                    *(due_s - now_s, context.end_s - now_s),
+                ),
+                *(group, needed_of(route, group)),
             )
             if wait_s:
                 declined.append(group)
@@ -216,7 +281,7 @@
             for name, rate in self.completions.items()
             if name in names
         }
-        self.objectives.clear()
+        self.demands.clear()
 
 
 def needed_of(route: routes.Route, services: tuple[str, ...]) -> int:
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -4,6 +4,7 @@
 import typing
 
 from laurelrock.core import answer_schedule
+from laurelrock.core import fair_queue
 from laurelrock.core import replicas
 from laurelrock.core import routes
 from laurelrock.core import throughput
@@ -163,12 +164,13 @@
         if not group_state.selection.passes_on(own, needed):
             return refuse_unreachable(route, reachable, placement, group_state)
         own, remote = (), [*remote, own]
-    if not remote:
-        outcome = check_overload(route, placement)
+    owned = group_state.assignment.uses_owners(route)
+    if not remote and not owned:
+        outcome = check_overload(context, placement)
         if outcome is not None:
             return outcome
     declined: list[tuple[str, ...]] = []
-    if remote:
+    if owned and own:
         due_s = schedule.partial_at_s
         own, declined = group_state.overload.split_own(context, own, due_s)
     progress = GatherState(context, own)
@@ -375,14 +377,20 @@
 
 
 def check_overload(
-    route: routes.Route, placement: parts.CallPlacer
+    context: calls.RequestContext, placement: parts.CallPlacer
 ) -> outcomes.Outcome | None:
     """Returns a refusal if a query would queue for too long, else None."""
+    route, shares = context.route, placement.calls.shares
     now_s = placement.calls.loop.time()
     rows = [placement.known.backlog(name, now_s) for name in route.shards]
     wait_s = throughput.expected_s(rows, route.min_shards)
-    if throughput.is_in_time(wait_s, route.objective_s):
+    factor = 1.0
+    if wait_s and context.workspace and shares.overloaded(now_s):
+        ratio = shares.ratio(context.workspace, now_s)
+        factor = fair_queue.limit_factor(ratio, 0)
+    if throughput.is_in_time(wait_s, route.objective_s * factor):
         return None
+    shares.record_refusal(now_s)
     return outcomes.Outcome(
         "refused",
         503,
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -439,6 +439,7 @@
         request_id: bytes,
         timeout_s: float,
         target: bytes = b"/x",
+        workspace: str = "",
     ) -> outcomes.Outcome:
         """Runs one request of a caller and returns its outcome."""
         loop = asyncio.get_running_loop()
@@ -454,6 +455,7 @@
             loop.time() + min(timeout_s, route.timeout_s),
             calls.fingerprint_of(request),
             trials.create_trial(),
+            workspace,
         )
         if route.shards:
             return await queries.run_query(
--- a/tests/load_builders.py
+++ b/tests/load_builders.py
@@ -33,7 +33,7 @@
 
 
 LARGE = Kind("large", 0.030, 0.236, 2.531)
-SMALL = Kind("small", 0.0101, 0.0739, 1.039, 1)
+SMALL = Kind("small", 0.0101, 0.0739, 1.039)
 SINGLE = Kind("single", 0.183, 0.681, 10.115, 2, 1.0)
 KINDS = {kind.target: kind for kind in (LARGE, SMALL, SINGLE)}
 
@@ -43,17 +43,18 @@
 
     at_s: float
     kind: Kind
+    workspace: str = ""
 
 
 def arrivals(
-    kind: Kind, per_s: float, begin_s: float, end_s: float, seed: int = 0
+    kind: Kind, per_s: float, begin_s: float, end_s: float, workspace: str = ""
 ) -> list[Arrival]:
     """Returns requests at random times with a mean rate."""
-    draw = random.Random(f"{kind.name} {seed}")
+    draw = random.Random(f"{kind.name} {workspace}")
     rows = []
     at_s = begin_s + draw.expovariate(per_s)
     while at_s < end_s:
-        rows.append(Arrival(at_s, kind))
+        rows.append(Arrival(at_s, kind, workspace))
         at_s += draw.expovariate(per_s)
     return rows
 
@@ -273,7 +274,8 @@
         node = draw.choice(simulation.nodes)
         started_s = loop.time()
         outcome = await node.run(
-            routes[kind.name], request_id, kind.deadline_s, kind.target
+            *(routes[kind.name], request_id, kind.deadline_s, kind.target),
+            row.workspace,
         )
         calls = len(simulation.received_calls_of(request_id))
         return Result(row, outcome, loop.time() - started_s, calls)
