--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -9,10 +9,13 @@
 import xxhash
 
 from laurelrock import errors
+from laurelrock.adapters import call_queue
 from laurelrock.adapters import http_client
 from laurelrock.adapters import http_server
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
+from laurelrock.core import call_order
+from laurelrock.core import fair_queue
 from laurelrock.core import routes
 from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
@@ -153,6 +156,7 @@
         limit_s: The loop time at which the call is ended.
         on_end: Called with the result; None once the call is abandoned.
         trial: The trial of the request.
+        workspace: The name of the caller's workspace; empty if there is none.
         timed_out: Whether the call was ended because it passed its limit.
     """
 
@@ -167,6 +171,7 @@
         trial: trials.Trial,
         on_end: collections.abc.Callable[["PendingCall", CallResult], None],
         rounds: float = 0.0,
+        workspace: str = "",
     ) -> None:
         self.upstream = upstream
         self.kind = kind
@@ -185,6 +190,7 @@
         self.begun_s = begun_s
         self.limit_s = limit_s
         self.trial = trial
+        self.workspace = workspace
         self.timed_out = False
         self.on_end: (
             collections.abc.Callable[[PendingCall, CallResult], None] | None
@@ -217,6 +223,7 @@
         counts: The number of ended calls by status, for the metrics.
         record_warm_up: Called with a searcher and the time in seconds for which
             it says that it is cold.
+        shares: The completed work of workspaces.
     """
 
     def __init__(
@@ -230,12 +237,14 @@
         self.counts: dict[str, int] = {
             call_status.value: 0 for call_status in CallStatus
         }
+        self.shares = fair_queue.create_fair_shares()
 
     def start(
         self,
         context: RequestContext,
         upstream: upstreams.Upstream,
         on_end: collections.abc.Callable[[PendingCall, CallResult], None],
+        coverage: float = 1.0,
     ) -> PendingCall:
         """Sends a request to a searcher.
 
@@ -243,6 +252,7 @@
             context: The caller's request.
             upstream: The searcher to call.
             on_end: Called once with the result, never during `start` itself.
+            coverage: The fraction of the request that the call completes.
         """
         request = context.request
         searcher = upstream.searcher.id
@@ -272,6 +282,7 @@
             encode,
             accept,
             bodiless=request.method == b"HEAD",
+            describe=lambda: self.describe(context, coverage),
         )
         now_s = self.loop.time()
         pending_call = PendingCall(
@@ -284,6 +295,7 @@
             context.trial,
             on_end,
             self.rounds_ahead(upstream, now_s),
+            context.workspace,
         )
         context.trial.begin_call()
         self.in_flight[pending_call] = None
@@ -302,6 +314,23 @@
             return 0.0
         return upstream.replica.waiting_rounds(now_s, upstream.client.limit - 1)
 
+    def describe(
+        self, context: RequestContext, coverage: float
+    ) -> call_order.WaitingCall:
+        """Returns what places a call among those that wait."""
+        route = context.route
+        typical = self.upstreams.typical_latencies[route.name]
+        now_s = self.loop.time()
+        return call_order.WaitingCall(
+            route.name,
+            route.priority + self.shares.deferral(context.workspace, now_s),
+            context.request.received_s,
+            route.objective_s,
+            context.end_s,
+            coverage,
+            typical.mean_s if typical.count else 0.0,
+        )
+
     def restrict(
         self,
         upstream: upstreams.Upstream,
@@ -428,6 +457,7 @@
             typical = self.upstreams.typical_latencies[pending_call.kind]
             latency_s, rounds = now_s - sent_s, pending_call.rounds
             typical.record(latency_s, rounds)
+            self.shares.record(pending_call.workspace, latency_s, now_s)
             replica.record_success(latency_s, typical, now_s, rounds)
         elif result.status is CallStatus.ERRED:
             replica.record_error()
@@ -441,12 +471,28 @@
                 self.log_ejection(pending_call, result)
         elif result.status is CallStatus.BROKEN and result.reason != WITHDRAWN:
             replica.record_failure()
+        elif result.reason in call_queue.DROP_REASONS:
+            if self.got_no_response(pending_call):
+                self.eject_if_unresponsive(pending_call, result)
         elif (
             result.reason not in (WITHDRAWN, NO_MORE_WORK)
             or pending_call.timed_out
         ):
             self.eject_if_unresponsive(pending_call, result)
 
+    def got_no_response(self, pending_call: PendingCall) -> bool:
+        """Returns whether a searcher was unresponsive while a call waited.
+
+        A searcher that responds, but has too many calls, is not.
+        """
+        replica, now_s = pending_call.upstream.replica, self.loop.time()
+        typical = self.upstreams.typical_latencies[pending_call.kind]
+        return (
+            now_s - pending_call.begun_s > TIMEOUT_MARGIN_S
+            and replica.last_success_s < pending_call.begun_s
+            and replica.is_stalled(typical, now_s)
+        )
+
     def eject_if_unresponsive(
         self, pending_call: PendingCall, result: CallResult
     ) -> None:
--- a/laurelrock/gateways/group_messages.py
+++ b/laurelrock/gateways/group_messages.py
@@ -52,6 +52,9 @@
         idempotent: Whether the request may run more than once.
         workspace: The name of the caller's workspace; empty if there is none.
         regions: The regions in which the request may run; empty for all.
+        priority: The priority of the request; 0 is the highest.
+        needed: The number of services that have to respond; an owner that
+            expects fewer in time declines the group. 0 if it should run it.
     """
 
     number: int
@@ -71,6 +74,8 @@
     idempotent: bool = True
     workspace: str = ""
     regions: tuple[str, ...] = ()
+    priority: int = 0
+    needed: int = 0
 
 
 class GroupAccepted(typing.NamedTuple):
@@ -95,7 +100,7 @@
     disconnected: int = 0
 
 
-DeclineReason = typing.Literal["stopping", "isolated"]
+DeclineReason = typing.Literal["stopping", "isolated", "overloaded"]
 
 
 class GroupDeclined(typing.NamedTuple):
@@ -103,12 +108,16 @@
 
     Attributes:
         number: The number of the group.
-        reason: Whether the VM is stopping or has lost all searchers. VMs of a
-            later version may have more reasons than `DeclineReason`.
+        reason: Whether the VM is stopping, has lost all searchers, or expects
+            too few shards to respond in time. VMs of a later version may have
+            more reasons than `DeclineReason`.
+        retry_in_s: The time in seconds until an overloaded VM could complete
+            the group; 0 if unknown.
     """
 
     number: int
     reason: str = "stopping"
+    retry_in_s: float = 0.0
 
 
 class StartGroup(typing.NamedTuple):
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -216,7 +216,7 @@
         self.connected = True
         return None
 
-    def call(self, encode, accept, bodiless=False) -> Call:
+    def call(self, encode, accept, bodiless=False, describe=None) -> Call:
         loop = asyncio.get_running_loop()
         call = Call(loop.create_future())
         call.accept = accept
@@ -453,6 +453,7 @@
         request_id: bytes,
         timeout_s: float,
         target: bytes = b"/x",
+        workspace: str = "",
     ) -> outcomes.Outcome:
         """Runs one request of a caller and returns its outcome."""
         loop = asyncio.get_running_loop()
@@ -468,6 +469,7 @@
             loop.time() + min(timeout_s, route.timeout_s),
             calls.fingerprint_of(request),
             trials.create_trial(),
+            workspace,
         )
         if route.shards:
             return await queries.run_query(
