Test calls that wait for a connection to a cold searcher

They were counted earlier than they are sent, so without room in the bucket they could be sent in one second with later ones.

--- a/tests/test_cold_searchers.py
+++ b/tests/test_cold_searchers.py
@@ -250,6 +250,22 @@
         fleet, begun_s = virtual_time.run(play())
         self.check_bound(fleet, NAMES, per_s, begun_s)
 
+    def test_calls_that_wait_for_connections_are_sent_at_once(self):
+        async def play():
+            waits = [
+                simulations.ScriptedCall("queued", delay_s)
+                for delay_s in (0.8, 0.6, 0.4, 0.2, 0.01)
+            ]
+            fleet = Fleet(behaviours=waits)
+            await fleet.load(60.0, 6.0)
+            begun_s = fleet.loop.time()
+            fleet.turn_cold(NAMES)
+            await fleet.load(200.0, 10.0, seed=2)
+            return fleet, begun_s
+
+        fleet, begun_s = virtual_time.run(play())
+        self.check_bound(fleet, NAMES, begin_s=begun_s)
+
     def test_requests_of_low_priority_leave_capacity_to_urgent_ones(self):
         async def play():
             fleet = Fleet(vms=2, rows=(URGENT, LATER))
