Ask choked owners after the others for a short time

VMs differ in processor time and link, and an owner whose event loop runs late was asked first until it took longer than 40 ms to accept a group.

The requester measures the time from GroupRequest to GroupAccepted or GroupDeclined (core/owner_delays.py). An owner with two slow replies in a row (over 12 ms and four times the usual delay of all owners, at most 1 s apart) is asked after the others for 0.25 to 0.75 s; the time is random, so that not all VMs return at the same moment. One slow reply is no reason, nor are slow replies of all owners, which mean that this VM is late itself. No message is added.

--- a/laurelrock/gateways/owner_selection.py
+++ b/laurelrock/gateways/owner_selection.py
@@ -7,9 +7,11 @@
 
 import asyncio
 import collections.abc
+import random
 import typing
 
 from laurelrock.adapters import logs
+from laurelrock.core import owner_delays
 from laurelrock.core import owners
 from laurelrock.gateways import assignment
 from laurelrock.gateways import group_messages
@@ -43,6 +45,7 @@
         isolated: The loop times until which VMs count as isolated, by name.
         disconnected: The loop times until which VMs count as having lost
             searchers of a group, by name and the first service of the group.
+        delays: The delays of the VMs' replies.
     """
 
     def __init__(self, assigned: assignment.Assignment, send: Send) -> None:
@@ -53,6 +56,7 @@
         self.unresponsive: dict[str, remote_groups.UnresponsiveOwner] = {}
         self.isolated: dict[str, float] = {}
         self.disconnected: dict[tuple[str, str], float] = {}
+        self.delays = owner_delays.create_owner_delays()
         self.loop = asyncio.get_running_loop()
 
     def is_isolated(self, vm: owners.Vm) -> bool:
@@ -89,6 +93,7 @@
             that stands in if owners are isolated; None if there is none.
         """
         isolated = False
+        candidates = self.choked_last(candidates)
         for vm in candidates:
             if vm.name in self.unresponsive:
                 continue
@@ -104,6 +109,32 @@
                 return vm
         return None
 
+    def choked_last(self, candidates: list[owners.Vm]) -> list[owners.Vm]:
+        """Returns the VMs in order of preference, choked ones last."""
+        if not self.delays.choked_until_s:
+            return candidates
+        now_s = self.loop.time()
+        return sorted(
+            candidates, key=lambda vm: self.delays.is_choked(vm.name, now_s)
+        )
+
+    def record_reply(self, vm: owners.Vm, delay_s: float) -> None:
+        """Records the time from a request for a group to the reply."""
+        if vm == self.me:
+            return
+        now_s = self.loop.time()
+        known = self.delays.is_choked(vm.name, now_s)
+        choked = self.delays.record(vm.name, delay_s, now_s, random.random())
+        if choked and not known:
+            names = {row.name for row in self.assignment.vms}
+            self.delays.retain(names)
+            _log.info(
+                "owner-choked",
+                owner=vm.name,
+                delay_ms=round(delay_s * 1000, 1),
+                usual_ms=round(self.delays.usual_s * 1000, 1),
+            )
+
     def may_ask(self, vm: owners.Vm, tried: set[str], key: str) -> bool:
         """Returns whether a VM may be asked and reaches the searchers."""
         return not (
@@ -125,6 +156,7 @@
         if vm is not None:
             return vm
         # This VM comes last, so that it keeps hearing how the others fare.
+        candidates = self.choked_last(candidates)
         for vm in sorted(candidates, key=lambda vm: vm == self.me):
             if (
                 vm.name not in tried
--- a/laurelrock/gateways/remote_groups.py
+++ b/laurelrock/gateways/remote_groups.py
@@ -35,6 +35,7 @@
         owner: The owner that is asked now.
         link: The connection to that owner.
         number: The number of the group in messages.
+        asked_s: The loop time at which that owner was asked.
         started: Whether the owner was told to start.
         may_have_run: Whether any owner was told to start.
         accepted: The owner's message, while the group is held.
@@ -76,6 +77,7 @@
         self.owner: owners.Vm | None = None
         self.link: group_messages.Link | None = None
         self.number = 0
+        self.asked_s = 0.0
         self.started = False
         self.may_have_run = False
         self.accepted: group_messages.GroupAccepted | None = None
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -220,6 +220,7 @@
         group.link = self.loopback
         if vm != self.me:
             group.link = self.peer_links.link((vm.host, self.port))
+        group.asked_s = self.loop.time()
         group.link.send(self.encode_request(group))
         self.counts["asked"] += 1
         group.timer = self.loop.call_later(
@@ -364,6 +365,12 @@
         if group is None:
             return
         group.stop_timer()
+        accepts = isinstance(message, group_messages.GroupAccepted)
+        declines = isinstance(message, group_messages.GroupDeclined)
+        if group.owner is not None and (accepts or declines):
+            self.selection.record_reply(
+                group.owner, self.loop.time() - group.asked_s
+            )
         if isinstance(message, group_messages.GroupDeclined):
             self.handle_decline(group, message)
             return
