Don't decline groups for slow searchers beside free ones

With one of two searchers of every third shard ten times slower, at 0.3 of the limit, 11 of 158 queries were refused while owners learned which searchers are slow: the calls ahead at a shard included those at the slow searcher, which don't delay a new call at the other one, and those that run in slots.

The estimate now takes the shorter of the calls ahead by the rate of completion and the wait at the searcher with the shortest queue, beyond its slots.

--- a/laurelrock/core/throughput.py
+++ b/laurelrock/core/throughput.py
@@ -42,13 +42,13 @@
     Attributes:
         ahead: Calls ahead of a new one.
         completed_per_s: Calls completed per second.
-        capacity_per_s: Calls per second that the slots run at the present
-            latency; 0 if unknown.
+        best_wait_s: Time until the searcher with the shortest queue has run
+            the calls ahead at it, at the present latency; infinite if unknown.
     """
 
     ahead: int
     completed_per_s: float
-    capacity_per_s: float = 0.0
+    best_wait_s: float = math.inf
 
 
 def expected_s(
@@ -73,9 +73,12 @@
 def _wait_s(row: Backlog, min_ahead: int) -> float:
     if row.ahead < min_ahead:
         return 0.0
-    # A VM with few requests completes few calls, however fast the searchers.
-    per_s = max(row.completed_per_s, row.capacity_per_s)
-    return row.ahead / per_s if per_s else math.inf
+    # A VM with few requests completes few calls, however fast the searchers,
+    # and calls at a slow searcher don't delay those at another one.
+    wait_s = math.inf
+    if row.completed_per_s:
+        wait_s = row.ahead / row.completed_per_s
+    return min(wait_s, row.best_wait_s)
 
 
 def is_in_time(wait_s: float, objective_s: float) -> bool:
--- a/laurelrock/gateways/group_overload.py
+++ b/laurelrock/gateways/group_overload.py
@@ -116,12 +116,17 @@
             rows.append(backlog)
             if strict or backlog.ahead < throughput.MIN_AHEAD:
                 continue
-            capacity_per_s = sum(
-                row.searcher.slots / (mean_s * row.replica.slowness)
+            waits = [
+                max(
+                    0, len(row.replica.calls_in_flight) + 1 - row.searcher.slots
+                )
+                * (mean_s * row.replica.slowness / row.searcher.slots)
                 for row in known.searchers_of(name)
                 if row.replica.reachable
+            ]
+            rows[-1] = backlog._replace(
+                best_wait_s=min(waits, default=math.inf)
             )
-            rows[-1] = backlog._replace(capacity_per_s=capacity_per_s)
         min_ahead = 1 if strict else throughput.MIN_AHEAD
         return throughput.expected_s(rows, needed, min_ahead)
 
