--- a/tests/test_searchers_in_need.py
+++ b/tests/test_searchers_in_need.py
@@ -50,6 +50,32 @@
             number += 1
             self.assertEqual((await self.single(number)).status, 200)
 
+    async def test_health_of_a_cold_searcher_ends_its_limit(self):
+        """The entry says that it is cold, its health that it is warm."""
+
+        def script(searcher, request):
+            if request.target != shards.HEALTH_PATH:
+                return shards.healthy(searcher, request)
+            header = f"X-Warmup-Remaining-Ms: {self.left_ms}"
+            raw = shards.encode_response(request, "200 OK", b"", header)
+            return shards.ScriptedResponse(((0, raw),))
+
+        self.left_ms = 60_000
+        one = await shards.start("s-0", script, records=b"file")
+        document = build.store_configuration(build.store_single())
+        document["services"][0] |= {"warmup_s": 60.0, "warmup_per_s": 8.0}
+        await self.start(document, [("files", one)])
+        known = self.gateway.known
+        self.assertEqual(known.cold, {})
+        self.add_searcher("files", one, warmup_left_ms=60_000, seq=5)
+        await self.until(lambda: known.cold)
+        counts = self.gateway.cold_searchers.counts
+        await self.until(lambda: counts["health"] >= 1)
+        self.assertIn("s-0", known.cold)
+        self.left_ms = 0
+        await self.until(lambda: not known.cold, 10.0)
+        self.assertEqual((await self.single(1)).status, 200)
+
     async def test_request_that_crashes_searchers_is_refused(self):
         await self.start_singles(*[shards.crash_on(CRASH)] * 6)
         statuses = []
