Test both rules for the choice between failure domains

Cause: the rule with a constant stays in force on most deployments, but its tests had been changed for the other one. The former tests with their former inputs guard it again; those of the weighed choice are a subclass.

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -28,15 +28,15 @@
         self.unconnected = []
 
     def choose(self, now_s=10.0, objective_s=0.05):
-        chosen = domain_choice.choose_searcher(
+        chosen = domain_choice.choose_nearby(
             [self.one, self.two],
             self.stats,
             is_local,
             lambda row: row not in self.unconnected,
-            domain_choice.Inputs(objective_s, 1.0, objective_s),
+            objective_s,
             now_s,
         )
-        return chosen.replica.searcher.id
+        return chosen.searcher.id
 
     def test_local_is_preferred_to_remote(self):
         self.one = build.replica("one", failure_domain="b")
@@ -50,7 +50,7 @@
         self.one = build.replica("one", failure_domain="b")
         self.two.begin_call(9.995)
         self.two.begin_call(9.995)
-        self.assertEqual(self.choose(objective_s=0.035), "one")
+        self.assertEqual(self.choose(objective_s=0.04), "one")
 
     def test_local_is_preferred_while_it_meets_the_objective(self):
         # A remote searcher would respond earlier, but the caller gains nothing
@@ -59,7 +59,7 @@
         self.two.begin_call(9.995)
         self.two.begin_call(9.995)
         self.assertEqual(self.choose(objective_s=0.15), "two")
-        for _ in range(12):
+        for _ in range(4):
             self.two.begin_call(9.995)
         self.assertEqual(self.choose(objective_s=0.15), "one")
 
@@ -122,6 +122,38 @@
         self.assertEqual(self.choose(), "one")
 
 
+class WeighedChoiceTest(ChoiceTest):
+    """The same loads, where load and time decide about failure domains."""
+
+    def choose(self, now_s=10.0, objective_s=0.05):
+        chosen = domain_choice.choose_searcher(
+            [self.one, self.two],
+            self.stats,
+            is_local,
+            lambda row: row not in self.unconnected,
+            domain_choice.Inputs(objective_s, 1.0, objective_s),
+            now_s,
+        )
+        return chosen.replica.searcher.id
+
+    def test_remote_is_preferred_to_local_without_a_free_slot(self):
+        self.one = build.replica("one", failure_domain="b")
+        self.two.begin_call(9.995)
+        self.two.begin_call(9.995)
+        self.assertEqual(self.choose(objective_s=0.035), "one")
+
+    def test_local_is_preferred_while_it_meets_the_objective(self):
+        # A remote searcher would respond earlier, but the caller gains nothing
+        # and traffic between failure domains is billed.
+        self.one = build.replica("one", failure_domain="b")
+        self.two.begin_call(9.995)
+        self.two.begin_call(9.995)
+        self.assertEqual(self.choose(objective_s=0.15), "two")
+        for _ in range(12):
+            self.two.begin_call(9.995)
+        self.assertEqual(self.choose(objective_s=0.15), "one")
+
+
 class EjectionTest(unittest.TestCase):
     def setUp(self):
         self.row = build.replica("one")
