--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -59,6 +59,15 @@
         lambda: dict(gateway.vm_removal.counts),
         "Checks of other VMs, and those taken from the list",
     )
+    register_places_and_workspaces(gateway, meters)
+    register_platform(gateway, meters)
+    register_searchers(gateway.known, meters)
+
+
+def register_places_and_workspaces(
+    gateway: "gateways.Gateway", meters: metrics.Metrics
+) -> None:
+    """Registers the metrics of evacuations, cold searchers and workspaces."""
     meters.counters(
         "laurelrock_caps_total",
         lambda: dict(gateway.cap_sharing.counts),
@@ -79,8 +88,6 @@
         gateway.workspace_counts.export,
         "Requests by workspace, for the 20 largest and all others",
     )
-    register_platform(gateway, meters)
-    register_searchers(gateway.known, meters)
 
 
 def register_platform(
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -4,17 +4,15 @@
 import typing
 
 from laurelrock.core import answer_schedule
-from laurelrock.core import fair_queue
 from laurelrock.core import replicas
 from laurelrock.core import routes
-from laurelrock.core import throughput
 from laurelrock.gateways import calls
 from laurelrock.gateways import group_overload
 from laurelrock.gateways import outcomes
 from laurelrock.gateways import parts
+from laurelrock.gateways import refusals
 from laurelrock.gateways import remote_groups
 from laurelrock.gateways import shard_groups
-from laurelrock.gateways import upstreams
 
 __all__ = ["run_query", "run_single"]
 
@@ -162,7 +160,7 @@
         return refusal._replace(shards=len(context.route.shards))
     route = context.route
     count = len(route.shards)
-    refusal = refuse_blocked(route, placement)
+    refusal = refusals.refuse_blocked(route, placement)
     if refusal is not None:
         return refusal
     reachable = group_state.reachability.reachable(route)
@@ -171,11 +169,13 @@
     if reachable < route.min_shards:
         needed = route.min_shards - (count - len(own))
         if not group_state.selection.passes_on(own, needed, route.regions):
-            return refuse_unreachable(route, reachable, placement, group_state)
+            return refusals.refuse_unreachable(
+                route, reachable, placement, group_state
+            )
         own, remote = (), [*remote, own]
     owned = group_state.assignment.uses_owners(route)
     if not remote and not owned:
-        outcome = check_overload(context, placement)
+        outcome = refusals.check_overload(context, placement)
         if outcome is not None:
             return outcome
     declined: list[tuple[str, ...]] = []
@@ -194,17 +194,28 @@
         for group in progress.groups:
             group_state.drop(group)
         placement.end_request(context)
-    stamps = progress.stamps()
+    outcome = finish_query(progress, context, placement)
+    if outcome.status == 200:
+        group_state.overload.record_completion(route.name)
+    return outcome
+
+
+def finish_query(
+    progress: GatherState,
+    context: calls.RequestContext,
+    placement: parts.CallPlacer,
+) -> outcomes.Outcome:
+    """Returns the outcome of a query whose parts were gathered."""
+    route, stamps = context.route, progress.stamps()
     if len(stamps) < route.min_shards:
         late = placement.calls.loop.time() >= context.end_s
         return fail_query(progress, route, late)
-    group_state.overload.record_completion(route.name)
     return outcomes.Outcome(
-        "answered" if len(stamps) == count else "partial",
+        "answered" if len(stamps) == len(route.shards) else "partial",
         200,
         bodies=progress.bodies(),
         stamps=stamps,
-        shards=count,
+        shards=len(route.shards),
         attempts=progress.attempts,
         missing=progress.missing(),
         enough_s=progress.enough_s,
@@ -331,51 +342,6 @@
     await wait_until_ready(progress, placement, schedule, typical)
 
 
-def refuse_blocked(
-    route: routes.Route, placement: parts.CallPlacer
-) -> outcomes.Outcome | None:
-    """Returns a refusal if the places of searchers leave too few shards."""
-    if not route.regions and not placement.known.evacuated:
-        return None
-    blocker = placement.known.blocker
-    reasons = [blocker(name, route.regions) for name in route.shards]
-    blocked = [reason for reason in reasons if reason]
-    if len(reasons) - len(blocked) >= route.min_shards:
-        return None
-    evacuated = upstreams.EVACUATED in blocked
-    return outcomes.Outcome(
-        "refused",
-        503,
-        shards=len(route.shards),
-        reason=upstreams.EVACUATED if evacuated else blocked[0],
-    )
-
-
-def refuse_unreachable(
-    route: routes.Route,
-    reachable: int,
-    placement: parts.CallPlacer,
-    group_state: shard_groups.ShardGroups,
-) -> outcomes.Outcome:
-    """Returns the refusal of a query that reaches too few shards."""
-    group_state.reachability.query_owners(route)
-    count = len(route.shards)
-    own, _ = group_state.split_shards(route)
-    needed = route.min_shards - (count - len(own))
-    return outcomes.Outcome(
-        "refused",
-        503,
-        shards=count,
-        reason=f"searchers of only {reachable} of {count} shards reachable",
-        resume_in_s=placement.record_refusal(
-            route.name,
-            own,
-            needed,
-            group_state.reachability.resume_in_s(route),
-        ),
-    )
-
-
 def start_parts(progress: GatherState, placement: parts.CallPlacer) -> None:
     """Makes the first calls of the parts that this VM calls."""
     progress.unreachable_parts = [
@@ -408,30 +374,6 @@
     )
 
 
-def check_overload(
-    context: calls.RequestContext, placement: parts.CallPlacer
-) -> outcomes.Outcome | None:
-    """Returns a refusal if a query would queue for too long, else None."""
-    route, shares = context.route, placement.calls.shares
-    now_s = placement.calls.loop.time()
-    rows = [placement.known.backlog(name, now_s) for name in route.shards]
-    wait_s = throughput.expected_s(rows, route.min_shards)
-    factor = 1.0
-    if wait_s and context.workspace and shares.overloaded(now_s):
-        ratio = shares.ratio(context.workspace, now_s)
-        factor = fair_queue.limit_factor(ratio, 0)
-    if throughput.is_in_time(wait_s, route.objective_s * factor):
-        return None
-    shares.record_refusal(now_s)
-    return outcomes.Outcome(
-        "refused",
-        503,
-        shards=len(route.shards),
-        reason=f"expected latency is {wait_s * 1000:.0f} ms",
-        retry_after_s=min(wait_s, throughput.MAX_RETRY_AFTER_S),
-    )
-
-
 def fail_query(
     progress: GatherState, route: routes.Route, late: bool
 ) -> outcomes.Outcome:
@@ -466,29 +408,6 @@
     )
 
 
-def refuse_single(
-    service: str, route: routes.Route, placement: parts.CallPlacer
-) -> outcomes.Outcome:
-    """Returns the refusal of a request that no searcher accepts."""
-    blocker = placement.known.blocker(service, route.regions)
-    if blocker:
-        return outcomes.Outcome("refused", 503, reason=blocker)
-    resume_in_s = placement.record_refusal(
-        route.name,
-        [service],
-        1,
-        replicas.retry_in_s([placement.resume_in_s(service)], 1),
-    )
-    reason = (
-        f"searchers take no calls for {resume_in_s * 1000:.0f} ms"
-        if resume_in_s
-        else "no searcher"
-    )
-    return outcomes.Outcome(
-        "refused", 503, reason=reason, resume_in_s=resume_in_s
-    )
-
-
 async def run_single(
     context: calls.RequestContext, service: str, placement: parts.CallPlacer
 ) -> outcomes.Outcome:
@@ -506,7 +425,7 @@
         if not placement.reachable(
             service, context.route.regions
         ) or not placement.start(part):
-            return refuse_single(service, context.route, placement)
+            return refusals.refuse_single(service, context.route, placement)
         await wait_until_ready(progress, placement, schedule, typical)
         sent = any(
             pending_call.call.sent for pending_call in part.pending_calls
--- a/laurelrock/gateways/single_requests.py
+++ b/laurelrock/gateways/single_requests.py
@@ -14,6 +14,7 @@
 from laurelrock.gateways import outcomes
 from laurelrock.gateways import parts
 from laurelrock.gateways import queries
+from laurelrock.gateways import refusals
 from laurelrock.gateways import shard_groups
 
 __all__ = ["run"]
@@ -36,7 +37,7 @@
     known, regions = placement.known, context.route.regions
     if not known.has_live(service) or known.blocker(service, regions):
         # All VMs know the same searchers.
-        return queries.refuse_single(service, context.route, placement)
+        return refusals.refuse_single(service, context.route, placement)
     candidates = group_state.assignment.owners_to_ask(service)
     if candidates:
         return await ask(context, service, candidates, group_state)
--- a/laurelrock/platform/settings.py
+++ b/laurelrock/platform/settings.py
@@ -101,9 +101,6 @@
     ports = [row for row in fields.rows("port_range") if isinstance(row, int)]
     if not ports:
         raise errors.FieldError("port_range: contains no port")
-    default = retry_budget.Policy()
-    caps = tenancy.CapPolicy()
-    cold = warm_up.WarmUpPolicy()
     return deployment.Deployment(
         vm=fields.text("node_name"),
         address=fields.text("ip"),
@@ -121,11 +118,7 @@
         * 1e6
         / 8,
         store=objects.read_address(store.text("address")),
-        extra_call_policy=retry_budget.Policy(
-            bounds.number("retry_budget_ratio", default.fraction),
-            bounds.number("retry_slack", default.allowance),
-            bounds.number("retry_window_s", default.window_s),
-        ),
+        extra_call_policy=read_extra_call_policy(bounds),
         # Time from SIGTERM until the process is killed.
         grace_s=bounds.number("grace_period_s", 6),
         regions={
@@ -134,22 +127,44 @@
         },
         # The bound itself is not needed: an evacuation applies at once.
         follows_evacuations="evacuate_ms" in bounds.row,
-        cap_policy=tenancy.CapPolicy(
-            bounds.number("quota_window_s", caps.window_s),
-            bounds.number("quota_overage", caps.overage),
-            bounds.number("quota_slack", caps.slack),
-        ),
-        warm_up_policy=warm_up.WarmUpPolicy(
-            bounds.number("warmup_overage", cold.overage),
-            bounds.number("warmup_slack", cold.slack),
-        ),
-        # A negative price would send every part away.
+        cap_policy=read_cap_policy(bounds),
+        warm_up_policy=read_warm_up_policy(bounds),
         # Deployments with rules on places, or with a price, ask for it.
         weighs_domains=(
             PLACES_POLICY in fields.rows("policies")
             or "crossing_price_per_mb" in bounds.row
         ),
+        # A negative price would send every part away.
         crossing_price_per_mb=max(
             0.0, bounds.number("crossing_price_per_mb", 0.0)
         ),
     )
+
+
+def read_extra_call_policy(bounds: objects.Fields) -> retry_budget.Policy:
+    """Decodes the limits of extra calls; raises `FieldError`."""
+    default = retry_budget.Policy()
+    return retry_budget.Policy(
+        bounds.number("retry_budget_ratio", default.fraction),
+        bounds.number("retry_slack", default.allowance),
+        bounds.number("retry_window_s", default.window_s),
+    )
+
+
+def read_cap_policy(bounds: objects.Fields) -> tenancy.CapPolicy:
+    """Decodes how far caps may be exceeded; raises `FieldError`."""
+    default = tenancy.CapPolicy()
+    return tenancy.CapPolicy(
+        bounds.number("quota_window_s", default.window_s),
+        bounds.number("quota_overage", default.overage),
+        bounds.number("quota_slack", default.slack),
+    )
+
+
+def read_warm_up_policy(bounds: objects.Fields) -> warm_up.WarmUpPolicy:
+    """Decodes the limits of cold searchers; raises `FieldError`."""
+    default = warm_up.WarmUpPolicy()
+    return warm_up.WarmUpPolicy(
+        bounds.number("warmup_overage", default.overage),
+        bounds.number("warmup_slack", default.slack),
+    )
