Move searcher limits and probes out of upstreams.py

What the limits that searchers name do to them is now in searcher_limits.py; connections opened in advance and probes are in searcher_connections.py. No change of behaviour, except that the log lines name the new modules.

--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -17,6 +17,7 @@
 from laurelrock.core import call_order
 from laurelrock.core import fair_queue
 from laurelrock.core import routes
+from laurelrock.gateways import searcher_limits
 from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
 from laurelrock.ports import header_codec
@@ -351,7 +352,8 @@
                 upstream, searcher_headers.pause_s, self.loop.time()
             )
         if not searcher_headers.misplaced:
-            self.upstreams.record_limit(
+            searcher_limits.record_limit(
+                self.upstreams,
                 upstream,
                 searcher_headers.limit_per_s,
                 sent_s,
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -32,6 +32,8 @@
 from laurelrock.gateways import peers
 from laurelrock.gateways import platform_follower
 from laurelrock.gateways import queries
+from laurelrock.gateways import searcher_connections
+from laurelrock.gateways import searcher_limits
 from laurelrock.gateways import shard_groups
 from laurelrock.gateways import single_requests
 from laurelrock.gateways import state_sharing
@@ -283,13 +285,13 @@
             for part in route.weighted_services
             if not assigned.owners_to_ask(part.service)
         }
-        self.spawn(self.known.warm(sorted(used)))
+        self.spawn(searcher_connections.warm(self.known, sorted(used)))
 
     def set_vm_count(self, count: int, domains: int = 1) -> None:
         """Sets the number of VMs that share budgets and connections."""
         _log.info("vm-count-set", count=count, before=self.known.vms)
         self.known.set_vms(count, domains)
-        self.known.share_limits(self.loop.time())
+        searcher_limits.share_limits(self.known, self.loop.time())
         self.budget.set_vms(count)
 
     def apply_vm_entries(self, rows: list[directory.VmEntry]) -> None:
--- a/laurelrock/gateways/limit_sharing.py
+++ b/laurelrock/gateways/limit_sharing.py
@@ -21,6 +21,7 @@
 from laurelrock.core import request_limit
 from laurelrock.core import shared_rate
 from laurelrock.gateways import assignment
+from laurelrock.gateways import searcher_limits
 from laurelrock.gateways import upstreams
 
 __all__ = [
@@ -242,7 +243,7 @@
             slot: The slot to report; None for all of them.
         """
         now_s = self.loop.time()
-        self.known.share_limits(now_s)
+        searcher_limits.share_limits(self.known, now_s)
         limited: dict[str, list[request_limit.NamedLimit]] = {}
         rows = {**self.known.cold, **self.known.limited}
         for upstream in list(rows.values())[:MAX_REPORTED]:
@@ -285,7 +286,7 @@
         member = self.member(report.slot)
         if not report.demands or not member.begin_offer(now_s):
             return report
-        self.known.share_limits(now_s)
+        searcher_limits.share_limits(self.known, now_s)
         offered = 1.0 - shared_rate.KEPT_FRACTION
         return report._replace(
             offers=[
@@ -358,7 +359,7 @@
         for row in reply.limits[:MAX_REPORTED]:
             self.apply_limit(row, now_s)
         if reply.shares:
-            self.known.share_limits(now_s)
+            searcher_limits.share_limits(self.known, now_s)
             self.offer_soon(reply, now_s)
 
     def offer_soon(self, reply: LimitShares, now_s: float) -> None:
@@ -388,7 +389,9 @@
             upstream.replica.unlimited_s, limit.named_s if limit else 0.0
         )
         if named_s > last_s and now_s - named_s < request_limit.LAPSE_S:
-            self.known.limit_requests(upstream, row.per_s, named_s, now_s)
+            searcher_limits.limit_requests(
+                self.known, upstream, row.per_s, named_s, now_s
+            )
 
     # The keeper
 
--- a/laurelrock/gateways/parts.py
+++ b/laurelrock/gateways/parts.py
@@ -16,6 +16,7 @@
 from laurelrock.gateways import calls
 from laurelrock.gateways import domain_selection
 from laurelrock.gateways import outcomes
+from laurelrock.gateways import searcher_limits
 from laurelrock.gateways import trials
 from laurelrock.gateways import upstreams
 
@@ -237,10 +238,10 @@
         """
         now_s = self.calls.loop.time()
         for service in services:
-            self.known.record_demand(service, now_s)
+            searcher_limits.record_demand(self.known, service, now_s)
         if not resume_in_s or not 0 < needed <= len(services):
             return resume_in_s
-        rates = sorted(map(self.known.limited_per_s, services), reverse=True)
+        rates = searcher_limits.limited_rates(self.known, services)
         return self.return_times.reserve(
             kind, resume_in_s, rates[needed - 1], now_s
         )
@@ -257,7 +258,7 @@
         if self.is_quarantined(part):
             return False
         now_s = self.calls.loop.time()
-        self.known.record_demand(part.service, now_s)
+        searcher_limits.record_demand(self.known, part.service, now_s)
         rows = self.candidates(part)
         if not rows:
             return False
--- a/laurelrock/gateways/runner.py
+++ b/laurelrock/gateways/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import signal
 
 from laurelrock.adapters import http_server
@@ -11,6 +12,7 @@
 from laurelrock.gateways import deployment
 from laurelrock.gateways import gateway
 from laurelrock.gateways import gateway_metrics
+from laurelrock.gateways import searcher_connections
 from laurelrock.ports import directory
 from laurelrock.ports import header_codec
 
@@ -52,7 +54,7 @@
         opened.crash_watch.run,
         opened.vm_removal.run,
         opened.peers.run,
-        opened.known.probe,
+        functools.partial(searcher_connections.probe, opened.known),
         opened.partition_detector.run,
         opened.isolation_detector.run,
     ):
--- a/laurelrock/gateways/upstreams.py
+++ b/laurelrock/gateways/upstreams.py
@@ -1,6 +1,5 @@
 """The searchers of all services, with their connections."""
 
-import asyncio
 import collections
 import collections.abc
 import typing
@@ -28,18 +27,12 @@
 #: Maximum number of connections to one searcher of a VM that isn't planned to
 #: call it, for example because no owner responds to it.
 UNPLANNED_CONNECTIONS = 1
-#: Interval in seconds at which ejected searchers are checked.
-PROBE_CHECK_INTERVAL_S = 0.1
-#: Interval in seconds between connections that are opened in advance.
-WARM_INTERVAL_S = 0.02
 
 #: Maximum number of searchers without an entry whose restrictions are kept.
 MAX_RESTRICTIONS = 4096
 #: Reasons why no searcher of a service may be called.
 EVACUATED = "evacuated"
 NOT_ALLOWED = "no searcher in the allowed regions"
-#: Time constant of the demand for services with a limit, in seconds.
-DEMAND_TIME_CONSTANT_S = 2.0
 
 _log = logs.get_logger(__name__)
 
@@ -471,117 +464,6 @@
             return shared_rate.Share(0.0, turn=1)
         return shared_rate.Share(1.0 / callers, equal=1.0 / callers)
 
-    def named_share(
-        self, upstream: Upstream, per_s: float
-    ) -> shared_rate.Share:
-        """Returns this VM's share of a limit that a searcher named."""
-        return self.share_of(
-            upstream.searcher, request_limit.max_callers(per_s), False
-        )
-
-    def limit_requests(
-        self, upstream: Upstream, per_s: float, named_s: float, now_s: float
-    ) -> None:
-        """Limits the requests to a searcher.
-
-        Args:
-            upstream: The searcher.
-            per_s: The requests per second that it takes from all VMs.
-            named_s: The loop time of the response that named the limit.
-            now_s: The loop time.
-        """
-        replica, searcher = upstream.replica, upstream.searcher
-        limit = replica.limit
-        if limit is None:
-            share = self.named_share(upstream, per_s)
-            replica.limit = request_limit.create_request_limit(
-                per_s, share, named_s, now_s
-            )
-            self.limited[searcher.id] = upstream
-            _log.info(
-                "searcher-limited",
-                searcher=searcher.id,
-                service=searcher.service,
-                per_s=per_s,
-                share=round(share.fraction, 4),
-            )
-            return
-        limit.named_s = max(limit.named_s, named_s)
-        if per_s != limit.named_per_s:
-            limit.change(per_s, self.named_share(upstream, per_s), now_s)
-
-    def share_limits(self, now_s: float) -> None:
-        """Applies this VM's shares of all limits and ends those that lapsed."""
-        for upstream in list(self.limited.values()):
-            limit = upstream.replica.limit
-            if limit is None or limit.has_lapsed(now_s):
-                self.end_limit(upstream, "not named for a long time")
-                continue
-            per_s = limit.named_per_s
-            limit.change(per_s, self.named_share(upstream, per_s), now_s)
-        for upstream in self.cold.values():
-            cold = upstream.replica.cold
-            if cold is not None:
-                share = self.share_of(upstream.searcher, cold.max_callers, True)
-                cold.set_share(share, now_s)
-
-    def record_limit(
-        self,
-        upstream: Upstream,
-        per_s: float | None,
-        sent_s: float,
-        now_s: float,
-    ) -> None:
-        """Applies what a searcher's response says about its limit.
-
-        Args:
-            upstream: The searcher.
-            per_s: The limit that the response names; None if it names none,
-                which ends the limit.
-            sent_s: The loop time at which the request was sent. Responses may
-                overtake each other on different connections.
-            now_s: The loop time.
-        """
-        if self.by_id.get(upstream.searcher.id) is not upstream:
-            # The response to a call of an earlier start says nothing of this.
-            return
-        if per_s is not None:
-            self.limit_requests(upstream, per_s, now_s, now_s)
-            return
-        limit = upstream.replica.limit
-        if limit is None or sent_s > limit.named_s:
-            upstream.replica.unlimited_s = now_s
-            self.end_limit(upstream, "no longer named")
-
-    def end_limit(self, upstream: Upstream, reason: str) -> None:
-        """Ends the limit of a searcher, if it has one."""
-        if self.limited.pop(upstream.searcher.id, None) is None:
-            return
-        upstream.replica.limit = None
-        _log.info(
-            "searcher-limit-ended",
-            searcher=upstream.searcher.id,
-            reason=reason,
-        )
-
-    def record_demand(self, service: str, now_s: float) -> None:
-        """Records a request that needs a service, whether it is served."""
-        if not self.limited and not self.cold:
-            return
-        if service not in self.demands:
-            self.demands[service] = event_rate.create_event_rate(
-                DEMAND_TIME_CONSTANT_S
-            )
-        self.demands[service].record(now_s)
-
-    def limited_per_s(self, service: str) -> float:
-        """Returns the requests per second that a service takes from this VM.
-
-        See `replicas.limited_per_s`.
-        """
-        rows = (row.replica for row in self.searchers_of(service))
-        return replicas.limited_per_s(rows)
-
     def resume_in_s(self, service: str, now_s: float) -> float:
         """Returns the time until a service accepts calls.
 
@@ -590,50 +472,11 @@
         rows = (row.replica for row in self.searchers_of(service))
         return replicas.resume_in_s(rows, now_s)
 
-    async def probe(self) -> None:
-        """Probes ejected searchers until they can be reached again, forever."""
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(PROBE_CHECK_INTERVAL_S)
-            due = [
-                row
-                for row in self.by_id.values()
-                if replicas.is_probe_due(row.replica, loop.time())
-            ]
-            if due:
-                await asyncio.gather(*[self.probe_one(row) for row in due])
-
-    async def probe_one(self, upstream: Upstream) -> None:
-        """Probes an ejected searcher.
-
-        An open connection is enough, unless it was ejected since it ended the
-        connections of calls: a proxy in front of it may accept them.
-        """
-        replica = upstream.replica
-        reached = await upstream.client.try_connect() is None
-        if reached and replica.lost and self.check_health is not None:
-            reached = await self.check_health(self, upstream)
-        if reached:
-            replica.probe_succeeded = True
-            _log.info("searcher-probe-succeeded", searcher=replica.searcher.id)
-        else:
-            replica.record_no_response(asyncio.get_running_loop().time())
-
     def remote_domains_silent(self, now_s: float) -> bool:
         """Returns whether all other failure domains are unresponsive."""
         rows = [row.replica for row in self.by_id.values()]
         return replicas.remote_domains_silent(rows, self.is_local, now_s)
 
-    async def warm(self, names: collections.abc.Iterable[str]) -> None:
-        """Opens a first connection to each searcher of some services."""
-        for name in names:
-            for upstream in list(self.searchers_of(name)):
-                if upstream.replica.evacuated:
-                    continue
-                if not upstream.client.connections:
-                    upstream.client.preconnect()
-                    await asyncio.sleep(WARM_INTERVAL_S)
-
 
 def create_upstreams(
     failure_domain: str, reply_bytes: int = reply_budget.DEFAULT_BYTES
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -24,6 +24,8 @@
 from laurelrock.gateways import peers
 from laurelrock.gateways import platform_follower
 from laurelrock.gateways import runner
+from laurelrock.gateways import searcher_connections
+from laurelrock.gateways import searcher_limits
 from laurelrock.gateways import shard_groups
 from laurelrock.gateways import state_sharing
 from laurelrock.gateways import upstreams
@@ -53,7 +55,7 @@
     *(crash_watch, group_overload, isolation_detector),
     *(lending, owner_selection, cold_searchers),
     *(parts, peers, partition_detector, state_sharing, upstreams, store),
-    evacuations,
+    *(evacuations, searcher_connections, searcher_limits),
 )
 
 
--- a/tests/place_simulation.py
+++ b/tests/place_simulation.py
@@ -7,6 +7,7 @@
 
 from laurelrock.core import routes
 from laurelrock.gateways import outcomes
+from laurelrock.gateways import searcher_connections
 from tests import gateway_builders as build
 from tests import gateway_simulation as simulations
 
@@ -93,7 +94,7 @@
     everyone = [node.me for node in simulation.nodes]
     for node in simulation.nodes:
         node.set_vms(everyone)
-        simulation.run(node.known.probe())
+        simulation.run(searcher_connections.probe(node.known))
         simulation.run(node.isolation_detector.run())
     return simulation
 
--- a/tests/test_cold_searchers.py
+++ b/tests/test_cold_searchers.py
@@ -12,6 +12,7 @@
 from laurelrock.core import shared_rate
 from laurelrock.core import warm_up
 from laurelrock.gateways import limit_sharing
+from laurelrock.gateways import searcher_limits
 from tests import gateway_builders as build
 from tests import gateway_simulation as simulations
 from tests import gateways
@@ -336,7 +337,7 @@
             for _ in range(9):
                 await node.run(READ, b"r", 1.0)
             old = node.known.by_id["files-0"]
-            node.known.limit_requests(old, 5.0, 1000.0, 1000.0)
+            searcher_limits.limit_requests(node.known, old, 5.0, 1000.0, 1000.0)
             old.replica.record_pause(9.0, 1000.0)
             old.replica.leaving = True
             old.replica.record_no_response(1000.0)
@@ -352,7 +353,7 @@
             self.assertNotIn("files-0", node.known.limited)
             # A late response to a call of the earlier start.
             node.cold_searchers.record_response(old, 0.0)
-            node.known.record_limit(old, 1.0, 1000.0, 1000.0)
+            searcher_limits.record_limit(node.known, old, 1.0, 1000.0, 1000.0)
             self.assertEqual(self.left_s(node), WARM_UP_S)
             self.assertEqual(node.known.limited, {})
 
--- a/tests/test_isolated_vms.py
+++ b/tests/test_isolated_vms.py
@@ -8,6 +8,7 @@
 
 from laurelrock.core import routes
 from laurelrock.gateways import health_checks
+from laurelrock.gateways import searcher_connections
 from tests import gateway_builders as build
 from tests import gateway_simulation as simulations
 from tests import gateways
@@ -80,7 +81,7 @@
     loop = asyncio.get_running_loop()
     simulation = test_searcher_limits.create_fleet(load, behaviours)
     for node in simulation.nodes:
-        simulation.run(node.known.probe())
+        simulation.run(searcher_connections.probe(node.known))
         simulation.run(node.isolation_detector.run())
     begun_s = loop.time()
     for at_s, event in events:
--- a/tests/test_searcher_limits.py
+++ b/tests/test_searcher_limits.py
@@ -14,6 +14,7 @@
 from laurelrock.core import routes
 from laurelrock.core import shared_rate
 from laurelrock.gateways import limit_sharing
+from laurelrock.gateways import searcher_limits
 from laurelrock.platform import header_codec
 from tests import gateway_builders as build
 from tests import gateway_simulation as simulations
@@ -479,7 +480,9 @@
             name_limit(simulation, "files-0", 0.5)
             for node in simulation.nodes:
                 upstream = node.known.by_id["files-0"]
-                node.known.limit_requests(upstream, 0.5, 1000.0, 1000.0)
+                searcher_limits.limit_requests(
+                    node.known, upstream, 0.5, 1000.0, 1000.0
+                )
                 if not upstream.replica.limit.share.turn:
                     upstream.replica.leaving = True
 
