--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -10,13 +10,13 @@
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
 from laurelrock.adapters import metrics
-from laurelrock.core import answer_schedule
 from laurelrock.core import homes
 from laurelrock.core import owners
 from laurelrock.core import registry
 from laurelrock.core import retry_budget
 from laurelrock.core import routes
 from laurelrock.core import tenancy
+from laurelrock.gateways import caller_answers
 from laurelrock.gateways import calls
 from laurelrock.gateways import crash_watch
 from laurelrock.gateways import deployment
@@ -41,7 +41,6 @@
 from laurelrock.gateways import upstreams
 from laurelrock.gateways import vm_removal
 from laurelrock.gateways.places import cold_searchers
-from laurelrock.gateways.tenants import cap_accounts
 from laurelrock.gateways.tenants import cap_sharing
 from laurelrock.gateways.tenants import keys
 from laurelrock.gateways.tenants import request_counts
@@ -50,8 +49,6 @@
 
 __all__ = ["Gateway"]
 
-#: Maximum number of missing shards named in a request's log line.
-MAX_LOGGED_MISSING = 8
 #: Path of the metrics.
 METRICS_PATH = b"/metrics"
 #: Time in seconds for which a stopping process still accepts connections: the
@@ -65,15 +62,6 @@
 #: Fraction of the process's memory for responses that are being received. A
 #: gateway takes about a tenth of the smallest VM's memory without them.
 REPLY_MEMORY_FRACTION = 0.0625
-#: Time in seconds after which a refused caller may retry: searchers are back,
-#: or another VM has the route, in about this time.
-RETRY_AFTER_S = 0.3
-#: Time in seconds after which a caller may retry that was refused because the
-#: VM has no configuration.
-UNCONFIGURED_RETRY_AFTER_S = 0.5
-
-#: Name and description of the histogram of latencies.
-LATENCY_METRIC = ("laurelrock_request_ms", "Latency of requests by outcome")
 
 BackgroundLoop = platform_follower.BackgroundLoop
 
@@ -88,7 +76,6 @@
         platform: Encodes and decodes the headers of callers and searchers.
         source: The platform's store.
         metrics: The metrics of this process.
-        latency: The histogram of request latencies.
         known: The searchers.
         calls: The calls in flight.
         budget: The budget of extra calls.
@@ -111,6 +98,7 @@
         peers: Queries to other VMs for their state.
         handlers: The handlers of messages from other VMs, by type.
         servers: The servers for callers, readiness, other VMs and metrics.
+        answers: Encodes the answers to callers, counts and logs them.
         counts: The number of answers by outcome.
         workspace_counts: The number of requests by workspace.
         stopping_s: The loop time of SIGTERM; 0 before.
@@ -126,7 +114,6 @@
     ) -> None:
         self.deployment = options
         self.metrics = meters
-        self.latency = meters.histogram(*LATENCY_METRIC)
         self.platform = platform
         self.source = source
         self.loop = asyncio.get_running_loop()
@@ -192,7 +179,10 @@
         self.peers = peers.create_peer_exchange(*exchange, self.set_vm_count)
         self.handlers = peer_messages.create_handlers(self)
         self.servers: list[http_server.Server] = []
-        self.counts: collections.Counter[str] = collections.Counter()
+        self.answers = caller_answers.create_caller_answers(
+            platform, self.follower, meters
+        )
+        self.counts = self.answers.counts
         self.workspace_counts = request_counts.create_request_counts()
         self.stopping_s = 0.0
         self.tasks: set[asyncio.Task[typing.Any]] = set()
@@ -356,24 +346,24 @@
             or not self.follower.searchers_read
             or not self.follower.evacuations.known
         ):
-            return self.refuse(
+            return self.answers.refuse(
                 caller_headers,
                 503,
                 "no configuration",
-                UNCONFIGURED_RETRY_AFTER_S,
+                caller_answers.UNCONFIGURED_RETRY_AFTER_S,
             )
         host = http_wire.header_value(request.headers, b"host") or b""
         target = request.target.decode("latin-1")
         route = routes.find_route(table, host.decode("latin-1"), target)
         if route is None:
-            return self.refuse(
+            return self.answers.refuse(
                 caller_headers, 404, f"no route for {host!r} {target}"
             )
         workspace = None
         if table.configuration.workspaces:
             workspace = keys.find_workspace(table, caller_headers.key)
             if workspace is None and not route.public:
-                return self.refuse_key(caller_headers)
+                return self.answers.refuse_key(caller_headers)
             if workspace is not None:
                 self.workspace_counts.record(workspace.name)
             if workspace is not None and workspace.requests_per_s:
@@ -381,7 +371,9 @@
                     workspace, self.loop.time()
                 )
                 if not admission.granted:
-                    return self.refuse_cap(caller_headers, workspace, admission)
+                    return self.answers.refuse_cap(
+                        caller_headers, workspace, admission
+                    )
             name = workspace.name if workspace else ""
             request = request._replace(
                 headers=self.platform.replace_key(request.headers, name)
@@ -393,12 +385,12 @@
         try:
             outcome = await self.run_request(context)
         except asyncio.CancelledError:
-            self.record_outcome(
+            self.answers.record_outcome(
                 context, outcomes.Outcome("failed", 0, reason="caller left")
             )
             raise
-        self.record_outcome(context, outcome)
-        return self.encode(context, outcome)
+        self.answers.record_outcome(context, outcome)
+        return self.answers.encode(context, outcome)
 
     def create_context(
         self,
@@ -449,142 +441,6 @@
             context, service, self.placement, self.groups
         )
 
-    def encode(
-        self, context: calls.RequestContext, outcome: outcomes.Outcome
-    ) -> http_server.Response:
-        """Returns the answer to a caller."""
-        if outcome.reply is not None:
-            reply = outcome.reply
-            headers = self.platform.forwarded_headers(reply.headers)
-            return http_server.Response(reply.status, headers, reply.body)
-        if outcome.status == 200:
-            missing = outcome.shards - len(outcome.stamps)
-            headers = self.platform.query_response_headers(
-                context.caller_headers, list(outcome.stamps), missing
-            )
-            body = answer_schedule.merge_top_records(
-                outcome.bodies, context.route.max_records
-            )
-            return http_server.Response(200, headers, body)
-        headers = self.platform.gateway_response_headers(context.caller_headers)
-        if outcome.status == 503:
-            wait_s = outcome.retry_after_s or RETRY_AFTER_S
-            headers.append(
-                outcomes.retry_after_header(wait_s, outcome.resume_in_s)
-            )
-        return http_server.Response(outcome.status, headers)
-
-    def refuse(
-        self,
-        caller_headers: header_codec.CallerHeaders,
-        status: int,
-        reason: str,
-        retry_after_s: float = 0,
-    ) -> http_server.Response:
-        """Refuses a request for which no searcher was called."""
-        self.counts[f"refused-{status}"] += 1
-        _log.info(
-            "request-refused",
-            request=caller_headers.request_id.decode("latin-1"),
-            status=status,
-            reason=reason,
-            **self.decision_inputs(),
-        )
-        headers = self.platform.gateway_response_headers(caller_headers)
-        if retry_after_s:
-            headers.append(outcomes.retry_after_header(retry_after_s))
-        return http_server.Response(status, headers)
-
-    def refuse_key(
-        self, caller_headers: header_codec.CallerHeaders
-    ) -> http_server.Response:
-        """Refuses a request without a known key.
-
-        A VM whose configuration may be old can't tell that a key is unknown.
-        """
-        if self.follower.may_be_outdated(keys.MAX_CONFIGURATION_AGE_S):
-            return self.refuse(
-                caller_headers,
-                503,
-                "unknown key, but the configuration may be old",
-                UNCONFIGURED_RETRY_AFTER_S,
-            )
-        _log.info(
-            "key-refused",
-            request=caller_headers.request_id.decode("latin-1"),
-            version=self.follower.version,
-        )
-        return self.refuse(caller_headers, 401, "unknown key")
-
-    def refuse_cap(
-        self,
-        caller_headers: header_codec.CallerHeaders,
-        workspace: tenancy.Workspace,
-        admission: cap_accounts.Admission,
-    ) -> http_server.Response:
-        """Refuses a request above its workspace's cap.
-
-        The time until the caller's turn isn't randomized: turns differ.
-        """
-        self.counts["refused-429"] += 1
-        _log.info(
-            "cap-refused",
-            request=caller_headers.request_id.decode("latin-1"),
-            workspace=workspace.name,
-            retry_after_ms=round(admission.retry_after_s * 1000),
-            keeper=admission.keeper,
-            **self.decision_inputs(),
-        )
-        headers = self.platform.gateway_response_headers(caller_headers)
-        headers.append(outcomes.exact_retry_header(admission.retry_after_s))
-        return http_server.Response(429, headers)
-
-    def decision_inputs(self) -> dict[str, int | None]:
-        """Returns the state that decisions rest on, with its age, for logs."""
-        known = self.follower
-        age_s = self.loop.time() - known.applied_s
-        return {
-            "version": known.version,
-            "configured_ms": round(age_s * 1000) if known.table else None,
-            "searchers_age_ms": known.age_ms(),
-        }
-
-    def record_outcome(
-        self, context: calls.RequestContext, outcome: outcomes.Outcome
-    ) -> None:
-        """Counts and logs the end of a request."""
-        self.counts[outcome.kind] += 1
-        self.follower.evacuations.record_refusal(outcome.reason)
-        elapsed_s = self.loop.time() - context.request.received_s
-        self.latency.record(elapsed_s * 1000, {"outcome": outcome.kind})
-        _log.info(
-            "request",
-            request=context.caller_headers.request_id.decode("latin-1"),
-            route=context.route.name,
-            outcome=outcome.kind,
-            status=outcome.status,
-            ms=round(elapsed_s * 1000, 1),
-            before_ms=round(
-                (context.request.received_s - context.request.caller_start_s)
-                * 1000,
-                1,
-            ),
-            patience_ms=round(
-                (context.end_s - context.request.received_s) * 1000
-            ),
-            shards=outcome.shards,
-            included=len(outcome.stamps),
-            missing=outcome.missing[:MAX_LOGGED_MISSING],
-            enough_ms=(
-                round((outcome.enough_s - context.request.received_s) * 1000, 1)
-                if outcome.enough_s
-                else None
-            ),
-            attempts=outcome.attempts,
-            reason=outcome.reason,
-            **{**self.decision_inputs(), "version": context.version},
-        )
-
     def count_active(self) -> int:
         """Returns the number of callers' connections and other VMs' groups."""
         return len(self.servers[0].connections) + len(self.groups.serving)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -12,6 +12,7 @@
 from laurelrock.adapters import exposition
 from laurelrock.adapters import frames
 from laurelrock.adapters import http_server
+from laurelrock.gateways import caller_answers
 from laurelrock.gateways import calls
 from laurelrock.gateways import crash_watch
 from laurelrock.gateways import gateway
@@ -55,7 +56,7 @@
     *(crash_watch, group_overload, isolation_detector),
     *(lending, owner_selection, cold_searchers),
     *(parts, peers, partition_detector, state_sharing, upstreams, store),
-    *(evacuations, searcher_connections, searcher_limits),
+    *(caller_answers, evacuations, searcher_connections, searcher_limits),
 )
 
 
