Move the groups that a VM runs out of shard_groups.py

It contained both ends of the protocol between VMs: the requester's and the owner's. Tests read the moved state as groups.owned. No change of behaviour.

--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -443,12 +443,12 @@
 
     def count_active(self) -> int:
         """Returns the number of callers' connections and other VMs' groups."""
-        return len(self.servers[0].connections) + len(self.groups.serving)
+        return len(self.servers[0].connections) + len(self.groups.owned.serving)
 
     async def stop(self) -> None:
         """Stops the process without interrupting requests."""
         self.stopping_s = begun_s = self.loop.time()
-        self.groups.stopping = True
+        self.groups.owned.stopping = True
         self.cap_sharing.lending.leave(self.cap_sharing.clock())
         _log.info("stopping", in_hand=self.servers[0].busy)
         for server in self.servers:
--- a/laurelrock/gateways/remote_groups.py
+++ b/laurelrock/gateways/remote_groups.py
@@ -4,11 +4,13 @@
 import collections.abc
 import typing
 
+from laurelrock.adapters import http_wire
+from laurelrock.core import answer_schedule
 from laurelrock.core import owners
 from laurelrock.gateways import calls
 from laurelrock.gateways import group_messages
 
-__all__ = ["Loopback", "RemoteGroup", "UnresponsiveOwner"]
+__all__ = ["Loopback", "RemoteGroup", "UnresponsiveOwner", "encode_request"]
 
 #: Shortest and longest interval in seconds between pings of an unresponsive
 #: owner; the interval doubles with each ping.
@@ -174,3 +176,31 @@
         """Stops pinging."""
         if self.timer is not None:
             self.timer.cancel()
+
+
+def encode_request(
+    group: RemoteGroup, now_s: float
+) -> group_messages.GroupRequest:
+    """Returns the message that asks for a group at a loop time."""
+    context = group.context
+    return group_messages.GroupRequest(
+        number=group.number,
+        request_id=context.caller_headers.request_id,
+        method=context.request.method,
+        target=context.request.target,
+        headers=http_wire.end_to_end(context.request.headers),
+        body=context.request.body,
+        route=context.route.name,
+        version=context.version,
+        services=group.services,
+        attempts=group.attempts,
+        max_records=context.route.max_records,
+        due_in_s=answer_schedule.owner_due_s(group.due_s) - now_s,
+        remaining_s=context.end_s - now_s,
+        single=group.single,
+        idempotent=context.route.idempotent,
+        workspace=context.workspace,
+        regions=context.route.regions,
+        priority=context.route.priority,
+        needed=group.needed,
+    )
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -15,17 +15,14 @@
 import typing
 
 from laurelrock.adapters import frames
-from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
-from laurelrock.core import answer_schedule
 from laurelrock.core import owners
 from laurelrock.core import routes
 from laurelrock.gateways import assignment
 from laurelrock.gateways import calls
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import group_overload
-from laurelrock.gateways import group_runs
-from laurelrock.gateways import outcomes
+from laurelrock.gateways import owned_groups
 from laurelrock.gateways import owner_selection
 from laurelrock.gateways import parts
 from laurelrock.gateways import reachability_reports
@@ -41,33 +38,22 @@
 _log = logs.get_logger(__name__)
 
 
-RunSingle = collections.abc.Callable[
-    [calls.RequestContext, str, parts.CallPlacer],
-    collections.abc.Awaitable[outcomes.Outcome],
-]
-
-
 class ShardGroups:
     """State of the groups of this VM's queries, and of those that it runs.
 
     Attributes:
-        placement: Makes the calls of the groups that this VM runs.
-        platform: Encodes the headers of calls.
+        placement: Makes the calls of this VM.
         peer_links: The links to other VMs.
         loopback: The link by which this VM sends messages to itself.
-        run_single: Runs a request that one searcher answers.
         assignment: The assignment of services to VMs.
         reachability: The owners' reports on shards that they can't reach.
         me: This VM.
         port: The port of messages between VMs, the same on all of them.
         remote: The groups that other VMs run, by number.
-        offered: The groups that this VM was asked for and not yet told to
-            start, with the loop time of the request.
-        serving: The groups that this VM runs, by link and number.
+        owned: The groups that this VM runs.
         selection: Chooses the VMs that are asked.
         overload: Declines groups for overload.
         last_number: The number of the last group that was asked for.
-        stopping: Whether this VM accepts no more groups.
         counts: The number of events by kind, for the metrics.
     """
 
@@ -78,11 +64,9 @@
         peer_links: frames.PeerLinks,
         me: owners.Vm,
         port: int,
-        run_single: RunSingle,
+        run_single: owned_groups.RunSingle,
     ) -> None:
         self.placement = placement
-        self.platform = platform
-        self.run_single = run_single
         self.assignment = assignment.create_assignment(placement.known, me)
         self.selection = owner_selection.create_owner_selection(
             self.assignment, self.send
@@ -94,15 +78,7 @@
         self.me = me
         self.port = port
         self.remote: dict[int, remote_groups.RemoteGroup] = {}
-        self.serving: dict[
-            tuple[group_messages.Link, int], asyncio.Task[None]
-        ] = {}
-        self.offered: dict[
-            tuple[group_messages.Link, int],
-            tuple[group_messages.GroupRequest, float],
-        ] = {}
         self.last_number = 0
-        self.stopping = False
         self.counts = dict.fromkeys(
             (
                 *("asked", "declined", "lost", "lost-searchers"),
@@ -110,6 +86,10 @@
             ),
             0,
         )
+        self.owned = owned_groups.create_owned_groups(
+            *(placement, platform, self.reachability, self.overload),
+            *(run_single, self.counts),
+        )
         self.peer_links = peer_links
         self.loopback = remote_groups.Loopback(self.handle_message)
         self.loop = asyncio.get_running_loop()
@@ -221,39 +201,12 @@
         if vm != self.me:
             group.link = self.peer_links.link((vm.host, self.port))
         group.asked_s = self.loop.time()
-        group.link.send(self.encode_request(group))
+        group.link.send(remote_groups.encode_request(group, self.loop.time()))
         self.counts["asked"] += 1
         group.timer = self.loop.call_later(
             ACCEPT_TIMEOUT_S, self.handle_accept_timeout, group
         )
 
-    def encode_request(
-        self, group: remote_groups.RemoteGroup
-    ) -> group_messages.GroupRequest:
-        """Returns the message that asks for a group."""
-        context, now_s = group.context, self.loop.time()
-        return group_messages.GroupRequest(
-            number=group.number,
-            request_id=context.caller_headers.request_id,
-            method=context.request.method,
-            target=context.request.target,
-            headers=http_wire.end_to_end(context.request.headers),
-            body=context.request.body,
-            route=context.route.name,
-            version=context.version,
-            services=group.services,
-            attempts=group.attempts,
-            max_records=context.route.max_records,
-            due_in_s=answer_schedule.owner_due_s(group.due_s) - now_s,
-            remaining_s=context.end_s - now_s,
-            single=group.single,
-            idempotent=context.route.idempotent,
-            workspace=context.workspace,
-            regions=context.route.regions,
-            priority=context.route.priority,
-            needed=group.needed,
-        )
-
     def handle_accept_timeout(self, group: remote_groups.RemoteGroup) -> None:
         """Skips an owner that didn't accept a group in time."""
         self.skip(group.owner, "silent")
@@ -281,16 +234,13 @@
     ) -> None:
         """Handles a message from another VM."""
         if isinstance(message, group_messages.GroupRequest):
-            self.handle_request(link, message)
+            self.owned.handle_request(link, message, link is self.loopback)
         elif isinstance(message, group_messages.StartGroup):
-            self.start_offered(link, message.number)
+            self.owned.start(link, message.number)
         elif isinstance(message, group_messages.CancelGroup):
-            self.offered.pop((link, message.number), None)
-            task = self.serving.get((link, message.number))
-            if task is not None:
-                task.cancel()
+            self.owned.cancel(link, message.number)
         elif isinstance(message, group_messages.Ping):
-            if not self.stopping:
+            if not self.owned.stopping:
                 link.send(group_messages.Pong(self.me.name))
         elif isinstance(message, group_messages.Pong):
             self.selection.mark_responsive(message.owner)
@@ -303,64 +253,6 @@
         else:
             self.handle_owner_reply(message)
 
-    def handle_request(
-        self,
-        link: group_messages.Link,
-        group_request: group_messages.GroupRequest,
-    ) -> None:
-        """Accepts or declines a group."""
-        reason = self.decline_reason()
-        if reason is not None and link is not self.loopback:
-            link.send(
-                group_messages.GroupDeclined(group_request.number, reason)
-            )
-            return
-        wait_s = self.overload.check(group_request)
-        if wait_s:
-            link.send(
-                group_messages.GroupDeclined(
-                    group_request.number, "overloaded", wait_s
-                )
-            )
-            return
-        self.offered[link, group_request.number] = (
-            group_request,
-            self.loop.time(),
-        )
-        regions = group_request.regions
-        unreachable = self.reachability.count_unreachable(
-            group_request.services, regions
-        )
-        link.send(
-            group_messages.GroupAccepted(
-                group_request.number,
-                unreachable,
-                self.reachability.remote_domains_silent(),
-                self.reachability.latest_resume_s(group_request.services),
-                self.reachability.count_disconnected(
-                    group_request.services, regions
-                ),
-            )
-        )
-
-    def decline_reason(self) -> group_messages.DeclineReason | None:
-        """Returns why this VM can't run a group; None if it can."""
-        if self.stopping:
-            return "stopping"
-        known = self.placement.known
-        # A VM that doesn't know the evacuations yet calls no searcher.
-        return "isolated" if known.isolated or known.evacuated is None else None
-
-    def start_offered(self, link: group_messages.Link, number: int) -> None:
-        """Starts to run a group that this VM accepted."""
-        key = (link, number)
-        offer = self.offered.pop(key, None)
-        if offer is None:
-            return
-        task = self.loop.create_task(self.serve(link, *offer))
-        self.serving[key] = task
-        task.add_done_callback(lambda _: self.serving.pop(key, None))
-
     def handle_owner_reply(
         self,
         message: group_messages.GroupAccepted
@@ -536,43 +428,7 @@
                 group.finish()
             else:
                 self.ask_next(group)
-        for key in [row for row in self.offered if row[0] is link]:
-            del self.offered[key]
-        for (task_link, _), task in list(self.serving.items()):
-            if task_link is link:
-                task.cancel()
-
-    # Groups that this VM runs
-
-    async def serve(
-        self,
-        link: group_messages.Link,
-        group_request: group_messages.GroupRequest,
-        asked_s: float,
-    ) -> None:
-        """Runs a group or a single request and sends its results."""
-        self.counts["served"] += 1
-        context = group_runs.create_context(
-            self.platform, group_request, asked_s
-        )
-        if group_request.single:
-            outcome = await self.run_single(
-                context, group_request.services[0], self.placement
-            )
-            leaving = self.placement.known.leaving(group_request.services)
-            link.send(
-                group_messages.encode_outcome(
-                    group_request.number, outcome, leaving
-                )
-            )
-            return
-        served = group_runs.GroupRun(
-            self.placement, link, group_request, context
-        )
-        try:
-            await served.run()
-        finally:
-            served.abandon()
+        self.owned.link_ended(link)
 
 
 def create_shard_groups(
@@ -581,7 +437,7 @@
     peer_links: frames.PeerLinks,
     me: owners.Vm,
     port: int,
-    run_single: RunSingle,
+    run_single: owned_groups.RunSingle,
 ) -> ShardGroups:
     """Returns the state without groups."""
     return ShardGroups(placement, platform, peer_links, me, port, run_single)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -551,8 +551,8 @@
         async def run():
             _, node = self.create(ANSWERED, {"files-0": "a"})
             node.known.evacuate(None)
-            self.assertEqual(node.groups.decline_reason(), "isolated")
+            self.assertEqual(node.groups.owned.decline_reason(), "isolated")
             node.known.evacuate(frozenset())
-            self.assertIsNone(node.groups.decline_reason())
+            self.assertIsNone(node.groups.owned.decline_reason())
 
         virtual_time.run(run())
--- a/tests/test_fleet_gateways.py
+++ b/tests/test_fleet_gateways.py
@@ -117,7 +117,7 @@
         owner = self.owner_of(
             self.remote_groups_of(number)[0][0], f"d{number % 2}"
         )
-        owner.groups.stopping = True
+        owner.groups.owned.stopping = True
         answer = await self.ask_vm(number)
         self.assertEqual(answer.headers["x-missing-parts"], "0")
         counts = self.gateways[number].groups.counts
@@ -151,7 +151,7 @@
             self.remote_groups_of(number)[0][0], f"d{number % 2}"
         )
         asking = asyncio.create_task(self.ask_vm(number, deadline_ms=600))
-        await self.until(lambda: len(owner.groups.serving) > 0)
+        await self.until(lambda: len(owner.groups.owned.serving) > 0)
         await asyncio.sleep(0.05)
         owner.peer_links.close()
         answer = await asking
@@ -180,7 +180,9 @@
         self.address = self.gateways[number].deployment.callers
         _, writer = await self.connect()
         writer.write(gateways.encode_request("/query/a", deadline_ms=9000))
-        await self.until(lambda: any(vm.groups.serving for vm in self.gateways))
+        await self.until(
+            lambda: any(vm.groups.owned.serving for vm in self.gateways)
+        )
         writer.transport.abort()
         await self.until(
             lambda: all(
@@ -188,7 +190,7 @@
             )
         )
         self.assertLess(calls.ABANDONED_GRACE_S + calls.SWEEP_INTERVAL_S, 0.5)
-        self.assertFalse(any(vm.groups.serving for vm in self.gateways))
+        self.assertFalse(any(vm.groups.owned.serving for vm in self.gateways))
         self.assertFalse(any(vm.groups.remote for vm in self.gateways))
 
 
--- a/tests/test_single_requests.py
+++ b/tests/test_single_requests.py
@@ -150,7 +150,7 @@
     async def test_stopping_vm_declines(self):
         await self.start()
         requester = self.requester()
-        self.owners_of(requester)[0].groups.stopping = True
+        self.owners_of(requester)[0].groups.owned.stopping = True
         answer = await self.ask_vm(requester, path="/save/a")
         self.assertEqual(answer.status, 200)
         self.assertEqual(self.seen(), 1)
@@ -160,8 +160,8 @@
         requester = self.requester()
         for vm in self.gateways:
             if vm is not requester:
-                vm.groups.stopping = True
-        requester.groups.stopping = True
+                vm.groups.owned.stopping = True
+        requester.groups.owned.stopping = True
         answer = await self.ask_vm(requester, path="/save/a")
         self.assertEqual(answer.status, 200)
 
@@ -204,7 +204,7 @@
             lambda: all(row.clients_disconnected for row in self.searchers)
         )
         self.assertLess(calls.ABANDONED_GRACE_S + calls.SWEEP_INTERVAL_S, 0.5)
-        self.assertFalse(any(vm.groups.serving for vm in self.gateways))
+        self.assertFalse(any(vm.groups.owned.serving for vm in self.gateways))
         self.assertFalse(any(vm.groups.remote for vm in self.gateways))
 
     async def test_outcome_is_transferred_between_vms(self):
