Break the import circle of gateway.py and peer_messages.py

peer_messages.create_handlers took the gateway, whose module imports peer_messages, so that the type could only be imported for type checks. It now takes the handlers by kinds of messages. No change of behaviour.

--- a/laurelrock/gateways/deployment.py
+++ b/laurelrock/gateways/deployment.py
@@ -5,8 +5,9 @@
 from laurelrock.core import retry_budget
 from laurelrock.core import tenancy
 from laurelrock.core import warm_up
+from laurelrock.ports import directory
 
-__all__ = ["Deployment"]
+__all__ = ["Deployment", "create_vm_entry", "regions_of"]
 
 Address = tuple[str, int]
 
@@ -66,3 +67,18 @@
     warm_up_policy: warm_up.WarmUpPolicy = warm_up.WarmUpPolicy()
     weighs_domains: bool = True
     crossing_price_per_mb: float = 0.0
+
+
+def regions_of(options: Deployment) -> dict[str, str]:
+    """Returns the region of each failure domain, including this VM's own."""
+    return {options.failure_domain: options.region, **options.regions}
+
+
+def create_vm_entry(options: Deployment) -> directory.VmEntry:
+    """Returns this VM's entry for the list of VMs."""
+    return directory.VmEntry(
+        vm=options.vm,
+        failure_domain=options.failure_domain,
+        address=":".join(map(str, options.peers)),
+        cores=options.cores,
+    )
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -123,11 +123,11 @@
         )
         self.known.check_health = health_checks.responds
         self.known.weighs_domains = options.weighs_domains
-        self.known.set_regions(regions_of(options))
+        self.known.set_regions(deployment.regions_of(options))
         self.calls = calls.create_calls(platform, self.known)
         self.budget = retry_budget.create_budget(options.extra_call_policy)
         self.service_split = routes.WeightedSplit()
-        row = create_vm_entry(options)
+        row = deployment.create_vm_entry(options)
         me = create_vm(row)
         self.peer_links = frames.create_peer_links(
             peer_messages.KINDS, self.handle_message, self.link_ended
@@ -177,7 +177,7 @@
         )
         exchange = (self.follower, options.peers, list(options.seeds))
         self.peers = peers.create_peer_exchange(*exchange, self.set_vm_count)
-        self.handlers = peer_messages.create_handlers(self)
+        self.handlers = peer_messages.create_handlers(self.handlers_by_kinds())
         self.servers: list[http_server.Server] = []
         self.answers = caller_answers.create_caller_answers(
             platform, self.follower, meters
@@ -236,6 +236,18 @@
         """Forwards changes of the searchers to subscribers."""
         self.sharing.share_changes(changes)
 
+    def handlers_by_kinds(self) -> peer_messages.HandlersByKinds:
+        """Returns the parts that handle messages from other VMs."""
+        return peer_messages.HandlersByKinds(
+            groups=self.groups.handle_message,
+            partition_hints=self.partition_detector.record_hint,
+            state=self.sharing.handle_message,
+            lending=self.lending.handle_message,
+            limits=self.limit_sharing.handle_message,
+            crashes=self.crash_watch.handle_message,
+            caps=self.cap_sharing.handle_message,
+        )
+
     def handle_message(self, link: frames.Link, message: typing.Any) -> None:
         """Handles a message from another VM."""
         if isinstance(message, group_messages.Pong):
@@ -310,7 +322,7 @@
         """Applies changed settings; addresses apply from the next start."""
         self.deployment = options
         self.budget.policy = options.extra_call_policy
-        self.known.set_regions(regions_of(options))
+        self.known.set_regions(deployment.regions_of(options))
         self.groups.assignment.forbidden.clear()
         self.cold_searchers.policy = options.warm_up_policy
         self.placement.domains.price_per_mb = options.crossing_price_per_mb
@@ -467,21 +479,6 @@
         )
 
 
-def regions_of(options: deployment.Deployment) -> dict[str, str]:
-    """Returns the region of each failure domain, including this VM's own."""
-    return {options.failure_domain: options.region, **options.regions}
-
-
-def create_vm_entry(options: deployment.Deployment) -> directory.VmEntry:
-    """Returns this VM's entry for the list of VMs."""
-    return directory.VmEntry(
-        vm=options.vm,
-        failure_domain=options.failure_domain,
-        address=":".join(map(str, options.peers)),
-        cores=options.cores,
-    )
-
-
 def create_vm(row: directory.VmEntry) -> owners.Vm:
     """Returns a VM from its entry in the list."""
     host = row["address"].rpartition(":")[0]
--- a/laurelrock/gateways/peer_messages.py
+++ b/laurelrock/gateways/peer_messages.py
@@ -1,4 +1,4 @@
-"""Maps the messages between VMs to the parts of a gateway that handle them."""
+"""Kinds of the messages between VMs, and their mapping to handlers."""
 
 import collections.abc
 import typing
@@ -11,10 +11,7 @@
 from laurelrock.gateways import state_sharing
 from laurelrock.gateways.tenants import cap_messages
 
-if typing.TYPE_CHECKING:
-    from laurelrock.gateways import gateway as gateways
-
-__all__ = ["KINDS", "Handler", "create_handlers"]
+__all__ = ["KINDS", "Handler", "HandlersByKinds", "create_handlers"]
 
 #: Types of the messages, by the number of their kind.
 KINDS: dict[int, type] = {
@@ -29,21 +26,44 @@
 Handler = collections.abc.Callable[[frames.Link, typing.Any], None]
 
 
-def create_handlers(gateway: "gateways.Gateway") -> dict[type, Handler]:
+class HandlersByKinds(typing.NamedTuple):
+    """The handlers of messages, one for the kinds of each module.
+
+    Attributes:
+        groups: Handles `group_messages.KINDS`, except partition hints, and
+            replies that name an unknown kind.
+        partition_hints: Called at a `group_messages.PartitionHint`.
+        state: Handles `state_sharing.KINDS`.
+        lending: Handles `lending.KINDS`.
+        limits: Handles `limit_sharing.KINDS`.
+        crashes: Handles `crash_watch.KINDS`.
+        caps: Handles `cap_messages.KINDS`.
+    """
+
+    groups: Handler
+    partition_hints: collections.abc.Callable[[], None]
+    state: Handler
+    lending: Handler
+    limits: Handler
+    crashes: Handler
+    caps: Handler
+
+
+def create_handlers(by_kinds: HandlersByKinds) -> dict[type, Handler]:
     """Returns the handler of each type of message."""
     rows: list[tuple[dict[int, type], Handler]] = [
-        (group_messages.KINDS, gateway.groups.handle_message),
-        (state_sharing.KINDS, gateway.sharing.handle_message),
-        (lending.KINDS, gateway.lending.handle_message),
-        (limit_sharing.KINDS, gateway.limit_sharing.handle_message),
-        (crash_watch.KINDS, gateway.crash_watch.handle_message),
-        (cap_messages.KINDS, gateway.cap_sharing.handle_message),
+        (group_messages.KINDS, by_kinds.groups),
+        (state_sharing.KINDS, by_kinds.state),
+        (lending.KINDS, by_kinds.lending),
+        (limit_sharing.KINDS, by_kinds.limits),
+        (crash_watch.KINDS, by_kinds.crashes),
+        (cap_messages.KINDS, by_kinds.caps),
     ]
     handlers = {
         kind: handle for kinds, handle in rows for kind in kinds.values()
     }
-    handlers[frames.UnknownKind] = gateway.groups.handle_message
+    handlers[frames.UnknownKind] = by_kinds.groups
     handlers[group_messages.PartitionHint] = lambda link, message: (
-        gateway.partition_detector.record_hint()
+        by_kinds.partition_hints()
     )
     return handlers
