--- a/laurelrock/gateways/__init__.py
+++ b/laurelrock/gateways/__init__.py
@@ -22,6 +22,6 @@
 - messages: `peer_messages` maps those between VMs to their handlers
 - `places/`: `evacuations` decides which failure domains get no calls,
   `cold_searchers` how many requests a cold searcher takes
-- `tenants/`: `keys` finds the workspace of a request, `cap_sharing` admits
+- `workspaces/`: `keys` finds the workspace of a request, `cap_sharing` admits
   requests up to its cap, `share_lending` lends shares of caps
 """
--- a/laurelrock/gateways/caller_answers.py
+++ b/laurelrock/gateways/caller_answers.py
@@ -11,8 +11,8 @@
 from laurelrock.gateways import calls
 from laurelrock.gateways import outcomes
 from laurelrock.gateways import platform_follower
-from laurelrock.gateways.tenants import cap_accounts
-from laurelrock.gateways.tenants import keys
+from laurelrock.gateways.workspaces import cap_accounts
+from laurelrock.gateways.workspaces import keys
 from laurelrock.ports import header_codec
 
 __all__ = ["CallerAnswers", "create_caller_answers"]
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -41,9 +41,9 @@
 from laurelrock.gateways import upstreams
 from laurelrock.gateways import vm_removal
 from laurelrock.gateways.places import cold_searchers
-from laurelrock.gateways.tenants import cap_sharing
-from laurelrock.gateways.tenants import keys
-from laurelrock.gateways.tenants import request_counts
+from laurelrock.gateways.workspaces import cap_sharing
+from laurelrock.gateways.workspaces import keys
+from laurelrock.gateways.workspaces import request_counts
 from laurelrock.ports import directory
 from laurelrock.ports import header_codec
 
--- a/laurelrock/gateways/peer_messages.py
+++ b/laurelrock/gateways/peer_messages.py
@@ -9,7 +9,7 @@
 from laurelrock.gateways import lending
 from laurelrock.gateways import limit_sharing
 from laurelrock.gateways import state_sharing
-from laurelrock.gateways.tenants import cap_messages
+from laurelrock.gateways.workspaces import cap_messages
 
 __all__ = ["KINDS", "Handler", "HandlersByKinds", "create_handlers"]
 
--- a/laurelrock/gateways/tenants/cap_sharing.py
+++ b/laurelrock/gateways/workspaces/cap_sharing.py
@@ -17,9 +17,9 @@
 from laurelrock.core import routes
 from laurelrock.core import tenancy
 from laurelrock.core import token_leases
-from laurelrock.gateways.tenants import cap_accounts
-from laurelrock.gateways.tenants import cap_messages
-from laurelrock.gateways.tenants import share_lending
+from laurelrock.gateways.workspaces import cap_accounts
+from laurelrock.gateways.workspaces import cap_messages
+from laurelrock.gateways.workspaces import share_lending
 
 __all__ = ["CapSharing", "create_cap_sharing"]
 
--- a/laurelrock/gateways/tenants/share_lending.py
+++ b/laurelrock/gateways/workspaces/share_lending.py
@@ -16,7 +16,7 @@
 from laurelrock.core import owners
 from laurelrock.core import token_buckets
 from laurelrock.core import token_leases
-from laurelrock.gateways.tenants import cap_messages
+from laurelrock.gateways.workspaces import cap_messages
 
 __all__ = ["ShareLending", "create_share_lending", "slot_of"]
 
--- a/tests/cap_simulation.py
+++ b/tests/cap_simulation.py
@@ -16,7 +16,7 @@
 from laurelrock.core import routes
 from laurelrock.core import tenancy
 from laurelrock.core import token_leases
-from laurelrock.gateways.tenants import cap_sharing
+from laurelrock.gateways.workspaces import cap_sharing
 
 PORT = 7000
 #: Size of a frame's header in bytes.
--- a/tests/test_cap_bound.py
+++ b/tests/test_cap_bound.py
@@ -9,7 +9,7 @@
 
 from laurelrock.core import tenancy
 from laurelrock.core import token_leases
-from laurelrock.gateways.tenants import share_lending
+from laurelrock.gateways.workspaces import share_lending
 from tests import cap_simulation
 from tests import virtual_time
 
--- a/tests/test_key_fuzz.py
+++ b/tests/test_key_fuzz.py
@@ -12,7 +12,7 @@
 from laurelrock.core import routes
 from laurelrock.gateways import gateway
 from laurelrock.gateways import outcomes
-from laurelrock.gateways.tenants import keys
+from laurelrock.gateways.workspaces import keys
 from laurelrock.platform import header_codec
 from laurelrock.platform import objects
 from tests import gateway_builders as build
--- a/tests/test_workspace_keys.py
+++ b/tests/test_workspace_keys.py
@@ -5,8 +5,8 @@
 
 from laurelrock.core import routes
 from laurelrock.core import tenancy
-from laurelrock.gateways.tenants import keys
-from laurelrock.gateways.tenants import request_counts
+from laurelrock.gateways.workspaces import keys
+from laurelrock.gateways.workspaces import request_counts
 from laurelrock.platform import header_codec
 from laurelrock.platform import objects
 from tests import gateway_builders
