--- a/laurelrock/platform/settings.py
+++ b/laurelrock/platform/settings.py
@@ -43,10 +43,6 @@
 DEFAULT_MEMORY_MB = 200.0
 
 
-#: Name of the rules on evacuations, cold searchers and homes.
-PLACES_POLICY = "places"
-
-
 def load(path: pathlib.Path) -> deployment.Deployment:
     """Reads a settings file; raises `SettingsError`."""
     try:
@@ -129,11 +125,8 @@
         follows_evacuations="evacuate_ms" in bounds.row,
         cap_policy=read_cap_policy(bounds),
         warm_up_policy=read_warm_up_policy(bounds),
-        # Deployments with rules on places, or with a price, ask for it.
-        weighs_domains=(
-            PLACES_POLICY in fields.rows("policies")
-            or "crossing_price_per_mb" in bounds.row
-        ),
+        # A deployment asks for it by naming a price, which may be 0.
+        weighs_domains="crossing_price_per_mb" in bounds.row,
         # A negative price would send every part away.
         crossing_price_per_mb=max(
             0.0, bounds.number("crossing_price_per_mb", 0.0)
