--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -15,6 +15,7 @@
 from laurelrock.gateways import caller_answers
 from laurelrock.gateways import calls
 from laurelrock.gateways import crash_watch
+from laurelrock.gateways import domain_selection
 from laurelrock.gateways import gateway
 from laurelrock.gateways import group_overload
 from laurelrock.gateways import isolation_detector
@@ -57,6 +58,7 @@
     *(lending, owner_selection, cold_searchers),
     *(parts, peers, partition_detector, state_sharing, upstreams, store),
     *(caller_answers, evacuations, searcher_connections, searcher_limits),
+    domain_selection,
 )
 
 
--- a/tests/test_domain_choice.py
+++ b/tests/test_domain_choice.py
@@ -3,14 +3,14 @@
 import collections
 import heapq
 import random
+import typing
 import unittest
 
-from structlog import testing
-
 from laurelrock.core import domain_choice
 from laurelrock.core import replicas
 from tests import gateway_builders as build
 from tests import gateway_simulation
+from tests import gateways
 from tests import virtual_time
 
 OBJECTIVE_S, DEADLINE_S, WORK_S = 0.186, 1.526, 0.03
@@ -331,14 +331,15 @@
             build.configuration(build.single_route()), calls
         )
         node = simulation.add_node(1, "a", 1)
-        with testing.capture_logs():
+        with gateways.capture_log_events([]):
             for name in ("files-1", "files-2"):
                 simulation.change_searcher(node, name, "live")
         far = node.known.by_id["files-2"].replica
         far.searcher = far.searcher._replace(failure_domain="b")
         near = node.known.by_id["files-1"].replica
         near.record_load(reported_calls, 0, node.calls.loop.time())
-        with testing.capture_logs() as events:
+        events: list[dict[str, typing.Any]] = []
+        with gateways.capture_log_events(events):
             await node.run(simulation.configuration.routes[0], b"r-1", 1.0)
         called = [row.searcher for row in simulation.received_calls]
         return called, node.placement.counts, events
