Keep a caller of the soak with each VM that is cut from its searchers

A trace of where the callers were shows why: 1.5 s after the start of the cut the VM reports that it is not ready, and each caller leaves it when its connection next ends (its time-out, a disconnect, or a refusal). The check counts from 4 s after the start. With nine busy processes beside the soak the last caller left 1 s later in one run, which counted 8 requests; by chance it leaves before.

One more caller of each VM stays with its VM whatever that reports, as the platform sends a few requests directly to every VM. Its load is small and doesn't grow beyond six VMs. The check is unchanged.

--- a/bench/random_faults.py
+++ b/bench/random_faults.py
@@ -26,6 +26,9 @@
 #: Callers per VM, and the mean pause between two requests of a caller, in
 #: seconds.
 CALLERS_PER_VM, MEAN_PAUSE_S = 4, 0.05
+#: Mean pause between two requests of a caller that stays with its VM, in
+#: seconds, and the number of VMs from which it grows, which bounds their load.
+STAYING_PAUSE_S, MAX_STAYING = 0.1, 6
 #: Interval at which the load balancer polls readiness, in seconds.
 READINESS_POLL_S = 0.5
 #: Maximum time for a process to stop, in seconds.
@@ -109,14 +112,24 @@
                     self.ready.discard(name)
             await asyncio.sleep(READINESS_POLL_S)
 
-    async def run_caller(self, number: int) -> None:
-        """Sends requests on one connection until it closes, then reconnects."""
-        rng = random.Random(number)
+    async def run_caller(
+        self, seed: int | str, own_vm: str = "", pause_s: float = MEAN_PAUSE_S
+    ) -> None:
+        """Sends requests on one connection until it closes, then reconnects.
+
+        Args:
+            seed: Seed of its choices.
+            own_vm: VM that it stays with, whatever that reports; if empty, it
+                connects to any VM that is ready.
+            pause_s: Mean pause between two requests, in seconds.
+        """
+        rng = random.Random(seed)
         caller, vm = None, None
         while not self.stopped:
-            await asyncio.sleep(rng.random() * 2 * MEAN_PAUSE_S)
+            await asyncio.sleep(rng.random() * 2 * pause_s)
             if caller is None or caller.writer is None:
                 names = sorted(self.ready) or sorted(self.running.vms)
+                names = [own_vm] if own_vm else names
                 vm = self.running.vms[rng.choice(names)]
                 caller = callers.Caller(vm.callers)
             assert vm is not None
@@ -450,6 +463,13 @@
             asyncio.create_task(self.run_caller(self.rng.randrange(2**32)))
             for _ in range(count)
         ]
+        # The others leave a VM that is cut from all searchers, since it reports
+        # that it is not ready. The platform sends some requests to every VM.
+        pause_s = STAYING_PAUSE_S * max(1, len(self.running.vms) / MAX_STAYING)
+        load += [
+            asyncio.create_task(self.run_caller(name, name, pause_s))
+            for name in self.running.vms
+        ]
         await asyncio.sleep(BEFORE_S)
         names = await self.inject_faults()
         await asyncio.sleep(after_s)
