Send VMs of the previous version only messages that they decode

A VM now sends its version as the first frame of each connection. Each message is encoded once per version in the fleet. A rollback shows in the first frame of the new connection.

A group with a workspace, with regions, or during an evacuation isn't sent to an owner of the old version; VMs of this version that rank next stand in. A VM doesn't subscribe to a source of the old version, nor applies a configuration from one, since the old version drops workspaces and regions; it follows the platform and looks for another source.

--- a/laurelrock/adapters/frames.py
+++ b/laurelrock/adapters/frames.py
@@ -9,6 +9,12 @@
 doesn't know gets a reply. Fields are added at the end of a message, with
 defaults: the receiver drops those that it doesn't know, and uses the defaults
 of those that are missing.
+
+The first version did neither, and dropped messages that it couldn't decode. A
+later one sends `PeerVersion` as the first frame of each connection. A peer
+whose first frame is another one is sent messages without the fields and kinds
+that the first version doesn't know (`message_versions`). Messages that depend
+on this wait for the peer's first frame.
 """
 
 import asyncio
@@ -22,8 +28,17 @@
 from laurelrock import errors
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
-
-__all__ = ["Link", "PeerLinks", "UnknownKind", "create_peer_links", "decode"]
+from laurelrock.adapters import message_versions
+
+__all__ = [
+    "Link",
+    "NotSent",
+    "PeerLinks",
+    "PeerVersion",
+    "UnknownKind",
+    "create_peer_links",
+    "decode",
+]
 
 #: Size of the largest frame that is accepted, in bytes.
 MAX_FRAME_BYTES = 4_194_304
@@ -38,6 +53,11 @@
 COMPRESSED_FLAG = 0x80
 #: Kind of `UnknownKind`. Versions that don't know it drop it without a reply.
 UNKNOWN_KIND = 0
+#: Kind of `PeerVersion`.
+VERSION_KIND = 127
+#: Maximum number of messages that wait for a peer's first frame. A gateway
+#: sends a silent peer a few dozen until it skips it.
+MAX_HELD_MESSAGES = 1000
 #: Time limit for opening a connection, in seconds.
 CONNECT_TIMEOUT_S = 0.3
 #: Unsent bytes above which the connection to a peer that doesn't read is
@@ -60,6 +80,26 @@
     kind: int
 
 
+class PeerVersion(typing.NamedTuple):
+    """The first message of a connection, unless the sender's version has none.
+
+    Attributes:
+        number: See `message_versions.Versions`.
+    """
+
+    number: int
+
+
+class NotSent(typing.NamedTuple):
+    """Passed to the handler for a message that the peer can't decode whole.
+
+    Attributes:
+        message: The message; see `Link.send_whole`.
+    """
+
+    message: Message
+
+
 class Link(asyncio.Protocol):
     """One connection to another gateway.
 
@@ -70,6 +110,10 @@
         transport: Transport of the connection; None until it is open.
         queued_frames: Frames to send once the connection is open.
         received: Bytes received of a frame that is not yet complete.
+        version_known: Whether the peer's version is known.
+        current: Whether the peer decodes all messages of this version.
+        held: Messages that wait until the peer's version is known, each with
+            whether it must be sent as a whole.
     """
 
     def __init__(
@@ -80,6 +124,8 @@
         self.transport: asyncio.Transport | None = None
         self.queued_frames: list[bytes] = []
         self.received = b""
+        self.version_known = self.current = peer_links.versions is None
+        self.held: list[tuple[Message, bool]] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = typing.cast(asyncio.Transport, transport)
@@ -87,6 +133,9 @@
         http_wire.enable_tcp_keepalive(transport)
         if self.address is None:
             self.peer_links.accepted.add(self)
+        if self.peer_links.versions is not None:
+            number = self.peer_links.versions.number
+            self.transport.write(self.peer_links.encode(PeerVersion(number)))
         if self.queued_frames:
             self.transport.write(b"".join(self.queued_frames))
             self.queued_frames.clear()
@@ -117,6 +166,8 @@
 
         Frames of an unknown kind get a reply; undecodable ones are dropped.
         """
+        if not self.version_known:
+            self.learn_version(kind, body)
         message_type = self.peer_links.message_types.get(
             kind & ~COMPRESSED_FLAG
         )
@@ -131,11 +182,77 @@
         except (msgspec.DecodeError, zlib.error) as error:
             _log.warning("frame-undecodable", kind=kind, reason=str(error))
             return
-        self.peer_links.handle(self, message)
+        if not isinstance(message, PeerVersion):
+            self.peer_links.handle(self, message)
+
+    def learn_version(self, kind: int, body: bytes) -> None:
+        """Learns the peer's version from its first frame."""
+        versions = self.peer_links.versions
+        number = 0
+        if kind == VERSION_KIND:
+            try:
+                number = decode(body, PeerVersion).number
+            except msgspec.DecodeError as error:
+                _log.warning("frame-undecodable", kind=kind, reason=str(error))
+        self.version_known = True
+        self.current = versions is None or number >= versions.number
+        if not self.current and self.transport is not None:
+            _log.info(
+                "peer-version-older",
+                peer=self.address or self.transport.get_extra_info("peername"),
+                version=number,
+            )
+        held, self.held = self.held, []
+        for message, whole in held:
+            self.send_for_version(message, whole)
 
     def send(self, message: Message) -> None:
-        """Queues a message; drops it if the connection is closing."""
-        self.send_frame(self.peer_links.encode(message))
+        """Queues a message; drops it if the connection is closing.
+
+        A peer of the previous version gets it without the fields that it
+        doesn't know, and not at all if it doesn't know its kind.
+        """
+        if self.current:
+            self.send_frame(self.peer_links.encode(message))
+        else:
+            self.send_for_version(message, False)
+
+    def send_whole(self, message: Message) -> None:
+        """Queues a message only if the peer decodes all of its fields.
+
+        Otherwise `NotSent` is passed to the handler.
+        """
+        if self.current:
+            self.send_frame(self.peer_links.encode(message))
+        else:
+            self.send_for_version(message, True)
+
+    def send_for_version(self, message: Message, whole: bool) -> None:
+        """Queues a message for a peer of another or an unknown version."""
+        peer_links = self.peer_links
+        if not self.version_known and (
+            self.held or whole or type(message) in peer_links.shorteners
+        ):
+            self.hold(message, whole)
+        elif self.current:
+            self.send_frame(peer_links.encode(message))
+        elif whole:
+            peer_links.loop.call_soon(peer_links.handle, self, NotSent(message))
+        else:
+            frame = peer_links.encode_short(message)
+            if frame:
+                self.send_frame(frame)
+
+    def hold(self, message: Message, whole: bool) -> None:
+        """Keeps a message until the peer's first frame, which it asks for."""
+        if not self.held and self.peer_links.versions is not None:
+            probe = self.peer_links.versions.probe
+            self.send_frame(self.peer_links.encode(probe))
+        self.held.append((message, whole))
+        if len(self.held) > MAX_HELD_MESSAGES:
+            _log.warning("send-buffer-full", peer=self.address)
+            self.held.clear()
+            self.close()
 
     def send_frame(self, frame: bytes) -> None:
         """Queues an encoded message; closes a connection that isn't read."""
@@ -163,6 +280,9 @@
         kinds_by_type: Kinds by message type, the inverse of `message_types`.
         handle: Handler that is called with the link and each message of it.
         on_link_ended: Callback for a link that ended or could not be opened.
+        versions: The differences from the previous version's messages; None if
+            all peers run the same version.
+        shorteners: How messages are shortened for peers of that version.
         links: Links that this gateway opened, by address of the peer.
         accepted: Links that other gateways opened.
         listener: Listening socket; None before `listen`.
@@ -175,7 +295,17 @@
         message_types: dict[int, type],
         handle: collections.abc.Callable[[Link, Message], None],
         on_link_ended: collections.abc.Callable[[Link], None],
+        versions: message_versions.Versions | None = None,
     ) -> None:
+        message_types = {**message_types, UNKNOWN_KIND: UnknownKind}
+        self.versions = versions
+        self.shorteners: dict[type, message_versions.Shorten | None] = {}
+        if versions is not None:
+            message_types[VERSION_KIND] = PeerVersion
+            self.shorteners = message_versions.create_shorteners(
+                message_types.values(), versions
+            )
+            self.shorteners[UnknownKind] = None
         self.message_types = message_types
         self.kinds_by_type = {
             message_type: kind for kind, message_type in message_types.items()
@@ -190,8 +320,24 @@
 
     def encode(self, message: Message) -> bytes:
         """Returns the frame of a message."""
+        return self.encode_fields(self.kinds_by_type[type(message)], message)
+
+    def encode_short(self, message: Message) -> bytes:
+        """Returns the frame of a message for peers of the previous version.
+
+        It is empty if that version doesn't know the message.
+        """
         kind = self.kinds_by_type[type(message)]
-        body = msgspec.msgpack.encode(message)
+        if type(message) not in self.shorteners:
+            return self.encode_fields(kind, message)
+        shorten = self.shorteners[type(message)]
+        if shorten is None:
+            return b""
+        return self.encode_fields(kind, shorten(message))
+
+    def encode_fields(self, kind: int, fields: typing.Any) -> bytes:
+        """Returns the frame of a message's fields."""
+        body = msgspec.msgpack.encode(fields)
         if len(body) >= MIN_COMPRESSED_BODY_BYTES:
             kind |= COMPRESSED_FLAG
             body = zlib.compress(body, COMPRESSION_LEVEL)
@@ -201,11 +347,21 @@
     def broadcast(
         self, links: collections.abc.Iterable[Link], message: Message
     ) -> None:
-        """Queues one message on several links, encoding it only once."""
-        frame = b""
+        """Queues one message on several links.
+
+        It is encoded once for each version that a peer runs.
+        """
+        frame = short_frame = b""
         for link in links:
-            frame = frame or self.encode(message)
-            link.send_frame(frame)
+            if link.current:
+                frame = frame or self.encode(message)
+                link.send_frame(frame)
+            elif not link.version_known:
+                link.send(message)
+            else:
+                short_frame = short_frame or self.encode_short(message)
+                if short_frame:
+                    link.send_frame(short_frame)
 
     async def listen(self, address: Address) -> None:
         """Starts to accept connections at an address."""
@@ -254,24 +410,25 @@
     message_types: dict[int, type],
     handle: collections.abc.Callable[[Link, Message], None],
     on_link_ended: collections.abc.Callable[[Link], None],
+    versions: message_versions.Versions | None = None,
 ) -> PeerLinks:
     """Returns a set of links, empty and not yet listening.
 
     Args:
-        message_types: Types of the messages by kind, a number from 1 to 127.
+        message_types: Types of the messages by kind, a number from 1 to 126.
         handle: Handler that is called with the link and each message of it.
         on_link_ended: Callback for a link that ended or could not be opened.
+        versions: The differences from the previous version's messages; None if
+            all peers run the same version.
 
     Raises:
         SettingsError: A kind is out of this range.
     """
-    if not all(0 < kind < COMPRESSED_FLAG for kind in message_types):
+    if not all(0 < kind < VERSION_KIND for kind in message_types):
         raise errors.SettingsError(
-            f"kinds {sorted(message_types)} are not from 1 to 127"
+            f"kinds {sorted(message_types)} are not from 1 to 126"
         )
-    return PeerLinks(
-        {**message_types, UNKNOWN_KIND: UnknownKind}, handle, on_link_ended
-    )
+    return PeerLinks(message_types, handle, on_link_ended, versions)
 
 
 def decode(body: bytes, message_type: type) -> Message:
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -130,7 +130,8 @@
         row = deployment.create_vm_entry(options)
         me = create_vm(row)
         self.peer_links = frames.create_peer_links(
-            peer_messages.KINDS, self.handle_message, self.link_ended
+            *(peer_messages.KINDS, self.handle_message, self.link_ended),
+            peer_messages.VERSIONS,
         )
         messaging = (self.peer_links, me, options.peer_links_port)
         self.lending = lending.create_lending(self.budget, *messaging)
--- a/laurelrock/gateways/group_messages.py
+++ b/laurelrock/gateways/group_messages.py
@@ -274,6 +274,9 @@
     def send(self, message: typing.Any) -> None:
         """Queues a message."""
 
+    def send_whole(self, message: typing.Any) -> None:
+        """Queues a message only if the other VM knows all of its fields."""
+
 
 KINDS: dict[int, type] = {
     1: GroupRequest,
--- a/laurelrock/gateways/owner_selection.py
+++ b/laurelrock/gateways/owner_selection.py
@@ -47,6 +47,9 @@
         me: This VM.
         send: Sends a message to a VM.
         unresponsive: The owners that are skipped until they reply, by name.
+        older: The links of the VMs that run the previous version, by name, as
+            far as it matters. They aren't asked for groups whose request has
+            what that version ignores.
         isolated: The loop times until which VMs count as isolated, by name.
         disconnected: The loop times until which VMs count as having lost
             searchers of a group, by name and the first service of the group.
@@ -59,6 +62,7 @@
         self.me = assigned.me
         self.send = send
         self.unresponsive: dict[str, remote_groups.UnresponsiveOwner] = {}
+        self.older: dict[str, group_messages.Link] = {}
         self.isolated: dict[str, float] = {}
         self.disconnected: dict[tuple[str, str], float] = {}
         self.delays = owner_delays.create_owner_delays()
@@ -84,7 +88,11 @@
         return self.disconnected.get((vm.name, key), 0.0) > self.loop.time()
 
     def first_owner(
-        self, candidates: list[owners.Vm], tried: set[str], key: str
+        self,
+        candidates: list[owners.Vm],
+        tried: set[str],
+        key: str,
+        barred: collections.abc.Container[str] = (),
     ) -> owners.Vm | None:
         """Returns the VM to ask for a group.
 
@@ -92,26 +100,30 @@
             candidates: The owners of the group, in order of preference.
             tried: The names of the VMs that were asked.
             key: The first service of the group.
+            barred: The names of the VMs whose version can't run the group.
 
         Returns:
             The first owner that responds and reaches the searchers, or a VM
-            that stands in if owners are isolated or all are unresponsive; None
-            if there is none.
+            that stands in if owners are isolated or all are unresponsive or
+            barred; None if there is none.
         """
         isolated = False
         candidates = self.choked_last(candidates)
-        for vm in candidates:
+        usable = [vm for vm in candidates if vm.name not in barred]
+        for vm in usable:
             if vm.name in self.unresponsive:
                 continue
             isolated = isolated or self.is_isolated(vm)
             if self.may_ask(vm, tried, key):
                 return vm
         stand_ins = MAX_STAND_INS if isolated else MAX_UNRESPONSIVE_STAND_INS
-        responsive = any(vm.name not in self.unresponsive for vm in candidates)
+        responsive = any(vm.name not in self.unresponsive for vm in usable)
         if self.assignment.all_call(key) or (responsive and not isolated):
             return None
         # All VMs choose the same ones, so that few more call a searcher.
         ranked = self.assignment.rank(self.assignment.keys.get(key, key))
+        if barred:
+            ranked = [vm for vm in ranked if vm.name not in barred]
         for vm in ranked[: len(candidates) + stand_ins]:
             if self.may_ask(vm, tried, key):
                 return vm
@@ -153,14 +165,18 @@
         )
 
     def next_owner(
-        self, candidates: list[owners.Vm], tried: set[str], key: str
+        self,
+        candidates: list[owners.Vm],
+        tried: set[str],
+        key: str,
+        barred: collections.abc.Container[str] = (),
     ) -> owners.Vm | None:
         """Returns the VM to ask for a group, also if none reaches all of it.
 
         Some searchers of the group may be down for all VMs. See `first_owner`
         for the arguments.
         """
-        vm = self.first_owner(candidates, tried, key)
+        vm = self.first_owner(candidates, tried, key, barred)
         if vm is not None:
             return vm
         # This VM comes last, so that it keeps hearing how the others fare.
@@ -168,6 +184,7 @@
         for vm in sorted(candidates, key=lambda vm: vm == self.me):
             if (
                 vm.name not in tried
+                and vm.name not in barred
                 and vm.name not in self.unresponsive
                 and not self.is_isolated(vm)
             ):
@@ -215,6 +232,17 @@
         vm = self.reaching_owner(services, forbidden)
         return vm not in (None, self.me)
 
+    def mark_older(self, vm: str, link: group_messages.Link) -> None:
+        """Records that a VM runs the previous version, while a link is open."""
+        if vm not in self.older:
+            _log.info("owner-older", owner=vm)
+        self.older[vm] = link
+
+    def link_ended(self, link: group_messages.Link) -> None:
+        """Forgets the version of the VM at the other end of a link."""
+        for name in [name for name, row in self.older.items() if row is link]:
+            del self.older[name]
+
     def mark_isolated(self, vm: str) -> None:
         """Skips a VM that has lost all searchers for a short time."""
         drop_past(self.isolated, self.loop.time())
--- a/laurelrock/gateways/peer_messages.py
+++ b/laurelrock/gateways/peer_messages.py
@@ -4,6 +4,8 @@
 import typing
 
 from laurelrock.adapters import frames
+from laurelrock.adapters import message_versions
+from laurelrock.core import routes
 from laurelrock.gateways import crash_watch
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import lending
@@ -11,7 +13,14 @@
 from laurelrock.gateways import state_sharing
 from laurelrock.gateways.workspaces import cap_messages
 
-__all__ = ["KINDS", "Handler", "HandlersByKinds", "create_handlers"]
+__all__ = [
+    "FIELD_COUNTS",
+    "KINDS",
+    "VERSIONS",
+    "Handler",
+    "HandlersByKinds",
+    "create_handlers",
+]
 
 #: Types of the messages, by the number of their kind.
 KINDS: dict[int, type] = {
@@ -23,6 +32,27 @@
     **cap_messages.KINDS,
 }
 
+#: Number of fields that the previous version knows of the types that have more
+#: now. It rejects messages with more fields.
+FIELD_COUNTS: dict[type, int] = {
+    group_messages.GroupRequest: 15,
+    group_messages.GroupDeclined: 2,
+    limit_sharing.LimitReport: 5,
+    limit_sharing.LimitShares: 3,
+    state_sharing.StateUpdate: 7,
+    routes.Configuration: 4,
+    routes.Route: 12,
+    routes.Service: 2,
+}
+#: The differences from the previous version's messages. A peer answers the
+#: probe unless it is stopping, when it accepts no groups either.
+VERSIONS = message_versions.Versions(
+    1,
+    FIELD_COUNTS,
+    frozenset(cap_messages.KINDS.values()),
+    group_messages.Ping(""),
+)
+
 Handler = collections.abc.Callable[[frames.Link, typing.Any], None]
 
 
@@ -63,6 +93,9 @@
         kind: handle for kinds, handle in rows for kind in kinds.values()
     }
     handlers[frames.UnknownKind] = by_kinds.groups
+    handlers[frames.NotSent] = lambda link, row: handlers[type(row.message)](
+        link, row
+    )
     handlers[group_messages.PartitionHint] = lambda link, message: (
         by_kinds.partition_hints()
     )
--- a/laurelrock/gateways/peers.py
+++ b/laurelrock/gateways/peers.py
@@ -20,12 +20,20 @@
 from laurelrock.adapters import http_server
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
+from laurelrock.adapters import message_versions
 from laurelrock.core import evacuations
 from laurelrock.core import registry
 from laurelrock.core import routes
+from laurelrock.gateways import peer_messages
 from laurelrock.gateways import platform_follower
 
-__all__ = ["PeerExchange", "Snapshot", "create_peer_exchange"]
+__all__ = [
+    "VERSION_HEADER",
+    "PeerExchange",
+    "Snapshot",
+    "create_peer_exchange",
+    "encode_snapshot",
+]
 
 #: Interval in seconds at which a refused VM queries others.
 QUERY_INTERVAL_S = 0.5
@@ -43,6 +51,12 @@
 #: version in force follows them.
 STATE_PATH = "/state?version="
 CONFIGURATION_PATH = "/configuration?version="
+#: Header of queries and answers that tells the version of their sender.
+#: The previous version sends none, and rejects longer snapshots than its own.
+VERSION_HEADER = (
+    b"x-message-version",
+    b"%d" % peer_messages.VERSIONS.number,
+)
 #: Age in seconds that stands for no data on searchers.
 NO_SEARCHERS_AGE_S = 1e9
 
@@ -68,6 +82,11 @@
     evacuated: evacuations.State | None = None
 
 
+SHORTEN = message_versions.create_shorten(
+    Snapshot, {**peer_messages.FIELD_COUNTS, Snapshot: 4}
+)
+
+
 class PeerExchange:
     """State of the queries to other VMs.
 
@@ -133,9 +152,9 @@
         snapshot = self.snapshot(int(version))
         if path == CONFIGURATION_PATH:
             snapshot = snapshot._replace(searchers=[], age_s=NO_SEARCHERS_AGE_S)
-        body = msgspec.json.encode(snapshot)
         kind = (b"content-type", b"application/json")
-        return http_server.Response(200, [kind], body)
+        body = encode_snapshot(snapshot, request.headers)
+        return http_server.Response(200, [kind, VERSION_HEADER], body)
 
     async def run(self) -> None:
         """Queries others while this VM's data is stale; runs forever."""
@@ -167,7 +186,7 @@
         raw = http_wire.encode_request(
             b"GET",
             f"{path}{version}".encode(),
-            http_wire.encode_headers([(b"host", host)]),
+            http_wire.encode_headers([(b"host", host), VERSION_HEADER]),
             b"",
         )
         client = http_client.open_client(address, 1)
@@ -177,7 +196,12 @@
                 reply = await call.future
             if reply.status != 200:
                 return None
-            return msgspec.json.decode(reply.body, type=Snapshot)
+            snapshot = msgspec.json.decode(reply.body, type=Snapshot)
+            if http_wire.header_value(reply.headers, VERSION_HEADER[0]) is None:
+                # The previous version drops what it doesn't know of a
+                # configuration, such as workspaces and regions.
+                snapshot = snapshot._replace(configuration=None)
+            return snapshot
         except (TimeoutError, errors.LaurelrockError) as error:
             _log.info("peer-silent", peer=address, reason=repr(error))
             return None
@@ -210,6 +234,16 @@
         self.known.accept_searchers(rows, True, snapshot.age_s)
 
 
+def encode_snapshot(
+    snapshot: Snapshot, headers: list[tuple[bytes, bytes]]
+) -> bytes:
+    """Returns the answer to a query, given the headers of the query."""
+    current = http_wire.header_value(headers, VERSION_HEADER[0]) is not None
+    if current or SHORTEN is None:
+        return msgspec.json.encode(snapshot)
+    return msgspec.json.encode(SHORTEN(snapshot))
+
+
 def create_peer_exchange(
     known: platform_follower.PlatformFollower,
     me: tuple[str, int],
--- a/laurelrock/gateways/remote_groups.py
+++ b/laurelrock/gateways/remote_groups.py
@@ -148,6 +148,10 @@
         """Delivers a message in the next iteration of the event loop."""
         self.loop.call_soon(self.handle, self, message)
 
+    def send_whole(self, message: typing.Any) -> None:
+        """Delivers a message; this VM knows all fields."""
+        self.send(message)
+
 
 class UnresponsiveOwner:
     """An owner that didn't respond, declined or disconnected.
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -174,8 +174,9 @@
 
     def ask_next(self, group: remote_groups.RemoteGroup) -> None:
         """Asks the next owner, with this VM itself as the last one."""
+        barred = self.barred(group)
         vm = self.selection.next_owner(
-            group.owners, group.tried, group.services[0]
+            group.owners, group.tried, group.services[0], barred or ()
         )
         if (
             vm is None
@@ -201,12 +202,33 @@
         if vm != self.me:
             group.link = self.peer_links.link((vm.host, self.port))
         group.asked_s = self.loop.time()
-        group.link.send(remote_groups.encode_request(group, self.loop.time()))
+        message = remote_groups.encode_request(group, self.loop.time())
+        if barred is None:
+            group.link.send(message)
+        else:
+            group.link.send_whole(message)
         self.counts["asked"] += 1
         group.timer = self.loop.call_later(
             ACCEPT_TIMEOUT_S, self.handle_accept_timeout, group
         )
 
+    def barred(
+        self, group: remote_groups.RemoteGroup
+    ) -> collections.abc.Container[str] | None:
+        """Returns the VMs whose version can't run a group.
+
+        The previous version ignores workspaces, regions and evacuations. None
+        means that a group has none of these, and any version may run it.
+        """
+        context = group.context
+        if (
+            context.workspace
+            or context.route.regions
+            or self.placement.known.evacuated != frozenset()
+        ):
+            return self.selection.older
+        return None
+
     def handle_accept_timeout(self, group: remote_groups.RemoteGroup) -> None:
         """Skips an owner that didn't accept a group in time."""
         self.skip(group.owner, "silent")
@@ -250,6 +272,8 @@
             self.reachability.handle_report(message)
         elif isinstance(message, frames.UnknownKind):
             self.handle_unknown_kind(link, message.kind)
+        elif isinstance(message, frames.NotSent):
+            self.handle_not_sent(link, message.message)
         else:
             self.handle_owner_reply(message)
 
@@ -314,6 +338,19 @@
                 )
                 self.counts["declined"] += 1
 
+    def handle_not_sent(
+        self, link: group_messages.Link, message: group_messages.GroupRequest
+    ) -> None:
+        """Asks another VM for a group that an owner would run wrongly."""
+        group = self.remote.get(message.number)
+        if group is None or group.link is not link or group.owner is None:
+            return
+        group.stop_timer()
+        self.selection.mark_older(group.owner.name, link)
+        self.handle_decline(
+            group, group_messages.GroupDeclined(group.number, "older version")
+        )
+
     def handle_decline(
         self,
         group: remote_groups.RemoteGroup,
@@ -405,7 +442,9 @@
             return False
         if not group.context.route.regions:
             self.selection.mark_disconnected(group.owner.name, key)
-        better = self.selection.first_owner(group.owners, group.tried, key)
+        better = self.selection.first_owner(
+            group.owners, group.tried, key, self.barred(group) or ()
+        )
         useless = 2 * accepted.disconnected > len(group.services)
         if better is None and not (useless and self.assignment.all_call(key)):
             return False
@@ -420,6 +459,7 @@
 
     def link_ended(self, link: group_messages.Link) -> None:
         """Ends the groups of a link; reassigns those that weren't started."""
+        self.selection.link_ended(link)
         for group in [row for row in self.remote.values() if row.link is link]:
             del self.remote[group.number]
             group.stop_timer()
--- a/laurelrock/gateways/state_sharing.py
+++ b/laurelrock/gateways/state_sharing.py
@@ -113,6 +113,8 @@
         subscribed_s: The loop time of the subscription.
         failed_sources: The names of the sources that were given up since one
             last provided fresh data.
+        older_sources: The links of the VMs that run the previous version, by
+            name, as far as they were to be sources.
         vms_changed: Set when the list of VMs changes.
     """
 
@@ -138,15 +140,20 @@
         self.last_message_s = 0.0
         self.subscribed_s = 0.0
         self.failed_sources: set[str] = set()
+        self.older_sources: dict[str, frames.Link] = {}
         self.vms_changed = asyncio.Event()
         self.loop = asyncio.get_running_loop()
 
     def sources(self) -> list[owners.Vm]:
-        """Returns the VMs to subscribe to, in order of preference."""
-        domain = self.me.failure_domain
-        return owners.rank_owners(
-            SOURCE_RANKING_KEY, self.vms, domain, CANDIDATES
-        )
+        """Returns the VMs to subscribe to, in order of preference.
+
+        VMs of the previous version aren't among them: they drop what they don't
+        know of a configuration, such as workspaces and regions.
+        """
+        domain, vms = self.me.failure_domain, self.vms
+        if self.older_sources:
+            vms = [vm for vm in vms if vm.name not in self.older_sources]
+        return owners.rank_owners(SOURCE_RANKING_KEY, vms, domain, CANDIDATES)
 
     def is_source(self) -> bool:
         """Returns whether this VM follows the platform, also for others."""
@@ -245,7 +252,7 @@
         self.source = source
         self.last_message_s = self.subscribed_s = now_s
         self.link = self.peer_links.link((source.host, self.port))
-        self.link.send(Subscribe(self.known.version))
+        self.link.send_whole(Subscribe(self.known.version))
         _log.info("subscribed", source=source.name)
 
     def unsubscribe(self) -> None:
@@ -256,16 +263,34 @@
     # Messages
 
     def handle_message(
-        self, link: frames.Link, message: Subscribe | StateUpdate
+        self,
+        link: frames.Link,
+        message: Subscribe | StateUpdate | frames.NotSent,
     ) -> None:
         """Handles a message from another VM."""
-        if isinstance(message, Subscribe):
+        if isinstance(message, frames.NotSent):
+            self.pass_over_older(link)
+        elif isinstance(message, Subscribe):
             self.follow_directly()
             self.subscribers[link] = self.known.searchers_read
             link.send(self.full_state(message.version))
         elif link is self.link:
             self.apply_update(message)
 
+    def pass_over_older(self, link: frames.Link) -> None:
+        """Changes to the next source if one runs the previous version.
+
+        Several may have to be tried, so that this VM follows the platform in
+        the meantime.
+        """
+        if link is not self.link or self.source is None:
+            return
+        _log.info("source-older", source=self.source.name)
+        self.older_sources[self.source.name] = link
+        self.unsubscribe()
+        self.follow_directly()
+        self.vms_changed.set()
+
     def apply_update(self, state: StateUpdate) -> None:
         """Applies an update from the source."""
         now_s = self.loop.time()
@@ -294,6 +319,8 @@
     def link_ended(self, link: frames.Link) -> None:
         """Handles the end of the connection to a subscriber or the source."""
         self.subscribers.pop(link, None)
+        for name in [n for n, row in self.older_sources.items() if row is link]:
+            del self.older_sources[name]
         if link is self.link:
             self.last_message_s = 0.0
 
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -349,6 +349,9 @@
         self.arrival_s = max(self.arrival_s, loop.time() + delay_s)
         loop.call_at(self.arrival_s, self.deliver, message)
 
+    def send_whole(self, message: typing.Any) -> None:
+        self.send(message)
+
     def deliver(self, message: typing.Any) -> None:
         if not self.ended and not self.remote_node.drops_messages:
             self.remote_node.handle_message(self.reverse, message)
