--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -25,12 +25,7 @@
 from fakes import shards
 from laurelrock.core import owners
 
-__all__ = [
-    "Fleet",
-    "Shape",
-    "Vm",
-    "open_fleet",
-]
+__all__ = ["ROOT", "Fleet", "Shape", "Vm", "open_fleet"]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "soak.example"
@@ -59,6 +54,7 @@
         connections: Maximum number of connections to a searcher.
         retry_slack: Extra calls to a service allowed in ten seconds in
             addition to the share of first calls.
+        code: Folder of the code that gateways run when they are started.
     """
 
     lane: int = 0
@@ -66,6 +62,7 @@
     shards: int = 6
     connections: int = 26
     retry_slack: int = 58
+    code: pathlib.Path = ROOT
 
     @property
     def calls_directly(self) -> bool:
@@ -415,7 +412,7 @@
                     *(sys.executable, "-m", "bench.bound_gateway"),
                     *(vm.address, "gateway"),
                 ],
-                cwd=ROOT,
+                cwd=self.shape.code,
                 env=env,
                 stdout=log,
                 stderr=log,
