Keep a searcher's limit while two versions divide it

Present VMs keep their equal shares until they have offered a part of them. With both versions in a fleet the shares add up to more than the limit: a present keeper of four VMs gave an old one with nearly all of the demand 0.79, while the others used 0.25 each.

A keeper now gives a VM of the old version at most an equal share. A VM whose keeper runs the old version uses no more than the share that it replies, since that keeper gives the rest to others.

--- a/laurelrock/core/shared_rate.py
+++ b/laurelrock/core/shared_rate.py
@@ -50,6 +50,10 @@
 #: Age in seconds of the keeper's last reply up to which an offer is useful: the
 #: keeper counts it from its time stamp, and it has to outlast a grant.
 MAX_STAMP_AGE_S = 2.0
+#: Time in seconds for which the share from a keeper of the previous version
+#: counts. Other VMs of that version use theirs for 2.5 s, and report once a
+#: second.
+OLDER_SHARE_S = 3.5
 #: Relative difference in speed of two VMs' clocks that is allowed for.
 CLOCK_DRIFT = 0.05
 #: Time in seconds for which the largest number of callers counts. A VM that is
@@ -172,6 +176,8 @@
         offered_to: Start id of the keeper that got the last offer.
         offered_s: Time of the last offer, in seconds.
         grants: The grants by service.
+        older_shares: What keepers of the previous version gave this VM, by
+            service.
     """
 
     def __init__(self, started_s: float) -> None:
@@ -182,6 +188,7 @@
         self.offered_to = ""
         self.offered_s = -math.inf
         self.grants: dict[str, Grant] = {}
+        self.older_shares: dict[str, Grant] = {}
 
     def can_offer(self, now_s: float) -> bool:
         """Tells whether an offer to the keeper that replied last is safe."""
@@ -228,6 +235,25 @@
             if 0.0 <= fraction <= 1.0:
                 self.grants[service] = Grant(fraction, sent_s + GRANT_S)
 
+    def record_older_reply(
+        self,
+        shares: collections.abc.Iterable[tuple[str, float]],
+        now_s: float,
+    ) -> None:
+        """Records the reply of a keeper of the previous version.
+
+        It divides the whole rate by demand, and VMs of that version use their
+        shares at once.
+
+        Args:
+            shares: The services and this VM's shares of their rates.
+            now_s: Current time, in seconds.
+        """
+        for service, fraction in shares:
+            if 0.0 <= fraction <= 1.0:
+                until_s = now_s + OLDER_SHARE_S
+                self.older_shares[service] = Grant(fraction, until_s)
+
     def forget_keeper(self) -> None:
         """Offers nothing more until a keeper has replied."""
         self.keeper = ""
@@ -244,6 +270,22 @@
                 have made.
             now_s: Current time, in seconds.
         """
+        share = self._present_share(service, equal, strict, now_s)
+        older = self.older_shares.get(service)
+        if older is None:
+            return share
+        if now_s >= older.until_s:
+            del self.older_shares[service]
+            return share
+        return share._replace(
+            fraction=min(share.fraction, older.fraction),
+            after=min(share.after, older.fraction),
+        )
+
+    def _present_share(
+        self, service: str, equal: float, strict: bool, now_s: float
+    ) -> Share:
+        """Returns the share among VMs of this version; see `share`."""
         started_s = self.started_s if strict else -math.inf
         if not self._is_bound(now_s, started_s):
             return Share(equal, equal=equal)
--- a/laurelrock/gateways/limit_sharing.py
+++ b/laurelrock/gateways/limit_sharing.py
@@ -354,6 +354,9 @@
                 zip(services, reply.extras, strict=False),
                 now_s,
             )
+        elif reply.shares:
+            shares = reply.shares[:MAX_REPORTED]
+            self.member(reply.slot).record_older_reply(shares, now_s)
         for told in reply.cold[:MAX_REPORTED]:
             self.apply_cold(told)
         for row in reply.limits[:MAX_REPORTED]:
@@ -422,6 +425,13 @@
             for service in services
             if report.sender in self.demands.get(service, {})
         ]
+        if not report.sent_s:
+            # VMs of the previous version don't send a time. They use their
+            # shares at once, and don't wait for what others offer.
+            shares = [
+                (service, min(share, self.equal_share(service)))
+                for service, share in shares
+            ]
         return LimitShares(
             report.slot,
             shares,
@@ -462,11 +472,15 @@
         """Grants a VM a part of what others offered."""
         if service not in self.grants:
             return 0.0
-        callers = len(self.assignment.callers_of(service))
-        equal = 1.0 / max(1, callers, len(self.demands[service]))
-        wanted = self.divide(service)[vm] - equal * shared_rate.KEPT_FRACTION
+        kept = self.equal_share(service) * shared_rate.KEPT_FRACTION
+        wanted = self.divide(service)[vm] - kept
         return self.grants[service].grant(vm, wanted, now_s)
 
+    def equal_share(self, service: str) -> float:
+        """Returns the share without redistribution of a reported service."""
+        callers = len(self.assignment.callers_of(service))
+        return 1.0 / max(1, callers, len(self.demands[service]))
+
     def announce(self, row: request_limit.NamedLimit, sender: str) -> None:
         """Tells the other callers of a service of a new limit.
 
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -10,9 +10,11 @@
 from laurelrock.adapters import frames
 from laurelrock.core import owners
 from laurelrock.gateways import group_messages
+from laurelrock.gateways import limit_sharing
 from laurelrock.gateways import peer_messages
 from laurelrock.gateways import peers
 from laurelrock.gateways import state_sharing
+from tests import gateway_builders as build
 from tests import gateways
 from tests import old_messages
 from tests import test_message_versions
@@ -344,3 +346,54 @@
             link.send(group_messages.Pong("vm"))
         else:
             subscribed.append(message)
+
+
+class LimitTest(unittest.TestCase):
+    """Four VMs share a limit; the busiest one runs the previous version."""
+
+    def play(self, act):
+        async def run():
+            simulation = test_shard_groups.create_simulation()
+            vms = [node.me for node in simulation.nodes[:4]]
+            sharing = simulation.nodes[0].limit_sharing
+            sharing.assignment.callers_of = lambda service: vms
+            return await act(sharing, [vm.name for vm in vms])
+
+        with gateways.capture_log_events(collections.deque()):
+            return virtual_time.run(run())
+
+    def test_old_vm_gets_at_most_an_equal_share(self):
+        # Guards against a share that an old VM uses at once, while the others
+        # still use their equal shares.
+        async def act(sharing, names):
+            slot = limit_sharing.slot_of("shard-0")
+            shares = []
+            for name, wanted, sent_s in zip(
+                names, (1.0, 1.0, 1.0, 99.0), (1.0, 1.0, 1.0, 0.0), strict=True
+            ):
+                report = limit_sharing.LimitReport(
+                    *(name, slot, [("shard-0", wanted)], []), sent_s=sent_s
+                )
+                shares.append(sharing.answer(report).shares[0][1])
+            return shares
+
+        self.assertEqual(self.play(act)[-1], 0.25)
+
+    def test_old_keeper_may_give_less_than_an_equal_share(self):
+        # Guards against limits that are exceeded, since an old keeper gives
+        # the rest to others.
+        async def act(sharing, names):
+            searcher = build.searcher("shard-0-0", service="shard-0")
+            slot = limit_sharing.slot_of("shard-0")
+            fractions = []
+            for share in (0.07, 0.9):
+                reply = limit_sharing.LimitShares(
+                    slot, [("shard-0", share)], []
+                )
+                sharing.apply(reply)
+                fractions.append(sharing.share_of(searcher, 10, False).fraction)
+            await asyncio.sleep(4.0)
+            fractions.append(sharing.share_of(searcher, 10, False).fraction)
+            return fractions
+
+        self.assertEqual(self.play(act), [0.07, 0.25, 0.25])
