--- a/laurelrock/adapters/frames.py
+++ b/laurelrock/adapters/frames.py
@@ -363,6 +363,11 @@
                 if short_frame:
                     link.send_frame(short_frame)
 
+    def count_older(self) -> int:
+        """Returns the number of links with peers of an older version."""
+        links = {*self.links.values(), *self.accepted}
+        return sum(row.version_known and not row.current for row in links)
+
     async def listen(self, address: Address) -> None:
         """Starts to accept connections at an address."""
         self.listener = await self.loop.create_server(
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -94,6 +94,11 @@
     gateway: "gateways.Gateway", meters: metrics.Metrics
 ) -> None:
     """Registers the metrics of the platform and of this VM's readiness."""
+    meters.gauge(
+        "laurelrock_older_peer_links",
+        gateway.peer_links.count_older,
+        "Connections with VMs of an older version",
+    )
     meters.counter(
         "laurelrock_platform_calls_total",
         lambda: gateway.source.calls,
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -187,6 +187,7 @@
                 pair.start_server(old)
                 pair.client.link(ADDRESS).send(REQUEST)
                 await asyncio.sleep(0.1)
+                self.assertEqual(pair.client.count_older(), int(old))
 
         pair, _ = self.run_pair(play)
         requests = [
