Bound the search for a VM that can run a group of the present version

With one present VM among 40, its first query with a workspace connected to one old VM after another until it gave up on all of them, and took 53 ms in virtual time. A group now tries at most four VMs that turn out to be old before this VM runs it. The versions found are kept, so that later groups skip these VMs.

--- a/laurelrock/gateways/remote_groups.py
+++ b/laurelrock/gateways/remote_groups.py
@@ -34,6 +34,8 @@
         held: Whether owners that accept the group aren't told to start yet.
         reply: The result of such a request.
         tried: The names of the owners that were asked or may not be asked.
+        older: The number of owners that turned out to run the previous version
+            and may not be asked because of that.
         owner: The owner that is asked now.
         link: The connection to that owner.
         number: The number of the group in messages.
@@ -76,6 +78,7 @@
         self.held = held
         self.reply: group_messages.SingleResult | None = None
         self.tried: set[str] = set()
+        self.older = 0
         self.owner: owners.Vm | None = None
         self.link: group_messages.Link | None = None
         self.number = 0
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -34,6 +34,10 @@
 #: Time in seconds in which an owner has to accept a group: several times the
 #: round trip of a message on a loaded VM.
 ACCEPT_TIMEOUT_S = 0.04
+#: Number of VMs that a group may find to run the previous version before this
+#: VM runs it itself. Each costs a connection and a round trip, once for all
+#: groups; in a large fleet almost all VMs may be old.
+MAX_OLDER_TRIED = 4
 
 _log = logs.get_logger(__name__)
 
@@ -174,10 +178,11 @@
 
     def ask_next(self, group: remote_groups.RemoteGroup) -> None:
         """Asks the next owner, with this VM itself as the last one."""
-        barred = self.barred(group)
-        vm = self.selection.next_owner(
-            group.owners, group.tried, group.services[0], barred or ()
-        )
+        barred, vm = self.barred(group), None
+        if group.older < MAX_OLDER_TRIED:
+            vm = self.selection.next_owner(
+                group.owners, group.tried, group.services[0], barred or ()
+            )
         if (
             vm is None
             and self.me.name not in group.tried
@@ -346,6 +351,7 @@
         if group is None or group.link is not link or group.owner is None:
             return
         group.stop_timer()
+        group.older += 1
         self.selection.mark_older(group.owner.name, link)
         self.handle_decline(
             group, group_messages.GroupDeclined(group.number, "older version")
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -239,16 +239,18 @@
 
 
 class QueryTest(unittest.TestCase):
-    """Queries over six owners, of which three run the previous version."""
+    """Queries over owners of which half or all run the previous version."""
 
     def setUp(self):
         self.enterContext(gateways.capture_log_events(collections.deque()))
 
-    def play(self, evacuated=(), regions=(), workspace="", count=40):
+    def play(
+        self, evacuated=(), regions=(), workspace="", vms=6, present=(0, 4, 5)
+    ):
         async def run():
-            simulation = test_shard_groups.create_simulation()
+            simulation = test_shard_groups.create_simulation(vms=vms)
             nodes = simulation.nodes
-            old = {nodes[n].me.name for n in (1, 2, 3)}
+            old = {nodes[n].me.name for n in set(range(vms)) - {*present}}
             links = old_messages.connect_nodes(simulation, old)
             loop = asyncio.get_running_loop()
             outcomes, times = [], []
@@ -256,8 +258,8 @@
                 if node.me.name not in old:
                     node.known.set_regions({"a": "r", "b": "r"})
                     node.known.evacuate(frozenset(evacuated))
-            for number in range(count):
-                node = nodes[(0, 4, 5)[number % 3]]
+            for number in range(40):
+                node = nodes[present[number % len(present)]]
                 begun_s = loop.time()
                 route = test_shard_groups.ROUTE._replace(regions=regions)
                 outcomes.append(
@@ -300,6 +302,15 @@
                 self.check_answers(outcomes, times, dropped)
                 self.assertEqual(received, [])
 
+    def test_first_present_vm_calls_searchers_itself(self):
+        # Guards against a query that asks all VMs of a large fleet, one after
+        # another, for one that isn't old.
+        outcomes, times, received, dropped = self.play(
+            workspace="w", vms=40, present=(0,)
+        )
+        self.check_answers(outcomes, times, dropped)
+        self.assertEqual(received, [])
+
 
 class SourceTest(unittest.TestCase):
     """A fleet in which most VMs share the platform's state."""
--- a/tests/test_shard_groups.py
+++ b/tests/test_shard_groups.py
@@ -21,8 +21,8 @@
 GOOD = simulations.ScriptedCall("answer", 0.005)
 
 
-def create_simulation(behaviours=(GOOD,)):
-    """Returns six VMs in two failure domains; owners call all shards."""
+def create_simulation(behaviours=(GOOD,), vms=6):
+    """Returns VMs in two failure domains; owners call all shards."""
     configuration = build.configuration(ROUTE)
     services = {
         name: service._replace(connections=6)
@@ -32,8 +32,8 @@
         configuration._replace(services=services),
         behaviours,
     )
-    for number in range(6):
-        node = simulation.add_node(number, "ab"[number % 2], 6)
+    for number in range(vms):
+        node = simulation.add_node(number, "ab"[number % 2], vms)
         for service in SHARDS:
             for n in range(2):
                 simulation.change_searcher(node, f"{service}-{n}", "live")
