Keep keys out of errors, and reject numbers that no field can hold

Cause: an error about a list field quoted its value, so that keys written without brackets got into the log event configuration-invalid. An integer above 1.8e308 as timeout_ms raised OverflowError, which no poll of the store handles, and a health_path that is no text failed only at the health check.

The error names the type. Numbers above 2^63 - 1 and such a path are errors of their field.

Before: 3 rows of test_bad_configurations and test_errors_contain_no_key failed. After: tests.test_platform_adapter and tests.test_fuzz 25 passed, 0 failed.

--- a/laurelrock/platform/objects.py
+++ b/laurelrock/platform/objects.py
@@ -23,6 +23,9 @@
 #: Type of a route whose requests may run more than once.
 IDEMPOTENT_TYPE = "idempotent"
 MAX_PORT = 65_535
+#: Largest magnitude of a number. Larger integers don't fit a message between
+#: VMs, and may not be convertible to floating point.
+MAX_NUMBER = 2**63 - 1
 
 
 class Fields:
@@ -49,6 +52,8 @@
         value = self.row.get(name, default)
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise errors.FieldError(f"{name}: {value!r} is not a number")
+        if abs(value) > MAX_NUMBER:
+            raise errors.FieldError(f"{name}: above {MAX_NUMBER:g}")
         return value
 
     def integer(self, name: str, default: int | None = None) -> int:
@@ -56,15 +61,21 @@
         value = self.row.get(name, default)
         if isinstance(value, bool) or not isinstance(value, int):
             raise errors.FieldError(f"{name}: {value!r} is not an integer")
+        if abs(value) > MAX_NUMBER:
+            raise errors.FieldError(f"{name}: above {MAX_NUMBER:g}")
         return value
 
     def rows(self, name: str) -> list[Json]:
-        """Returns a list field; an absent or null one counts as empty."""
+        """Returns a list field; an absent or null one counts as empty.
+
+        The error names only the type, since the field may hold keys.
+        """
         value = self.row.get(name, [])
         if value is None:
             return []
         if not isinstance(value, list):
-            raise errors.FieldError(f"{name}: {value!r} is not a list")
+            kind = type(value).__name__
+            raise errors.FieldError(f"{name}: {kind} is not a list")
         return value
 
 
@@ -185,7 +196,7 @@
     """Decodes a service and returns it after its name; raises `FieldError`."""
     fields = Fields(row)
     return fields.text("name"), routes.Service(
-        fields.row.get("health_path") or "/",
+        fields.text("health_path") if fields.row.get("health_path") else "/",
         # Limit for one searcher over all its callers together.
         fields.integer("max_connections", routes.Service().connections),
         max(0.0, fields.number("warmup_s", 0.0)),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -71,6 +71,10 @@
     {"version": 2, "routes": [{**build.store_single(), "timeout_ms": "1"}]},
     {"version": 2, "routes": [{**build.store_single(), "service": 4}]},
     {"version": 2, "routes": [], "services": [{}]},
+    {"version": 2, "services": [{"name": "files", "health_path": 4}]},
+    # Integers that no floating-point number or message field can hold.
+    {"version": 10**400},
+    {"version": 2, "routes": [build.store_single(timeout_ms=10**400)]},
 )
 
 
@@ -139,6 +143,13 @@
             with self.subTest(row), self.assertRaises(errors.FieldError):
                 objects.read_configuration(row)
 
+    def test_errors_contain_no_key(self):
+        # An operator may forget the brackets; the error is logged.
+        row = {"name": "w", "api_keys": "zqqa5yu2bsp7"}
+        with self.assertRaises(errors.FieldError) as caught:
+            objects.read_configuration({"version": 2, "tenants": [row]})
+        self.assertNotIn("zqqa5yu2bsp7", caught.exception.message)
+
     def test_configuration(self):
         backends = [
             {"service": "x", "weight": 3},
