Check a configuration before it is sent, and compare it with the one in force

Cause: an operator learned of a key that two workspaces hold, a route that no request can match, or a limit that contradicts another one only after the configuration was in force.

Before: no such command.

--- a/laurelrock/commands/_mapping.py
+++ b/laurelrock/commands/_mapping.py
@@ -6,6 +6,11 @@
 
 #: Module and summary of each command, by command name.
 COMMANDS = {
+    "check": (
+        "laurelrock.commands.check",
+        "Checks a configuration before it is sent, and compares it with"
+        " another one.",
+    ),
     "entry": (
         "laurelrock.commands.entry",
         "Runs the role that callers send requests to.",
--- a/laurelrock/errors.py
+++ b/laurelrock/errors.py
@@ -41,6 +41,32 @@
     code = "manifest-invalid"
 
 
+class ConfigurationFileError(LaurelrockError):
+    """A file that a check needs is unreadable, or not what it should be.
+
+    Attributes:
+        line: Line of a syntax error, from 1; 0 for another failure.
+    """
+
+    code = "file-unreadable"
+
+    def __init__(self, message: str, line: int = 0) -> None:
+        super().__init__(message)
+        self.line = line
+
+
+class FileSyntaxError(ConfigurationFileError):
+    """A file is not a JSON document."""
+
+    code = "syntax"
+
+
+class FileContentError(ConfigurationFileError):
+    """A file contains something else than expected."""
+
+    code = "file-invalid"
+
+
 class ListenError(LaurelrockError):
     """A port could not be opened."""
 
--- a/laurelrock/platform/objects.py
+++ b/laurelrock/platform/objects.py
@@ -131,24 +131,27 @@
 def read_configuration(spec: Json) -> routes.Configuration:
     """Decodes a configuration; raises `FieldError`."""
     fields = Fields(spec)
-    limits = Fields(fields.row.get("limits") or {})
-    defaults = routes.Limits()
     return routes.Configuration(
         version=fields.integer("version"),
         routes=tuple(read_route(row) for row in fields.rows("routes")),
         services=dict(read_service(row) for row in fields.rows("services")),
-        limits=routes.Limits(
-            limits.integer("max_header_bytes", defaults.max_header_bytes),
-            limits.integer("max_body_bytes", defaults.max_body_bytes),
-            limits.number("header_timeout_ms", defaults.header_timeout_s * 1e3)
-            / 1e3,
-            limits.number("idle_timeout_ms", defaults.idle_timeout_s * 1e3)
-            / 1e3,
-        ),
+        limits=read_limits(fields.row.get("limits") or {}),
         workspaces=tuple(read_workspace(row) for row in fields.rows("tenants")),
     )
 
 
+def read_limits(row: Json) -> routes.Limits:
+    """Decodes the limits on callers' requests; raises `FieldError`."""
+    fields, defaults = Fields(row), routes.Limits()
+    return routes.Limits(
+        fields.integer("max_header_bytes", defaults.max_header_bytes),
+        fields.integer("max_body_bytes", defaults.max_body_bytes),
+        fields.number("header_timeout_ms", defaults.header_timeout_s * 1e3)
+        / 1e3,
+        fields.number("idle_timeout_ms", defaults.idle_timeout_s * 1e3) / 1e3,
+    )
+
+
 def read_route(row: Json) -> routes.Route:
     """Decodes one route; raises `FieldError`."""
     fields = Fields(row)
@@ -181,17 +184,20 @@
 
     A route without them has the one service that it names.
     """
-    rows = [Fields(row) for row in fields.rows("backends")]
+    rows = fields.rows("backends")
     if rows:
-        return tuple(
-            routes.WeightedService(
-                row.text("service"), row.number("weight", 1.0)
-            )
-            for row in rows
-        )
+        return tuple(read_weighted_service(row) for row in rows)
     return (routes.WeightedService(fields.text("service")),)
 
 
+def read_weighted_service(row: Json) -> routes.WeightedService:
+    """Decodes one weighted service of a route; raises `FieldError`."""
+    fields = Fields(row)
+    return routes.WeightedService(
+        fields.text("service"), fields.number("weight", 1.0)
+    )
+
+
 def read_service(row: Json) -> tuple[str, routes.Service]:
     """Decodes a service and returns it after its name; raises `FieldError`."""
     fields = Fields(row)
