Exercise evacuations, cold searchers, regions, keys and caps in the soak

The soak ran none of these, so that no run of processes showed that their bounds hold beside other faults. The new scenario "workspaces" has 5 VMs in two regions, searchers that warm up, and three workspaces with keys, one with a cap and one with a region. Other scenarios send the same requests and draw the same faults as before.

Links tell which VM opened a connection, so that a searcher's request is attributed to the VM that sent it also where owners send it. They also show the bodies that VMs send to each other.

A history in tests.test_soak_checker breaks each promise; another test has histories that each bound just allows.

--- a/bench/searcher_replies.py
+++ b/bench/searcher_replies.py
@@ -27,12 +27,14 @@
         pause_s: Time in seconds for which it wants no requests; 0 if it
             doesn't say.
         crashes: Whether it crashes.
+        misplaced: Whether it says that the request was for another searcher.
     """
 
     response: shards.ScriptedResponse
     ran: bool = True
     pause_s: float = 0.0
     crashes: bool = False
+    misplaced: bool = False
 
 
 def create_reply(
@@ -86,7 +88,7 @@
         "pausing": Reply(scripted(((0, pause),)), ran=False, pause_s=PAUSE_S),
         "endless-head": Reply(shards.endless(success[:20], ENDLESS)),
         "endless-body": Reply(shards.endless(ENDLESS_HEAD, ENDLESS)),
-        "misplaced": Reply(scripted(((0, wrong),)), ran=False),
+        "misplaced": Reply(scripted(((0, wrong),)), ran=False, misplaced=True),
     }
     return replies[behaviour]
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -35,6 +35,14 @@
     "direct": fleet.Shape(vms=4, shards=6),
     "owners": fleet.Shape(vms=5, shards=18, connections=6, retry_slack=200),
     "shared": fleet.Shape(vms=18, shards=9, connections=16, retry_slack=200),
+    "workspaces": fleet.Shape(
+        vms=5,
+        shards=9,
+        connections=6,
+        retry_slack=200,
+        workspaces=True,
+        warm_up_per_s=4.0,
+    ),
     "many": fleet.Shape(vms=60, shards=9, connections=40, retry_slack=200),
 }
 
--- a/bench/soak_history.py
+++ b/bench/soak_history.py
@@ -4,10 +4,15 @@
 
 __all__ = [
     "Arrival",
+    "Burst",
+    "Cold",
     "Cut",
+    "Evacuation",
     "FaultSpan",
     "History",
+    "Places",
     "Record",
+    "Workspaces",
     "affects",
     "is_undisturbed",
 ]
@@ -33,6 +38,12 @@
             limit; 0 for none.
         crashes: Whether the request crashes the searcher, as the first one
             that does.
+        vm: Name of the VM that sent it.
+        domain: Failure domain of the searcher.
+        misplaced: Whether the searcher answered with status 421.
+        key: Value of the header with the caller's key; None without it.
+        workspace: Value of the header with the workspace's name; None without
+            it.
     """
 
     request_id: str
@@ -44,6 +55,11 @@
     pause_s: float = 0.0
     limit: float = 0.0
     crashes: bool = False
+    vm: str = ""
+    domain: str = ""
+    misplaced: bool = False
+    key: str | None = None
+    workspace: str | None = None
 
 
 class Record(typing.NamedTuple):
@@ -66,6 +82,10 @@
         caller_left: Whether the caller disconnected before the response.
         new_connection: Whether the request opened a new connection.
         target: Path of the request.
+        key: Key of the caller, empty if it sent none; None in scenarios without
+            workspaces.
+        workspace: Workspace whose key the caller sent; empty for none.
+        regions: Regions in which the request may run; empty for all.
     """
 
     kind: str
@@ -82,6 +102,9 @@
     caller_left: bool = False
     new_connection: bool = False
     target: str = ""
+    key: str | None = None
+    workspace: str = ""
+    regions: tuple[str, ...] = ()
 
 
 class FaultSpan(typing.NamedTuple):
@@ -120,6 +143,83 @@
     ended_s: float
 
 
+class Evacuation(typing.NamedTuple):
+    """An evacuation of a failure domain.
+
+    Attributes:
+        domain: The failure domain.
+        started_s: Loop time at which the store confirmed it, in seconds.
+        ended_s: Loop time of its deletion, in seconds.
+    """
+
+    domain: str
+    started_s: float
+    ended_s: float
+
+
+class Cold(typing.NamedTuple):
+    """A time in which a searcher was cold.
+
+    Attributes:
+        searcher: Id of the searcher.
+        told_s: Loop time at which its entry said so first, in seconds.
+        due_s: Loop time from which VMs have to know, in seconds.
+        ended_s: Loop time at which it was warm, or started again, in seconds.
+    """
+
+    searcher: str
+    told_s: float
+    due_s: float
+    ended_s: float
+
+
+class Places(typing.NamedTuple):
+    """Where searchers and VMs are, and what may be sent there.
+
+    Attributes:
+        regions: Region of each failure domain and of each VM, by name.
+        evacuations: The evacuations.
+        colds: Times in which searchers were cold.
+        warm_up_per_s: Requests per second that a cold searcher takes.
+        health: Requests for the health of searchers; they have no request id.
+        bodies: Request id, and the VM that received the request's body from
+            another VM.
+    """
+
+    regions: dict[str, str] = {}
+    evacuations: tuple[Evacuation, ...] = ()
+    colds: tuple[Cold, ...] = ()
+    warm_up_per_s: float = 0.0
+    health: tuple[Arrival, ...] = ()
+    bodies: tuple[tuple[str, str], ...] = ()
+
+
+class Burst(typing.NamedTuple):
+    """A time in which a workspace sent many times its usual rate."""
+
+    workspace: str
+    started_s: float
+    ended_s: float
+
+
+class Workspaces(typing.NamedTuple):
+    """Workspaces with their keys and caps.
+
+    Attributes:
+        keys: Workspaces by key, by configuration version.
+        caps: Requests per second and burst, by the workspaces that have a cap.
+        bursts: Times in which a workspace sent many requests.
+    """
+
+    keys: dict[int, dict[str, str]] = {}
+    caps: dict[str, tuple[float, float]] = {}
+    bursts: tuple[Burst, ...] = ()
+
+    def is_lasting(self, key: str | None) -> bool:
+        """Returns whether every version has a key."""
+        return all(key in row for row in self.keys.values())
+
+
 class History(typing.NamedTuple):
     """History of one soak run.
 
@@ -135,6 +235,8 @@
         ended_s: Loop time at which the load ended, in seconds.
         direct: Whether the VM that has the caller calls the searchers itself.
         cuts: Times in which VMs could not reach any searcher.
+        places: Failure domains and regions.
+        workspaces: Workspaces.
     """
 
     records: list[Record]
@@ -147,6 +249,8 @@
     ended_s: float
     direct: bool = True
     cuts: tuple[Cut, ...] = ()
+    places: Places = Places()
+    workspaces: Workspaces = Workspaces()
 
 
 def affects(span: FaultSpan, begin_s: float, end_s: float) -> bool:
--- a/fakes/link.py
+++ b/fakes/link.py
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import collections
+import collections.abc
 import typing
 
 import msgspec
@@ -36,6 +37,10 @@
     delay_ms: float = 0.0
 
 
+def ignore_bytes(source: str, leads_to_target: bool, data: bytes) -> None:
+    """Does nothing; stands in for `Link.inspect`."""
+
+
 class ConnectionEnd(asyncio.Protocol):
     """One end of a proxied connection, to the client or to the target.
 
@@ -43,6 +48,7 @@
         link: Proxy that the connection belongs to.
         source: IP address of the client.
         peer: Other end of the connection, once it is connected.
+        leads_to_target: Whether the bytes that arrive are for the target.
         delayed_chunks: Chunks of bytes that wait to be written to the peer;
             None closes the peer's connection.
         blackholed: Whether the bytes that arrive are dropped.
@@ -53,6 +59,7 @@
     ) -> None:
         self.link = link
         self.peer = peer
+        self.leads_to_target = peer is None
         self.source: str = peer.source if peer else ""
         self.transport: typing.Any = None
         self.delayed_chunks: collections.deque[bytes | None] = (
@@ -63,6 +70,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
         if self.peer is not None:
+            own_address = transport.get_extra_info("sockname")
+            self.link.sources[own_address] = self.source
             self.peer.peer = self
             self.peer.transport.resume_reading()
             return
@@ -104,6 +113,7 @@
             self.peer.transport.close()
         elif not self.peer.transport.is_closing():
             self.peer.transport.write(data)
+            self.link.inspect(self.source, self.leads_to_target, data)
 
 
 class Link:
@@ -115,6 +125,10 @@
         ends: Both ends of all open connections.
         connect_tasks: Tasks that connect to the target.
         accepted: Number of connections accepted so far.
+        sources: IP address of the client of each connection to the target, by
+            the address that the target sees.
+        inspect: Called with the client's IP address, whether the bytes are for
+            the target, and the bytes, for all bytes that are passed on.
         listeners: Servers of the proxy and of its control port.
     """
 
@@ -124,6 +138,10 @@
         self.ends: set[ConnectionEnd] = set()
         self.connect_tasks: set[asyncio.Task[None]] = set()
         self.accepted = 0
+        self.sources: dict[tuple[str, int], str] = {}
+        self.inspect: collections.abc.Callable[[str, bool, bytes], None] = (
+            ignore_bytes
+        )
         self.listeners: list[asyncio.Server] = []
 
     def set_faults(self, faults: Faults) -> None:
--- a/fakes/shards.py
+++ b/fakes/shards.py
@@ -33,12 +33,22 @@
 
 
 class Request(typing.NamedTuple):
-    """HTTP request as the searcher received it."""
+    """HTTP request as the searcher received it.
+
+    Attributes:
+        method: HTTP method.
+        target: Request target.
+        headers: Headers by lower-case name; the values of several headers of
+            one name are joined by commas.
+        body: Body of the request.
+        client: Host and port of the client.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    client: tuple[str, int] = ("", 0)
 
     @property
     def id(self) -> str:
@@ -115,6 +125,8 @@
                 request = await read_request(reader)
                 if request is None:
                     break
+                client = writer.get_extra_info("peername")
+                request = request._replace(client=client)
                 if request.target != HEALTH_PATH:
                     self.requests.append(request)
                 if not await self.send_response(
@@ -172,7 +184,9 @@
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.decode().lower()] = value.decode("latin-1")
+        key, text = name.decode().lower(), value.decode("latin-1")
+        before = self.headers.get(key)
+        self.headers[key] = text if before is None else f"{before}, {text}"
 
     def on_body(self, body: bytes) -> None:
         self.body += body
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -57,6 +57,43 @@
     )
 
 
+def places(**fields):
+    """Failure domains d0 and d1, regions r0 and r1, VMs vm-0 and vm-1."""
+    names = ("d0", "r0"), ("d1", "r1"), ("vm-0", "r0"), ("vm-1", "r1")
+    return soak_history.Places(dict(names), **{"warm_up_per_s": 4.0, **fields})
+
+
+def workspaces(*keys, **fields):
+    """Workspaces with the keys of each version, the first one being 1."""
+    versions = dict(enumerate((dict.fromkeys(row, "main") for row in keys), 1))
+    return soak_history.Workspaces(versions, **fields)
+
+
+def burst_records(served, count=40, **fields):
+    """Requests in a burst, of which every `served`-th one is served."""
+    return [
+        record(
+            request_id=f"r{fields['workspace']}-{n}",
+            sent_s=10.0 + n / 10,
+            status=503 if n % served else 200,
+            key="key",
+            **fields,
+        )
+        for n in range(count)
+    ]
+
+
+EVACUATED = places(evacuations=(soak_history.Evacuation("d0", 4.0, 16.0),))
+COLD = places(colds=(soak_history.Cold("s-1", 7.0, 10.0, 15.0),))
+CAPPED = workspaces(["key"], caps={"main": (2.0, 5.0)})
+BURST = workspaces(
+    ["key"], bursts=(soak_history.Burst("resident", 10.0, 15.0),)
+)
+REMOVED = {
+    "versions": {1: 0.0, 2: 4.0},
+    "workspaces": workspaces(["key", "old"], ["key"]),
+}
+
 VALID = history(
     [
         record("save", "r1", vm="vm-1"),
@@ -150,6 +187,73 @@
             ],
         ),
     ),
+    ("evacuated", history([], [arrival(domain="d0")], places=EVACUATED)),
+    (
+        "evacuated",
+        history(places=EVACUATED._replace(health=(arrival("", domain="d0"),))),
+    ),
+    (
+        "cold-rate",
+        history(
+            [],
+            [arrival(at_s=11.0 + n / 13, vm="vm-0") for n in range(13)],
+            places=COLD,
+        ),
+    ),
+    (
+        "homes",
+        history(
+            [record(regions=("r1",))], [arrival(domain="d0")], places=places()
+        ),
+    ),
+    (
+        "homes",
+        history(
+            [record(regions=("r1",), vm="vm-1")],
+            places=places(bodies=(("r1", "vm-0"),)),
+        ),
+    ),
+    (
+        "tenant-cap",
+        history(
+            [
+                record(request_id=f"r{n}", key="key", workspace="main")
+                for n in range(37)
+            ],
+            [arrival(f"r{n}", at_s=10.0 + n / 8) for n in range(37)],
+            workspaces=CAPPED,
+        ),
+    ),
+    (
+        "known-key",
+        history([record(key="?")], [arrival()], workspaces=workspaces(["key"])),
+    ),
+    ("known-key", history([record(key="old")], [arrival()], **REMOVED)),
+    (
+        "known-key",
+        history([record(key="key", status=401)], **REMOVED),
+    ),
+    (
+        "key-kept-back",
+        history(
+            [record(key="key", workspace="main")],
+            [arrival(key="key", workspace="main")],
+        ),
+    ),
+    (
+        "key-kept-back",
+        history(
+            [record(key="key", workspace="main")], [arrival(workspace="other")]
+        ),
+    ),
+    (
+        "fair",
+        history(
+            burst_records(2, workspace="main")
+            + burst_records(1, workspace="resident"),
+            workspaces=BURST,
+        ),
+    ),
     (
         "isolated-vms",
         history(
@@ -232,6 +336,61 @@
         more = [*rows, arrival(at_s=10.8)]
         self.assertTrue(check(history([], more, cuts=(cut,))).violations)
 
+    def test_requests_that_the_limits_of_places_and_workspaces_allow(self):
+        """A check that counts too much would report faults that are none."""
+        known = {"key": "key", "workspace": "main"}
+        main = burst_records(1, workspace="main")
+        resident = burst_records(3, workspace="resident")
+        rows = (
+            ("evacuated", [], [arrival(domain="d1")], {"places": EVACUATED}),
+            (
+                "cold-rate",
+                [],
+                [arrival(at_s=10.0 + n / 10) for n in range(40)],
+                {"places": COLD},
+            ),
+            (
+                "homes",
+                [record(regions=("r1",), vm="vm-0")],
+                [arrival(domain="d1")],
+                {"places": places(bodies=(("r1", "vm-0"), ("r1", "vm-1")))},
+            ),
+            (
+                "tenant-cap",
+                [record(request_id=f"r{n}", **known) for n in range(36)],
+                [arrival(f"r{n % 36}", at_s=9.0 + n / 8) for n in range(40)],
+                {"workspaces": CAPPED},
+            ),
+            (
+                "known-key",
+                [record(sent_s=8.0, **known), record(key="old", status=401)],
+                [],
+                REMOVED,
+            ),
+            (
+                "key-kept-back",
+                [record(**known)],
+                [arrival(workspace="main")],
+                {},
+            ),
+            ("fair", [*main, *resident], [], {"workspaces": BURST}),
+        )
+        for name, records, arrivals, fields in rows:
+            with self.subTest(name):
+                row = history(records, arrivals, **fields)
+                result = promises.PROMISES[name](row)
+                self.assertEqual(result.violations, [])
+                self.assertTrue(result.exercised)
+
+    def test_exempt_requests_of_places_and_workspaces(self):
+        """Requests in the time that VMs have to apply a change are allowed."""
+        early = history([], [arrival(at_s=8.9, domain="d0")], places=EVACUATED)
+        self.assertEqual(promises.PROMISES["evacuated"](early).exercised, 0)
+        young = history(
+            [record(key="old", sent_s=8.9)], [arrival(at_s=8.9)], **REMOVED
+        )
+        self.assertEqual(promises.PROMISES["known-key"](young).exercised, 0)
+
     def test_requests_within_a_limit(self):
         row = history(
             [record()],
