Restore a share's burst one window after it moved

A share that moved to another keeper gained tokens only at its rate, so that a workspace of 0.1/s with a burst of 20 needed minutes to save up its burst. A window after the move, no grant of an earlier holder lies in a window that contains the present moment, so the bucket may then be as full as if it had never moved. The keeper keeps these tokens locked until then.

Just after a start a VM lends a third kind of share, which is paid from the slack and isn't renewed: 0.35 of the slack over all VMs. The reserve of single VMs and the tokens that round up small buckets are reduced to pay for it.

--- a/laurelrock/core/token_buckets.py
+++ b/laurelrock/core/token_buckets.py
@@ -15,12 +15,15 @@
 ]
 
 #: Fraction of the slack that VMs may use without a keeper.
-RESERVE_FRACTION = 0.25
+RESERVE_FRACTION = 0.05
 #: Longest time in seconds that a refused caller is told. Callers behind it are
 #: spread over the last half of that time.
 MAX_TURN_S = 30.0
 #: Multiples of this number modulo 1 are evenly spread.
 GOLDEN_RATIO = 0.6180339887498949
+#: Tokens that are locked until times this close together are unlocked together,
+#: at the last one of them, in seconds.
+LOCK_STEP_S = 0.05
 #: Rounding error of the number of tokens that is accepted.
 EPSILON = 1e-9
 
@@ -63,6 +66,9 @@
         rounding: Further tokens, with all shares, that may raise the size to
             one token.
         tokens: Tokens at `updated_s`.
+        locked: Further tokens that may be used later: the times in seconds and
+            the numbers of tokens. Together with `tokens` they never exceed the
+            size.
         updated_s: Time in seconds.
     """
 
@@ -73,6 +79,7 @@
         self.burst = burst
         self.rounding = rounding
         self.tokens = 0.0
+        self.locked: list[tuple[float, float]] = []
         self.updated_s = now_s
 
     def size(self, fraction: float) -> float:
@@ -86,12 +93,29 @@
         )
 
     def refill(self, fraction: float, now_s: float) -> None:
-        """Adds the tokens since the last change."""
+        """Adds the tokens since the last change, and those locked until now."""
         elapsed_s = max(0.0, now_s - self.updated_s)
-        self.tokens = min(
-            self.size(fraction), self.tokens + elapsed_s * self.per_s * fraction
-        )
+        size = self.size(fraction)
+        self.tokens = min(size, self.tokens + elapsed_s * self.per_s * fraction)
         self.updated_s = max(now_s, self.updated_s)
+        if not self.locked:
+            return
+        room, kept = size - self.tokens, []
+        for unlock_s, tokens in self.locked:
+            tokens = min(tokens, room)
+            room -= tokens
+            if unlock_s <= now_s:
+                self.tokens += tokens
+            elif tokens > EPSILON:
+                kept.append((unlock_s, tokens))
+        self.locked = kept
+
+    def lock(self, tokens: float, until_s: float) -> None:
+        """Adds tokens that may be used from a later time on."""
+        if self.locked and until_s - self.locked[-1][0] < LOCK_STEP_S:
+            tokens += self.locked.pop()[1]
+        if tokens > 0.0:
+            self.locked.append((until_s, tokens))
 
     def take(self, wanted: int) -> int:
         """Takes up to `wanted` tokens and returns their number."""
--- a/laurelrock/core/token_leases.py
+++ b/laurelrock/core/token_leases.py
@@ -3,17 +3,23 @@
 The rate and the burst of a workspace are divided into equal shares, one for
 each listed VM. A VM lends its share to a keeper for a limited time. The keeper
 holds one token bucket for all shares lent to it and grants tokens to any VM.
-A share that changes hands carries no tokens, and a share is never in two hands,
-so that the sum over all VMs stays within the bound whatever fails.
+A share is never in two hands, so that the sum over all VMs stays within the
+bound whatever fails. A share that changes hands without its tokens gains only
+its rate at first. Its burst follows after a window: what an earlier holder
+granted is then outside of every window that contains it.
 
 The bound of a window W is (r W + b) (1 + o) + s, with the rate r, the burst b,
 the overage o and the slack s. It is used up as follows:
 
-- r W + b + s/4: main buckets. The part s/4 raises small buckets to one token.
+- r W + b + s/10: main buckets. The part s/10 raises small buckets to one token.
 - o (r W + b): tokens leased in advance, and grants that are on their way.
-- s/2: spare buckets, which serve while the main bucket is out of reach or has
-  not yet filled.
-- s/4: requests that single VMs admit if they reach no keeper.
+- s/2: spare buckets, which serve while the main bucket is out of reach or
+  has not yet filled.
+- 0.35 s: start buckets, for which a VM has a share only in its first seconds.
+  This part holds if a VM and the keeper that it reports to don't both start
+  twice within three windows; a keeper fills the start share of a VM only once
+  in that time.
+- s/20: requests that single VMs admit if they reach no keeper.
 """
 
 import collections.abc
@@ -33,7 +39,8 @@
 #: Number of parts into which the workspaces are divided, each with a keeper.
 SLOTS = 4
 #: Kinds of a slot's pools of shares.
-MAIN, SPARE = 0, 1
+MAIN, SPARE, START = 0, 1, 2
+KINDS = 3
 #: Time in seconds for which a share is lent.
 VALID_S = 2.5
 #: Time in seconds by which a VM waits longer than `VALID_S` before it uses a
@@ -45,12 +52,19 @@
 #: granted to a waiting request is used. A VM that stood still for a moment may
 #: still use what a keeper granted in time.
 GRANT_VALID_S = 0.2
-#: Fractions of the slack for the spare buckets, and for main buckets that would
-#: be smaller than one token.
-SPARE_FRACTION, ROUNDING_FRACTION = 0.5, 0.25
+#: Fractions of the slack for the spare buckets, for the start buckets, and for
+#: main buckets that would be smaller than one token.
+SPARE_FRACTION, START_FRACTION, ROUNDING_FRACTION = 0.5, 0.35, 0.1
+#: Number of windows after which a keeper fills the start share of the same VM
+#: again. A start share ends within two windows, so that no window contains
+#: tokens of both.
+START_WINDOWS = 3
 #: Size of the spare bucket, as a fraction of the spare tokens of a window. It
 #: has to last until shares that were lent to a dead keeper are back.
 SPARE_SIZE_FRACTION = 0.8
+#: Factor on times after which buckets are full, for clocks that run at
+#: different speeds.
+LOCK_MARGIN = 1.01
 #: Largest number of requests that one message asks tokens for.
 MAX_ASKED = 1024
 
@@ -91,6 +105,7 @@
         workspace: The workspace with its cap.
         main: The bucket of its rate and burst.
         spare: The bucket of the slack.
+        start: The bucket of VMs that have just started; it isn't refilled.
         ideal: The bucket that one VM would have that served all requests and
             never failed. It tells which requests are within the cap.
         turns: The turns of refused callers.
@@ -114,6 +129,9 @@
         self.spare = token_buckets.create_bucket(
             (spare - size) / policy.window_s, size, 0.0, now_s
         )
+        self.start = token_buckets.create_bucket(
+            0.0, policy.slack * START_FRACTION, 0.0, now_s
+        )
         self.ideal = token_buckets.create_bucket(per_s, burst, rounding, now_s)
         self.ideal.tokens = self.ideal.size(1.0)
         self.turns = token_buckets.create_turns()
@@ -142,17 +160,26 @@
     """The shares of one slot that are lent to this VM.
 
     Attributes:
-        kind: `MAIN` or `SPARE`.
+        kind: `MAIN`, `SPARE` or `START`.
         accounts: The accounts of the slot.
+        lock_s: Time in seconds from the arrival of a share until its bucket may
+            be full.
+        window_s: The window of the bound, in seconds.
+        filled_s: Times at which start shares were filled, by VM.
         shares: The shares by VM.
         fraction: Sum of the shares, at most 1.
         grown_s: Time at which the sum last grew, in seconds.
         first_end_s: Time before which no share ends, in seconds.
     """
 
-    def __init__(self, kind: int, accounts: dict[str, Account]) -> None:
+    def __init__(
+        self, kind: int, accounts: dict[str, Account], window_s: float
+    ) -> None:
         self.kind = kind
         self.accounts = accounts
+        self.window_s = window_s
+        self.lock_s = (window_s + GRANT_VALID_S) * LOCK_MARGIN
+        self.filled_s: dict[str, float] = {}
         self.shares: dict[str, Share] = {}
         self.fraction = 0.0
         self.grown_s = 0.0
@@ -160,7 +187,7 @@
 
     def bucket(self, account: Account) -> token_buckets.Bucket:
         """Returns the bucket that the pool's shares fill."""
-        return account.main if self.kind == MAIN else account.spare
+        return (account.main, account.spare, account.start)[self.kind]
 
     def refill(self, now_s: float) -> None:
         """Adds tokens to all buckets."""
@@ -185,9 +212,28 @@
         self.fraction = 1.0 if total > 1.0 - token_buckets.EPSILON else total
         if self.fraction > before:
             self.grown_s = now_s
+            self.add_burst(vm, before, now_s)
         elif self.fraction < before:
             self.refill(now_s)
 
+    def lock_new(self, account: Account, now_s: float) -> None:
+        """Adds the tokens of the pool's shares to a new account."""
+        size = self.bucket(account).size(self.fraction)
+        self.bucket(account).lock(size, now_s + self.lock_s)
+
+    def add_burst(self, vm: str, before: float, now_s: float) -> None:
+        """Adds the tokens of a share that arrived."""
+        until_s = now_s + self.lock_s
+        if self.kind == START:
+            filled_s = self.filled_s.get(vm, -math.inf)
+            if now_s < filled_s + START_WINDOWS * self.window_s:
+                return
+            self.filled_s[vm] = until_s = now_s
+        for account in self.accounts.values():
+            bucket = self.bucket(account)
+            gained = bucket.size(self.fraction) - bucket.size(before)
+            bucket.lock(gained, until_s)
+
     def drop_expired(self, now_s: float) -> None:
         """Removes the shares that are no longer lent.
 
@@ -216,9 +262,9 @@
         self.policy = policy
         self.slots: list[dict[str, Account]] = [{} for _ in range(SLOTS)]
         self.pools = [
-            Pool(kind, accounts)
+            Pool(kind, accounts, policy.window_s)
             for accounts in self.slots
-            for kind in (MAIN, SPARE)
+            for kind in range(KINDS)
         ]
         self.slot_of: dict[str, int] = {}
 
@@ -238,6 +284,8 @@
                 account = Account(workspace, self.policy, now_s)
                 self.slots[slot][name] = account
                 self.slot_of[name] = slot
+                for kind in (MAIN, SPARE):
+                    self.pools[pool_of(slot, kind)].lock_new(account, now_s)
             elif account.workspace != workspace:
                 fraction = self.pools[pool_of(slot, MAIN)].fraction
                 account.change(workspace, fraction, now_s)
@@ -290,6 +338,8 @@
         granted = main.take(waiting)
         ideal.tokens = max(0.0, ideal.tokens - granted)
         spare = ideal.take(waiting - granted)
+        started = account.start.take(spare)
+        granted, spare = granted + started, spare - started
         refused = waiting - granted - spare
         wait_s = max(0.0, 1.0 - ideal.tokens) / ideal.per_s
         turns_s = [
@@ -390,7 +440,7 @@
         if slot is None:
             return None
         account = self.slots[slot][workspace]
-        for kind in (MAIN, SPARE):
+        for kind in range(KINDS):
             pool = self.pools[pool_of(slot, kind)]
             pool.bucket(account).refill(pool.fraction, now_s)
         account.ideal.refill(1.0, now_s)
@@ -399,7 +449,7 @@
 
 def pool_of(slot: int, kind: int) -> int:
     """Returns the number of a slot's pool."""
-    return 2 * slot + kind
+    return KINDS * slot + kind
 
 
 def create_keeper(policy: tenancy.CapPolicy) -> Keeper:
--- a/laurelrock/gateways/workspaces/share_lending.py
+++ b/laurelrock/gateways/workspaces/share_lending.py
@@ -97,6 +97,7 @@
         loans: The shares that are lent, by pool.
         free_since_s: Time since which a pool's share is not lent, by pool.
         chosen: The chosen keeper, by pool.
+        start_end_s: Time after which this VM lends no start shares.
         changed_s: Time of the last change of the main keeper, by slot.
         last_reports: As keeper: start and number of the last report, by VM.
         window_s: The window of the bound, in seconds.
@@ -128,8 +129,12 @@
         # An earlier process of this VM may have lent its shares, or used its
         # reserve.
         free_s = now_s + token_leases.VALID_S + token_leases.VALID_MARGIN_S
-        pools = range(2 * token_leases.SLOTS)
+        pools = range(token_leases.KINDS * token_leases.SLOTS)
         self.free_since_s = dict.fromkeys(pools, free_s)
+        for slot in range(token_leases.SLOTS):
+            start = token_leases.pool_of(slot, token_leases.START)
+            self.free_since_s[start] = now_s
+        self.start_end_s = now_s + self.window_s
         self.chosen: dict[int, str] = {}
         self.changed_s: dict[int, float] = {}
         self.numbers = itertools.count(1)
@@ -259,6 +264,7 @@
             _, spare = self.choose(slot, now_s)
             for kind, name in enumerate((main, spare)):
                 self.chosen[token_leases.pool_of(slot, kind)] = name
+            self.choose_start(slot, main, now_s)
             first = self.candidates[slot][:PROBED_CANDIDATES]
             if any(self.is_suspect(name) for name in first):
                 for name in first:
@@ -273,12 +279,20 @@
                 by_keeper.setdefault(loan.keeper, [])
         for pool, name in self.chosen.items():
             taken = self.loans.get(pool)
-            if name and pool // 2 in self.active:
+            if name in self.vms and pool // token_leases.KINDS in self.active:
                 pools = by_keeper.setdefault(name, [])
                 if taken is None or taken.keeper == name:
                     pools.append(pool)
         return by_keeper
 
+    def choose_start(self, slot: int, main: str, now_s: float) -> None:
+        """Chooses the keeper of the start share, only once."""
+        pool = token_leases.pool_of(slot, token_leases.START)
+        if now_s >= self.start_end_s:
+            self.chosen.pop(pool, None)
+        elif main and pool not in self.chosen:
+            self.chosen[pool] = main
+
     def send_report(self, name: str, pools: list[int], now_s: float) -> None:
         """Lends the shares of some pools to a keeper."""
         valid_s = token_leases.VALID_S + token_leases.VALID_MARGIN_S
@@ -386,7 +400,7 @@
         if is_new or ended:
             # The shares need not wait for the next interval.
             by_keeper = self.choose_all(now_s)
-            names = {self.chosen[pool] for pool in ended} if ended else {name}
+            names = {self.chosen.get(pool, "") for pool in ended} or {name}
             for target in names & by_keeper.keys():
                 self.send_report(target, by_keeper[target], now_s)
 
@@ -400,7 +414,7 @@
             self.end_loan(pool, now_s)
         if ended:
             by_keeper = self.choose_all(now_s)
-            for target in {self.chosen[pool] for pool in ended} - {""}:
+            for target in {self.chosen.get(pool, "") for pool in ended} - {""}:
                 self.send_report(target, by_keeper[target], now_s)
 
 
--- a/tests/cap_simulation.py
+++ b/tests/cap_simulation.py
@@ -122,11 +122,26 @@
     def start(self, count: int, caps: dict[str, tuple[float, float]]) -> None:
         """Starts VMs in four failure domains with capped workspaces."""
         self.set_caps(caps, apply=False)
+        self.list_vms(count)
+        for vm in self.vms:
+            self.start_vm(vm)
+
+    def list_vms(self, count: int) -> None:
+        """Sets the list of VMs without starting them."""
         self.vms = [
             owners.Vm(f"vm-{n}", f"d{n % 4}", f"10.0.0.{n}", 1.0)
             for n in range(count)
         ]
-        for vm in self.vms:
+
+    async def start_spread(self, length_s: float) -> None:
+        """Starts all VMs at random times within a span."""
+        times = sorted(
+            (self.random.uniform(0.0, length_s), vm) for vm in self.vms
+        )
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        for at_s, vm in times:
+            await asyncio.sleep(begun_s + at_s - loop.time())
             self.start_vm(vm)
 
     def start_vm(self, vm: owners.Vm) -> None:
@@ -193,6 +208,15 @@
             )
         return admission.granted
 
+    def running_vm(self, number: int) -> owners.Vm:
+        """Returns a VM, or the next one that runs if it doesn't."""
+        count = len(self.vms)
+        rows = (self.vms[(number + step) % count] for step in range(count))
+        return next(
+            (vm for vm in rows if vm.host in self.nodes),
+            self.vms[number % count],
+        )
+
     async def replay(self, arrivals: list[Arrival]) -> None:
         """Sends requests at their times and waits for the decisions."""
         loop = asyncio.get_running_loop()
@@ -200,7 +224,7 @@
         tasks = []
         for row in sorted(arrivals):
             await asyncio.sleep(begun_s + row.at_s - loop.time())
-            vm = self.vms[row.vm % len(self.vms)]
+            vm = self.running_vm(row.vm)
             tasks.append(loop.create_task(self.ask(row.workspace, vm)))
         await asyncio.gather(*tasks)
 
--- a/tests/test_workspace_caps.py
+++ b/tests/test_workspace_caps.py
@@ -45,6 +45,21 @@
     return caps, arrivals
 
 
+def low_rates(rng, count, length_s, load=0.8):
+    """Returns caps of 72 workspaces of low rates and requests below them."""
+    caps = {
+        f"w-{n}": (0.1 * 50.0 ** (n / 71), 1.0 + n * 7 % 20) for n in range(72)
+    }
+    arrivals = [
+        Arrival(at_s, name, rng.randrange(count))
+        for name, (per_s, burst) in caps.items()
+        for at_s in cap_simulation.conforming_times(
+            rng, per_s, burst, load, length_s
+        )
+    ]
+    return caps, arrivals
+
+
 class ReplayCase(unittest.TestCase):
     """Replays requests in virtual time."""
 
@@ -324,6 +339,97 @@
         self.assertGreaterEqual(len(fleet.admitted["w"]), 0.9 * 30 * 5 / 4)
 
 
+class LowRateTest(ReplayCase):
+    """Replays of low rates at 60 VMs while VMs start and stop.
+
+    Most workspaces send less than one request in the time in which a keeper
+    changes, so that a keeper without tokens refuses all of it.
+    """
+
+    def replay_low(self, events, wait_s, length_s=30.0, since_s=0.0, count=60):
+        """Returns the fraction refused after `since_s`, and the fleet."""
+        rng = random.Random(11)
+        caps, arrivals = low_rates(rng, count, length_s)
+
+        async def run():
+            fleet = cap_simulation.Fleet(5)
+            if wait_s is None:
+                fleet.start(0, caps)
+                fleet.list_vms(count)
+            else:
+                fleet.start(count, caps)
+                await asyncio.sleep(wait_s)
+            fleet.reset_counts()
+            begun_s = asyncio.get_running_loop().time()
+            beside = asyncio.ensure_future(events(fleet)) if events else None
+            await fleet.replay(arrivals)
+            if beside:
+                await beside
+            self.assertLessEqual(max(fleet.waits_s), 0.0401)
+            return fleet, begun_s + since_s
+
+        fleet, from_s = virtual_time.run(run())
+        self.assert_within_bound(fleet, caps)
+        refused = sum(
+            at_s >= from_s
+            for rows in fleet.refused.values()
+            for at_s, _ in rows
+        )
+        admitted = sum(
+            at_s >= from_s for rows in fleet.admitted.values() for at_s in rows
+        )
+        share = refused / (refused + admitted)
+        print(f"{self._testMethodName}: {refused} of {refused + admitted}")
+        return share
+
+    def test_calm_run_after_the_start(self):
+        # Buckets of low rates take minutes to fill by their rate alone.
+        share = self.replay_low(None, 16.0)
+        self.assertLessEqual(share, MAX_REFUSED)
+
+    def test_first_seconds_of_the_fleet(self):
+        # Shares that may be lent elsewhere are not usable for 2.6 s.
+        async def start(fleet):
+            await fleet.start_spread(1.0)
+
+        share = self.replay_low(start, None, 10.0)
+        self.assertLessEqual(share, MAX_REFUSED)
+
+    def test_all_vms_lose_power(self):
+        # No VM knows anything of the tokens used before.
+        async def lose_power(fleet):
+            await asyncio.sleep(15.0)
+            for vm in fleet.vms:
+                fleet.kill(vm)
+            await asyncio.sleep(2.0)
+            await fleet.start_spread(1.0)
+
+        share = self.replay_low(lose_power, 16.0, 30.0, 15.0)
+        self.assertLessEqual(share, MAX_REFUSED)
+
+    def test_rolling_restart(self):
+        async def restart(fleet):
+            for vm in fleet.vms:
+                fleet.stop(vm)
+                await asyncio.sleep(1.1)
+                fleet.start_vm(vm)
+
+        share = self.replay_low(restart, 16.0, 66.0)
+        self.assertLessEqual(share, MAX_REFUSED)
+
+    def test_vms_killed_one_after_another(self):
+        for reset in (True, False):
+
+            async def kill(fleet, reset=reset):
+                for vm in fleet.vms:
+                    fleet.kill(vm, reset)
+                    await asyncio.sleep(1.1)
+                    fleet.start_vm(vm)
+
+            share = self.replay_low(kill, 16.0, 66.0)
+            self.assertLessEqual(share, MAX_REFUSED)
+
+
 class IdleTest(unittest.TestCase):
     def test_without_caps_nothing_is_sent_and_nothing_waits(self):
         async def run():
