Hand the tokens of a keeper that stops over, and let few VMs own a slot

Causes of refusals below the cap: a keeper that stopped dropped its tokens; a VM that came back took its slots over again, with empty buckets; a VM that started didn't use its share for 2.6 s, as an earlier process may have lent it; the spare keeper followed the main one, so that its tokens were lost too.

- A keeper that stops names its heirs and sends them its balances.
A share that arrives brings its part, once.
- A keeper that most seats lend to stays keeper.
If it is lost, another VM than the spare keeper follows.
VMs that ask the wrong one are told.
- A VM that starts asks all seats of its slots.
A keeper that has the share of its earlier process keeps it; if no seat has it, it is free at once.
- A slot's shares belong to 12 VMs instead of all, and there are 12 slots instead of 4.
A keeper's traffic no longer grows with the number of VMs.

--- a/laurelrock/core/token_leases.py
+++ b/laurelrock/core/token_leases.py
@@ -1,7 +1,8 @@
 """Limits the requests of a workspace to its cap over all VMs.
 
 The rate and the burst of a workspace are divided into equal shares, one for
-each listed VM. A VM lends its share to a keeper for a limited time. The keeper
+each of its seats, which are the first VMs of a ranking. A seat lends its share
+to a keeper for a limited time. The keeper
 holds one token bucket for all shares lent to it and grants tokens to any VM.
 A share is never in two hands, so that the sum over all VMs stays within the
 bound whatever fails. A share that changes hands without its tokens gains only
@@ -37,12 +38,15 @@
 ]
 
 #: Number of parts into which the workspaces are divided, each with a keeper.
-SLOTS = 4
+SLOTS = 12
+#: Number of VMs that have a share of a slot. A keeper's traffic grows with it,
+#: but not with the number of VMs.
+SEATS = 12
 #: Kinds of a slot's pools of shares.
 MAIN, SPARE, START = 0, 1, 2
 KINDS = 3
 #: Time in seconds for which a share is lent.
-VALID_S = 2.5
+VALID_S = 2.0
 #: Time in seconds by which a VM waits longer than `VALID_S` before it uses a
 #: share again, for clocks that run at different speeds.
 VALID_MARGIN_S = 0.1
@@ -61,10 +65,12 @@
 START_WINDOWS = 3
 #: Size of the spare bucket, as a fraction of the spare tokens of a window. It
 #: has to last until shares that were lent to a dead keeper are back.
-SPARE_SIZE_FRACTION = 0.8
+SPARE_SIZE_FRACTION = 0.6
 #: Factor on times after which buckets are full, for clocks that run at
 #: different speeds.
 LOCK_MARGIN = 1.01
+#: Time in seconds for which the balances of a keeper that left are kept.
+BALANCE_VALID_S = 5.0
 #: Largest number of requests that one message asks tokens for.
 MAX_ASKED = 1024
 
@@ -98,6 +104,22 @@
     turns_s: list[float] = []
 
 
+class Balance(typing.NamedTuple):
+    """The tokens of a pool whose keeper left.
+
+    Attributes:
+        fraction: Sum of the shares that it had.
+        tokens: Tokens of its bucket and of its ideal bucket, by workspace.
+        end_s: Time after which shares arrive without tokens, in seconds.
+        credited: Parts that have arrived with their shares, by VM.
+    """
+
+    fraction: float
+    tokens: dict[str, tuple[float, float]]
+    end_s: float
+    credited: dict[str, float]
+
+
 class Account:
     """What the keeper knows of one workspace.
 
@@ -166,6 +188,8 @@
             be full.
         window_s: The window of the bound, in seconds.
         filled_s: Times at which start shares were filled, by VM.
+        origins: The process that had a share and left, by VM.
+        balances: What keepers that left handed over, by process.
         shares: The shares by VM.
         fraction: Sum of the shares, at most 1.
         grown_s: Time at which the sum last grew, in seconds.
@@ -180,6 +204,8 @@
         self.window_s = window_s
         self.lock_s = (window_s + GRANT_VALID_S) * LOCK_MARGIN
         self.filled_s: dict[str, float] = {}
+        self.origins: dict[str, int] = {}
+        self.balances: dict[int, Balance] = {}
         self.shares: dict[str, Share] = {}
         self.fraction = 0.0
         self.grown_s = 0.0
@@ -202,6 +228,7 @@
             self.refill(now_s)
         if share is None:
             self.shares.pop(vm, None)
+            self.origins.pop(vm, None)
         else:
             self.shares[vm] = share
             self.first_end_s = min(self.first_end_s, share.end_s)
@@ -216,6 +243,52 @@
         elif self.fraction < before:
             self.refill(now_s)
 
+    def balance(self, now_s: float) -> Balance:
+        """Returns the tokens to hand over."""
+        self.refill(now_s)
+        tokens = {}
+        for name, account in self.accounts.items():
+            account.ideal.refill(1.0, now_s)
+            tokens[name] = (self.bucket(account).tokens, account.ideal.tokens)
+        return Balance(self.fraction, tokens, now_s, {})
+
+    def expect(self, process: int, balance: Balance, now_s: float) -> None:
+        """Records what another keeper handed over."""
+        self.balances = {
+            number: row
+            for number, row in self.balances.items()
+            if now_s < row.end_s
+        }
+        end_s = now_s + BALANCE_VALID_S
+        self.balances[process] = balance._replace(end_s=end_s, credited={})
+        if self.kind == MAIN:
+            for name, (_, ideal) in balance.tokens.items():
+                account = self.accounts.get(name)
+                if account is not None:
+                    account.ideal.refill(1.0, now_s)
+                    account.ideal.tokens = min(account.ideal.tokens, ideal)
+        for vm in list(self.origins):
+            self.credit(vm, now_s)
+
+    def credit(self, vm: str, now_s: float) -> None:
+        """Adds the tokens with which a share arrived, once."""
+        share = self.shares.get(vm)
+        balance = self.balances.get(self.origins.get(vm, 0))
+        if share is None or balance is None or now_s >= balance.end_s:
+            return
+        del self.origins[vm]
+        if vm in balance.credited:
+            return
+        left = 1.0 - sum(balance.credited.values())
+        part = min(left, share.fraction / max(share.fraction, balance.fraction))
+        balance.credited[vm] = part
+        self.refill(now_s)
+        for name, (tokens, _) in balance.tokens.items():
+            if name in self.accounts:
+                bucket = self.bucket(self.accounts[name])
+                bucket.tokens += part * max(0.0, tokens)
+        self.refill(now_s)
+
     def lock_new(self, account: Account, now_s: float) -> None:
         """Adds the tokens of the pool's shares to a new account."""
         size = self.bucket(account).size(self.fraction)
@@ -291,16 +364,41 @@
                 account.change(workspace, fraction, now_s)
 
     def set_shares(
-        self, vm: str, pools: list[int], share: Share, now_s: float
+        self,
+        vm: str,
+        pools: collections.abc.Collection[int],
+        share: Share,
+        now_s: float,
+        origins: dict[int, int] | None = None,
     ) -> None:
-        """Records that a VM lends its share of some pools, and of no others."""
+        """Records that a VM lends its share of some pools, and of no others.
+
+        Args:
+            vm: Name of the VM.
+            pools: Numbers of the pools.
+            share: The share.
+            now_s: Current time, in seconds.
+            origins: The processes that had the share before and left, by pool.
+        """
         self.drop_expired(now_s)
         for number, pool in enumerate(self.pools):
             if number in pools and share.end_s > now_s:
+                arrived = vm not in pool.shares
                 pool.set_share(vm, share, now_s)
+                if arrived and origins and number in origins:
+                    pool.origins[vm] = origins[number]
+                    pool.credit(vm, now_s)
             elif vm in pool.shares:
                 pool.set_share(vm, None, now_s)
 
+    def keeps(self, pool: int) -> bool:
+        """Tells whether this VM has most shares of a pool."""
+        return self.pools[pool].fraction > 0.5 + token_buckets.EPSILON
+
+    def lent_by(self, vm: str) -> list[int]:
+        """Returns the pools of which this VM has another one's share."""
+        return [n for n, pool in enumerate(self.pools) if vm in pool.shares]
+
     def drop_expired(self, now_s: float) -> None:
         """Removes the shares that are no longer lent."""
         for pool in self.pools:
--- a/laurelrock/gateways/workspaces/cap_accounts.py
+++ b/laurelrock/gateways/workspaces/cap_accounts.py
@@ -48,6 +48,7 @@
         sent_s: Time at which it was sent, in seconds.
         spare: Whether it asks for spare tokens.
         final: Whether no other keeper is asked for these requests.
+        retried: Whether another VM named the keeper.
     """
 
     account: "Account"
@@ -56,6 +57,7 @@
     sent_s: float
     spare: bool
     final: bool = True
+    retried: bool = False
 
 
 class Account:
--- a/laurelrock/gateways/workspaces/cap_messages.py
+++ b/laurelrock/gateways/workspaces/cap_messages.py
@@ -2,7 +2,14 @@
 
 import typing
 
-__all__ = ["KINDS", "ShareReceipt", "ShareReport", "TokenReply", "TokenRequest"]
+__all__ = [
+    "KINDS",
+    "Balances",
+    "ShareReceipt",
+    "ShareReport",
+    "TokenReply",
+    "TokenRequest",
+]
 
 
 class ShareReport(typing.NamedTuple):
@@ -18,6 +25,8 @@
         keeper_s: Keeper's time in its last receipt, in seconds. The shares are
             lent from then on, so that they end at the keeper before the VM
             uses them again, however long a report takes.
+        origins: Random numbers of the processes that had the shares before and
+            left, by pool.
     """
 
     sender: str
@@ -27,6 +36,7 @@
     pools: list[int]
     keeper_start: int = 0
     keeper_s: float = 0.0
+    origins: dict[int, int] = {}
 
 
 class ShareReceipt(typing.NamedTuple):
@@ -38,6 +48,11 @@
         number: Number of the report.
         now_s: Keeper's time, in seconds.
         leaving: Whether the keeper stops and holds no shares any more.
+        held: The pools of which it still holds the shares that an earlier
+            process of the VM lent.
+        keeping: The pools of which it has most shares.
+        heirs: Names of the VMs to which a keeper that stops hands over its
+            pools.
     """
 
     sender: str
@@ -45,6 +60,22 @@
     number: int
     now_s: float
     leaving: bool = False
+    held: list[int] = []
+    keeping: list[int] = []
+    heirs: dict[int, str] = {}
+
+
+class Balances(typing.NamedTuple):
+    """Hands the tokens of a keeper that stops over to the next one.
+
+    Attributes:
+        start: Random number of the keeper's process.
+        pools: The pools' sum of shares, and for each workspace the tokens of
+            its bucket and of its ideal bucket.
+    """
+
+    start: int
+    pools: dict[int, tuple[float, dict[str, tuple[float, float]]]]
 
 
 class TokenRequest(typing.NamedTuple):
@@ -60,6 +91,7 @@
         returned: Number of tokens that the VM returns.
         spare: Whether the main keeper was silent or had too few tokens.
         counted: Whether it counted the requests as within the cap.
+        silent: Name of the main keeper that was silent.
     """
 
     sender: str
@@ -71,6 +103,7 @@
     returned: int = 0
     spare: bool = False
     counted: bool = False
+    silent: str = ""
 
 
 class TokenReply(typing.NamedTuple):
@@ -84,6 +117,10 @@
             tokens.
         turns_s: Times in seconds after which the other ones may return.
         known: Whether the keeper knows the workspace.
+        keepers: Names of the main and the spare keeper, if the VM that was
+            asked has few of the shares.
+        moved: Whether the main keeper is another one than the silent one. Then
+            no spare tokens are granted.
     """
 
     number: int
@@ -92,6 +129,8 @@
     spare: int = 0
     turns_s: list[float] = []
     known: bool = True
+    keepers: list[str] = []
+    moved: bool = False
 
 
 KINDS: dict[int, type] = {
@@ -99,4 +138,5 @@
     31: ShareReceipt,
     32: TokenRequest,
     33: TokenReply,
+    34: Balances,
 }
--- a/laurelrock/gateways/workspaces/cap_sharing.py
+++ b/laurelrock/gateways/workspaces/cap_sharing.py
@@ -127,7 +127,7 @@
             return
         for vm in self.lending.vms.values():
             if (vm.host, self.port) == link.address:
-                self.lending.record_silence(vm.name)
+                self.lending.choice.record_silence(vm.name)
 
     def send(self, vm: owners.Vm, message: typing.Any) -> None:
         """Sends a message to another VM."""
@@ -229,18 +229,29 @@
         if not account.asked:
             self.ask_now(account, self.clock())
 
-    def ask_now(self, account: cap_accounts.Account, now_s: float) -> None:
-        """Asks the keeper for tokens for the waiting requests."""
+    def ask_now(
+        self,
+        account: cap_accounts.Account,
+        now_s: float,
+        named: str = "",
+    ) -> None:
+        """Asks the keeper for tokens for the waiting requests.
+
+        Args:
+            account: The account of the workspace.
+            now_s: Current time, in seconds.
+            named: The keeper that another VM named, if one did.
+        """
         waiters = [row for row in account.waiting if not row.done()]
         account.waiting = []
         wanted = account.wanted(now_s)
         if not waiters and not wanted:
             return
         slot = self.slot(account)
-        name = self.lending.keeper_of(slot, token_leases.MAIN, now_s)
+        name = named or self.lending.keeper_of(slot, token_leases.MAIN, now_s)
         silent, until_s = self.silent.get(name, (0, 0.0))
         if not name or (silent >= MAX_SILENT and now_s < until_s):
-            self.ask_spare(account, waiters, now_s)
+            self.ask_spare(account, waiters, now_s, silent=name)
             return
         if account.lessor != name or now_s >= account.held_until_s:
             account.held = 0
@@ -248,7 +259,7 @@
         number = self.next_number()
         account.asked = number
         self.asks[number] = cap_accounts.Ask(
-            account, waiters, name, now_s, False
+            account, waiters, name, now_s, False, retried=bool(named)
         )
         request = cap_messages.TokenRequest(
             *(self.me.name, number, account.workspace.name, len(waiters)),
@@ -271,7 +282,11 @@
         """Asks the spare keeper if the main keeper hasn't replied yet."""
         ask = self.asks.get(number)
         if ask is not None:
-            self.ask_spare(ask.account, ask.waiters, self.clock(), final=False)
+            self.ask_spare(
+                *(ask.account, ask.waiters, self.clock()),
+                final=False,
+                silent=ask.keeper,
+            )
 
     def give_up(self, number: int) -> None:
         """Ends a request for tokens that got no reply in time."""
@@ -282,6 +297,9 @@
         self.counts["silent"] += 1
         silent = self.silent.get(ask.keeper, (0, 0.0))[0]
         self.silent[ask.keeper] = (silent + 1, now_s + SILENT_HOLD_S)
+        if silent and not self.lending.choice.has_seat(self.slot(ask.account)):
+            # A VM with a seat knows from its reports.
+            self.lending.choice.record_silence(ask.keeper)
         if not ask.spare:
             self.end_ask(ask.account, number, now_s)
 
@@ -301,6 +319,7 @@
         now_s: float,
         final: bool = True,
         counted: bool = False,
+        silent: str = "",
     ) -> None:
         """Asks the spare keeper for tokens for some requests."""
         waiters = [row for row in waiters if not row.done()]
@@ -316,6 +335,7 @@
             *(self.me.name, number, account.workspace.name, len(waiters)),
             spare=True,
             counted=counted,
+            silent=silent,
         )
         if name == self.me.name:
             self.handle_reply(self.answer(request))
@@ -332,13 +352,15 @@
         if ask is None or now_s - ask.sent_s > token_leases.GRANT_VALID_S:
             return
         self.silent.pop(ask.keeper, None)
-        self.lending.record_reply(ask.keeper, now_s)
+        self.lending.choice.record_reply(ask.keeper, now_s)
         account = ask.account
         waiters = [row for row in ask.waiters if not row.done()]
         granted = cap_accounts.GRANTED._replace(keeper=ask.keeper)
         for waiter in waiters[: reply.granted]:
             waiter.set_result(granted)
         rest = waiters[reply.granted :]
+        if self.follow_hint(ask, reply, rest, now_s):
+            return
         if reply.leased > 0:
             account.held += reply.leased
         elif reply.leased < 0:
@@ -350,6 +372,36 @@
         if not ask.spare:
             self.end_ask(account, reply.number, now_s)
 
+    def follow_hint(
+        self,
+        ask: cap_accounts.Ask,
+        reply: cap_messages.TokenReply,
+        rest: list[cap_accounts.Waiter],
+        now_s: float,
+    ) -> bool:
+        """Asks the keepers that a VM with few shares named, once.
+
+        Returns:
+            Whether another keeper was asked for the remaining requests.
+        """
+        slot = self.slot(ask.account)
+        choice = self.lending.choice
+        for kind, name in enumerate(reply.keepers[:2]):
+            if not choice.has_seat(slot) and not choice.is_out(name):
+                choice.hints[token_leases.pool_of(slot, kind)] = name
+        name = reply.keepers[0] if reply.keepers else ""
+        if not name or name == ask.keeper or choice.is_out(name):
+            return False
+        if not rest or ask.retried or (ask.spare and not reply.moved):
+            return False
+        account = ask.account
+        account.waiting = rest + account.waiting
+        if account.asked == reply.number:
+            account.asked = 0
+        if ask.spare or not (account.asked or account.collecting):
+            self.ask_now(account, now_s, name)
+        return True
+
     def refuse_rest(
         self,
         ask: cap_accounts.Ask,
@@ -438,6 +490,8 @@
             link.send(receipt)
         elif isinstance(message, cap_messages.ShareReceipt):
             self.lending.handle_receipt(message, now_s)
+        elif isinstance(message, cap_messages.Balances):
+            self.lending.handle_balances(message, now_s)
         elif isinstance(message, cap_messages.TokenReply):
             self.handle_reply(message)
         elif message.returned:
@@ -454,6 +508,11 @@
         """As keeper: decides about a request for tokens."""
         now_s = self.clock()
         name = request.workspace
+        moved = self.moved_keepers(request, now_s)
+        if moved:
+            return cap_messages.TokenReply(
+                request.number, 0, keepers=moved, moved=True
+            )
         if request.spare:
             grant = self.keeper.ask_spare(
                 name, request.waiting, request.counted, now_s
@@ -463,9 +522,44 @@
             grant = self.keeper.ask(
                 request.sender, name, request.waiting, ahead, now_s
             )
+        keepers = self.other_keepers(name, request.spare, now_s)
         if grant is None:
-            return cap_messages.TokenReply(request.number, 0, known=False)
-        return cap_messages.TokenReply(request.number, *grant)
+            return cap_messages.TokenReply(
+                request.number, 0, known=False, keepers=keepers
+            )
+        return cap_messages.TokenReply(request.number, *grant, keepers=keepers)
+
+    def moved_keepers(
+        self, request: cap_messages.TokenRequest, now_s: float
+    ) -> list[str]:
+        """As spare keeper: returns the keepers if the main one has changed.
+
+        Spare tokens are for the time in which there is no main keeper.
+        """
+        if not request.silent:
+            return []
+        slot = share_lending.slot_of(request.workspace)
+        choice = self.lending.choice
+        main, spare = choice.choose(slot, now_s)
+        pool = token_leases.pool_of(slot, token_leases.MAIN)
+        if main in ("", self.me.name, request.silent):
+            return []
+        return [main, spare] if choice.keeps(pool, main) else []
+
+    def other_keepers(
+        self, workspace: str, spare: bool, now_s: float
+    ) -> list[str]:
+        """As keeper: returns the keepers to ask if this VM has few shares."""
+        slot = share_lending.slot_of(workspace)
+        choice = self.lending.choice
+        kind = token_leases.SPARE if spare else token_leases.MAIN
+        pool = token_leases.pool_of(slot, kind)
+        if self.keeper.keeps(pool) or not choice.has_seat(slot):
+            return []
+        found = choice.choose(slot, now_s)
+        if self.me.name == found[kind]:
+            return []
+        return list(found)
 
 
 def create_cap_sharing(
