--- a/tests/test_workspace_caps.py
+++ b/tests/test_workspace_caps.py
@@ -4,10 +4,13 @@
 import random
 import unittest
 
+from laurelrock.gateways.workspaces import share_lending
 from tests import cap_simulation
 from tests import virtual_time
 
 SIZES = (8, 60, 144)
+#: The design size, at which a keeper's traffic is bounded as well.
+DESIGN_SIZE = 760
 #: Time in seconds after the start at which requests come: shares are lent again
 #: and buckets have filled.
 SETTLED_S = 15.0
@@ -45,6 +48,21 @@
     return caps, arrivals
 
 
+def low_rates(rng, count, length_s, load=0.8):
+    """Returns caps of 72 workspaces of low rates and requests below them."""
+    caps = {
+        f"w-{n}": (0.1 * 50.0 ** (n / 71), 1.0 + n * 7 % 20) for n in range(72)
+    }
+    arrivals = [
+        Arrival(at_s, name, rng.randrange(count))
+        for name, (per_s, burst) in caps.items()
+        for at_s in cap_simulation.conforming_times(
+            rng, per_s, burst, load, length_s
+        )
+    ]
+    return caps, arrivals
+
+
 class ReplayCase(unittest.TestCase):
     """Replays requests in virtual time."""
 
@@ -96,6 +114,16 @@
             )
             self.assertLessEqual(mean, MAX_BYTES_PER_S)
 
+    def test_keeper_traffic_at_the_design_size(self):
+        # With a report of each VM, a keeper would send 34 KB/s of receipts.
+        for count in (*SIZES, DESIGN_SIZE):
+            caps, arrivals = long_tail(random.Random(count), count, 10.0)
+            fleet = self.replay(count, caps, arrivals)
+            busiest = max(fleet.bytes.values()) / 10.0
+            print(f"{count} VMs: {busiest:.0f} bytes/s at the busiest")
+            self.assertLessEqual(busiest, MAX_BYTES_PER_S)
+            self.assertLessEqual(refused_share(fleet), MAX_REFUSED)
+
     def test_all_requests_of_a_workspace_at_one_vm_are_served(self):
         # An equal share per VM would refuse nearly all of them.
         for count in SIZES:
@@ -295,8 +323,8 @@
             # No report is on its way then.
             await asyncio.sleep(SETTLED_S + 0.5)
             loop = asyncio.get_running_loop()
-            first = fleet.nodes["10.0.0.0"].sharing.lending.candidates
-            keepers = {name for row in first for name in row[:2]}
+            lending = fleet.nodes["10.0.0.0"].sharing.lending
+            keepers = lending.candidates[share_lending.slot_of("w")][:2]
             vm = next(vm for vm in fleet.vms if vm.name not in keepers)
             sharing = fleet.nodes[vm.host].sharing
             read = sharing.handle_message
@@ -324,6 +352,107 @@
         self.assertGreaterEqual(len(fleet.admitted["w"]), 0.9 * 30 * 5 / 4)
 
 
+class LowRateTest(ReplayCase):
+    """Replays of low rates at 60 VMs while VMs start and stop.
+
+    Most workspaces send less than one request in the time in which a keeper
+    changes, so that a keeper without tokens refuses all of it.
+    """
+
+    def replay_low(self, events, wait_s, length_s=30.0, since_s=0.0, count=60):
+        """Returns the fraction refused after `since_s`, and the fleet."""
+        rng = random.Random(11)
+        caps, arrivals = low_rates(rng, count, length_s)
+
+        async def run():
+            fleet = cap_simulation.Fleet(5)
+            if wait_s is None:
+                fleet.start(0, caps)
+                fleet.list_vms(count)
+            else:
+                fleet.start(count, caps)
+                await asyncio.sleep(wait_s)
+            fleet.reset_counts()
+            begun_s = asyncio.get_running_loop().time()
+            beside = asyncio.ensure_future(events(fleet)) if events else None
+            await fleet.replay(arrivals)
+            if beside:
+                await beside
+            self.assertLessEqual(max(fleet.waits_s), 0.0401)
+            return fleet, begun_s + since_s
+
+        fleet, from_s = virtual_time.run(run())
+        self.assert_within_bound(fleet, caps)
+        refused = sum(
+            at_s >= from_s
+            for rows in fleet.refused.values()
+            for at_s, _ in rows
+        )
+        admitted = sum(
+            at_s >= from_s for rows in fleet.admitted.values() for at_s in rows
+        )
+        share = refused / (refused + admitted)
+        print(f"{self._testMethodName}: {refused} of {refused + admitted}")
+        return share
+
+    def test_calm_run_after_the_start(self):
+        # Buckets of low rates take minutes to fill by their rate alone.
+        share = self.replay_low(None, 16.0)
+        self.assertLessEqual(share, MAX_REFUSED)
+
+    def test_first_seconds_of_the_fleet(self):
+        # Shares that may be lent elsewhere are not usable for some seconds.
+        async def start(fleet):
+            await fleet.start_spread(0.001)
+
+        share = self.replay_low(start, None, 10.0)
+        self.assertLessEqual(share, MAX_REFUSED)
+
+    def test_first_seconds_of_vms_that_start_one_after_another(self):
+        # Until all run, the others may be up and cut off, so that the first
+        # ones have only their own shares. Requests count from then on.
+        async def start(fleet):
+            await fleet.start_spread(1.0)
+
+        share = self.replay_low(start, None, 10.0, since_s=1.0)
+        self.assertLessEqual(share, MAX_REFUSED)
+
+    def test_all_vms_lose_power(self):
+        # No VM knows anything of the tokens used before. Requests count from
+        # when all VMs run again.
+        async def lose_power(fleet):
+            await asyncio.sleep(15.0)
+            for vm in fleet.vms:
+                fleet.kill(vm)
+            await asyncio.sleep(2.0)
+            await fleet.start_spread(1.0)
+
+        share = self.replay_low(lose_power, 16.0, 30.0, since_s=18.0)
+        self.assertLessEqual(share, MAX_REFUSED)
+
+    def test_rolling_restart(self):
+        async def restart(fleet):
+            for vm in fleet.vms:
+                fleet.stop(vm)
+                await asyncio.sleep(1.1)
+                fleet.start_vm(vm)
+
+        share = self.replay_low(restart, 16.0, 66.0)
+        self.assertLessEqual(share, MAX_REFUSED)
+
+    def test_vms_killed_one_after_another(self):
+        for reset in (True, False):
+
+            async def kill(fleet, reset=reset):
+                for vm in fleet.vms:
+                    fleet.kill(vm, reset)
+                    await asyncio.sleep(1.1)
+                    fleet.start_vm(vm)
+
+            share = self.replay_low(kill, 16.0, 66.0)
+            self.assertLessEqual(share, MAX_REFUSED)
+
+
 class IdleTest(unittest.TestCase):
     def test_without_caps_nothing_is_sent_and_nothing_waits(self):
         async def run():
