--- a/bench/searcher_faults.py
+++ b/bench/searcher_faults.py
@@ -90,9 +90,7 @@
     run.drained[name] = run.loop.time()
     run.running.list_searcher(name, "draining")
     await asyncio.sleep(3.5)
-    run.running.store.delete("servers", name)
-    await server.searcher.stop()
-    await server.link.close()
+    await run.running.remove_searcher(server)
     run.record_fault("drain", "-", started_s)
 
 
@@ -106,9 +104,7 @@
     await run.running.add_searcher(server.service)
     await asyncio.sleep(3.5)
     run.drained[name] = run.loop.time()
-    run.running.store.delete("servers", name)
-    await server.searcher.stop()
-    await server.link.close()
+    await run.running.remove_searcher(server)
     run.record_fault("leave", "-", started_s)
 
 
--- a/bench/store_faults.py
+++ b/bench/store_faults.py
@@ -1,6 +1,8 @@
 """Faults of the store in a soak."""
 
 import asyncio
+import collections.abc
+import functools
 import typing
 
 from fakes import link
@@ -9,16 +11,43 @@
 if typing.TYPE_CHECKING:
     from bench import random_faults
 
-__all__ = [
-    "degrade_store",
-    "lose_store_state",
-    "partition_store",
-    "restore_store",
-]
+__all__ = ["Action", "faults"]
+
+Action = collections.abc.Callable[[], typing.Any]
 
 #: Age of the copy that the store comes back from (range), and the time after
 #: which its writers write again, in seconds.
 COPY_AGES_S, REWRITE_S = (0.5, 3.0), 1.0
+#: Faults of all of the store's responses.
+DEGRADED = {
+    "store-down": objects.Faults(status=503),
+    "store-hangs": objects.Faults(hang=True),
+    "store-late": objects.Faults(delay_s=0.3),
+    "store-spoils": objects.Faults(replacement_body=b"{"),
+}
+
+
+def faults(
+    run: "random_faults.SoakRun",
+) -> collections.abc.Mapping[str, Action]:
+    """Returns the coroutine function of each fault by name."""
+    degraded = {
+        name: functools.partial(degrade_store, run, name, change)
+        for name, change in DEGRADED.items()
+    }
+    lost = {
+        name: functools.partial(lose_store_state, run, name)
+        for name in ("store-forgets", "watchers-forgotten")
+    }
+    return (
+        degraded
+        | lost
+        | {
+            "store-cut": functools.partial(partition_store, run, False),
+            "store-silent": functools.partial(partition_store, run, True),
+            "restore": functools.partial(restore_store, run),
+        }
+    )
 
 
 async def degrade_store(
