Count by workspace what was decided about requests

Cause: the metrics of a gateway showed how many requests a workspace sent, but not whether its cap or overload refused them.

Three counters show, for the 20 workspaces with the most requests and the rest, the requests admitted, refused by the cap and refused because of overload.

--- a/laurelrock/gateways/caller_answers.py
+++ b/laurelrock/gateways/caller_answers.py
@@ -13,6 +13,7 @@
 from laurelrock.gateways import platform_follower
 from laurelrock.gateways.workspaces import cap_accounts
 from laurelrock.gateways.workspaces import keys
+from laurelrock.gateways.workspaces import request_counts
 from laurelrock.ports import header_codec
 
 __all__ = ["CallerAnswers", "create_caller_answers"]
@@ -40,6 +41,7 @@
         follower: The configuration and the registry of searchers.
         latency: The histogram of request latencies.
         counts: The number of answers by outcome.
+        workspace_counts: The number of requests by workspace and decision.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self.follower = follower
         self.latency = meters.histogram(*LATENCY_METRIC)
         self.counts: collections.Counter[str] = collections.Counter()
+        self.workspace_counts = request_counts.create_request_counts()
         self.loop = asyncio.get_running_loop()
 
     def encode(
@@ -132,6 +135,7 @@
         The time until the caller's turn isn't randomized: turns differ.
         """
         self.counts["refused-429"] += 1
+        self.workspace_counts.record_decision(workspace.name, "cap-refused")
         _log.info(
             "cap-refused",
             request=caller_headers.request_id.decode("latin-1"),
@@ -159,6 +163,11 @@
     ) -> None:
         """Counts and logs the end of a request."""
         self.counts[outcome.kind] += 1
+        if context.workspace:
+            self.workspace_counts.record_decision(
+                context.workspace,
+                "overload-refused" if outcome.overloaded else "admitted",
+            )
         self.follower.evacuations.record_refusal(outcome.reason)
         elapsed_s = self.loop.time() - context.request.received_s
         self.latency.record(elapsed_s * 1000, {"outcome": outcome.kind})
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -43,7 +43,6 @@
 from laurelrock.gateways.places import cold_searchers
 from laurelrock.gateways.workspaces import cap_sharing
 from laurelrock.gateways.workspaces import keys
-from laurelrock.gateways.workspaces import request_counts
 from laurelrock.ports import directory
 from laurelrock.ports import header_codec
 
@@ -183,7 +182,7 @@
             platform, self.follower, meters
         )
         self.counts = self.answers.counts
-        self.workspace_counts = request_counts.create_request_counts()
+        self.workspace_counts = self.answers.workspace_counts
         self.stopping_s = 0.0
         self.tasks: set[asyncio.Task[typing.Any]] = set()
 
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -1,9 +1,11 @@
 """Registers the metrics of a gateway."""
 
+import functools
 import typing
 
 from laurelrock.adapters import metrics
 from laurelrock.gateways import upstreams
+from laurelrock.gateways.workspaces import request_counts
 
 if typing.TYPE_CHECKING:
     from laurelrock.gateways import gateway as gateways
@@ -88,6 +90,23 @@
         gateway.workspace_counts.export,
         "Requests by workspace, for the 20 largest and all others",
     )
+    register_decisions(gateway.workspace_counts, meters)
+
+
+def register_decisions(
+    counts: request_counts.RequestCounts, meters: metrics.Metrics
+) -> None:
+    """Registers the decisions about the requests of workspaces."""
+    for decision, description in (
+        ("admitted", "neither their cap nor overload refused"),
+        ("cap-refused", "their cap refused"),
+        ("overload-refused", "were refused because of overload"),
+    ):
+        meters.counters(
+            f"laurelrock_workspace_{decision.replace('-', '_')}_total",
+            functools.partial(counts.export, decision),
+            f"Requests that {description}, by workspace",
+        )
 
 
 def register_platform(
--- a/laurelrock/gateways/outcomes.py
+++ b/laurelrock/gateways/outcomes.py
@@ -30,6 +30,8 @@
             vain, because searchers asked for no calls; 0 if unknown.
         enough_s: The loop time at which a query had its minimum of shards; 0 if
             it never had.
+        overloaded: Whether the request was refused because it was expected to
+            wait for too long.
     """
 
     kind: Kind
@@ -44,6 +46,7 @@
     retry_after_s: float = 0.0
     resume_in_s: float = 0.0
     enough_s: float = 0.0
+    overloaded: bool = False
 
 
 def retry_after_header(
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -300,6 +300,7 @@
             f" expected latency is {wait_s * 1000:.0f} ms"
         ),
         retry_after_s=group_state.overload.retry_after_s(route.name, wait_s),
+        overloaded=True,
     )
 
 
--- a/laurelrock/gateways/refusals.py
+++ b/laurelrock/gateways/refusals.py
@@ -84,6 +84,7 @@
         shards=len(route.shards),
         reason=f"expected latency is {wait_s * 1000:.0f} ms",
         retry_after_s=min(wait_s, throughput.MAX_RETRY_AFTER_S),
+        overloaded=True,
     )
 
 
--- a/laurelrock/gateways/single_requests.py
+++ b/laurelrock/gateways/single_requests.py
@@ -107,7 +107,10 @@
         retry_after_s = overload.retry_after_s(name, group.retry_in_s)
         reason = f"overloaded, the last one asked is {owner}"
         return outcomes.Outcome(
-            "refused", 503, reason=reason, retry_after_s=retry_after_s
+            *("refused", 503),
+            reason=reason,
+            retry_after_s=retry_after_s,
+            overloaded=True,
         )
     if not group.may_have_run:
         reason = f"not started by {owner}"
--- a/tests/test_group_overload.py
+++ b/tests/test_group_overload.py
@@ -101,6 +101,8 @@
         refused = [row for row in results if row.outcome.status == 503]
         self.assertGreater(len(refused), 100)
         returns = collections.Counter()
+        # The metrics of workspaces count them as refused because of overload.
+        self.assertTrue(all(row.outcome.overloaded for row in refused))
         for row in refused:
             self.assertEqual((row.calls, row.outcome.attempts), (0, 0))
             self.assertLess(row.took_s, 0.02)
--- a/tests/test_key_fuzz.py
+++ b/tests/test_key_fuzz.py
@@ -11,7 +11,9 @@
 from laurelrock.adapters import http_server
 from laurelrock.core import routes
 from laurelrock.gateways import gateway
+from laurelrock.gateways import gateway_metrics
 from laurelrock.gateways import outcomes
+from laurelrock.gateways.workspaces import cap_accounts
 from laurelrock.gateways.workspaces import keys
 from laurelrock.platform import header_codec
 from laurelrock.platform import objects
@@ -193,6 +195,46 @@
 
         self.assertEqual(virtual_time.run(run())[9:12], b"503")
 
+    def test_decisions_are_counted_by_workspace(self):
+        # Guards against a decision that no metric or the wrong one counts.
+        async def run():
+            received = Received(public=True)
+            gateway = received.gateway
+            gateway_metrics.register_places_and_workspaces(
+                gateway, gateway.metrics
+            )
+            rows = (
+                outcomes.Outcome("answered", 200),
+                outcomes.Outcome("refused", 503, overloaded=True),
+            )
+            raw = encode([(b"api-key", KEY)], [])
+            for outcome in rows:
+                gateway.run_request = unittest.mock.AsyncMock(
+                    return_value=outcome
+                )
+                await received.receive(raw)
+                await received.receive(encode([], []))
+            table = gateway.follower.table
+            capped = table.configuration.workspaces[0]._replace(
+                requests_per_s=1.0
+            )
+            gateway.follower.table = table._replace(
+                by_key=dict.fromkeys(table.by_key, capped)
+            )
+            gateway.cap_sharing.admit = unittest.mock.AsyncMock(
+                return_value=cap_accounts.Admission(False, 1.0)
+            )
+            await received.receive(raw)
+            return gateway.metrics.export().decode()
+
+        text = virtual_time.run(run())
+        for name, count in (
+            *(("requests", 3), ("admitted", 1)),
+            *(("cap_refused", 1), ("overload_refused", 1)),
+        ):
+            row = f'laurelrock_workspace_{name}_total{{kind="ralo620"}} {count}'
+            self.assertIn(row, text)
+
     def test_refused_key_is_logged_without_the_key(self):
         received, _ = self.play(([(b"Api-Key", KEY + b"x")], []))
         rows = [row for row in self.log_events if row["event"] == "key-refused"]
