--- a/tests/test_key_fuzz.py
+++ b/tests/test_key_fuzz.py
@@ -11,7 +11,9 @@
 from laurelrock.adapters import http_server
 from laurelrock.core import routes
 from laurelrock.gateways import gateway
+from laurelrock.gateways import gateway_metrics
 from laurelrock.gateways import outcomes
+from laurelrock.gateways.workspaces import cap_accounts
 from laurelrock.gateways.workspaces import keys
 from laurelrock.platform import header_codec
 from laurelrock.platform import objects
@@ -193,6 +195,37 @@
 
         self.assertEqual(virtual_time.run(run())[9:12], b"503")
 
+    def test_decisions_are_counted_by_workspace(self):
+        # Guards against a decision that no metric or the wrong one counts.
+        async def run():
+            received = Received(public=True)
+            node, mock = received.gateway, unittest.mock.AsyncMock
+            gateway_metrics.register_places_and_workspaces(node, node.metrics)
+            table = node.follower.table
+            free = table.configuration.workspaces[0]
+            outcome = outcomes.Outcome("refused", 503, overloaded=True)
+            node.run_request = mock(
+                side_effect=[outcomes.Outcome("answered", 200), outcome]
+            )
+            node.cap_sharing.admit = mock(
+                return_value=cap_accounts.Admission(False, 1.0)
+            )
+            for workspace in (free, free, free._replace(requests_per_s=1.0)):
+                by_key = dict.fromkeys(table.by_key, workspace)
+                node.follower.table = table._replace(by_key=by_key)
+                await received.receive(encode([(b"api-key", KEY)], []))
+            return node.metrics.export().decode()
+
+        text, prefix = virtual_time.run(run()), "laurelrock_workspace_"
+        rows = {"requests": 3, "admitted": 1}
+        for name, count in {
+            **rows,
+            "cap_refused": 1,
+            "overload_refused": 1,
+        }.items():
+            row = f'{prefix}{name}_total{{kind="ralo620"}} {count}'
+            self.assertIn(row, text)
+
     def test_refused_key_is_logged_without_the_key(self):
         received, _ = self.play(([(b"Api-Key", KEY + b"x")], []))
         rows = [row for row in self.log_events if row["event"] == "key-refused"]
--- a/tests/test_workspace_keys.py
+++ b/tests/test_workspace_keys.py
@@ -91,9 +91,13 @@
         rows = [f"w-{n}" for n in range(40) for _ in range(n + 1)]
         random.Random(1).shuffle(rows)
         before: dict[str, float] = {}
-        for name in rows:
+        for number, name in enumerate(rows, 1):
             counts.record(name)
+            counts.record_decision(name, "admitted")
             found = counts.export()
+            # A label that ends must not take its numbers with it.
+            self.assertEqual(sum(found.values()), number)
+            self.assertEqual(counts.export("admitted"), found)
             self.assertLessEqual(len(found), 21)
             for label in before.keys() & found.keys():
                 self.assertGreaterEqual(found[label], before[label])
