Let parts leave by the probability of being late

Cause: the weighed rule graded an expected latency as in time or late. A queue formed at the local searchers before parts left, and of the parts that found a local searcher full, twice as many left as remote searchers could take. VMs that had not heard of the other side tried it again and again.

A part now leaves for a searcher that is faster by a fifth of the objective if that lowers the probability of being late or lost, which is continuous in the expected latency. The share that leaves follows from the remote spare capacity, the probability and the age of the load report. A VM sends one part to a searcher that it hasn't heard of lately; a searcher that was late as of its last report is tried by all VMs once in the time that its queue took.

Tests of test_domain_choice and test_replicas: 54 passed; fleet gateways, hedges, cold searchers, evacuations and group overload: 55 passed.

--- a/laurelrock/core/domain_choice.py
+++ b/laurelrock/core/domain_choice.py
@@ -1,15 +1,19 @@
 """Decides whether a part is sent to a searcher in another failure domain.
 
 Traffic between failure domains is slower and billed, and a response within the
-objective gains nothing from being earlier. A part therefore stays while its
-local searcher is expected to respond within the time left, and leaves when only
-a remote one is. If both are full, nobody gains from exchanging work.
+objective gains nothing from being earlier. A part therefore leaves only for a
+searcher that is faster by more than a constant, and only if it is then more
+likely to be in time. The probability is continuous in the expected latency, so
+that parts begin to leave before the local searcher is late. If both are late,
+nobody gains from exchanging work.
 
 VMs decide at the same moment on the same figures. Only the share of parts that
-the remote searchers have spare capacity for leaves, drawn at random.
+the remote searchers have spare capacity for leaves, drawn at random. A searcher
+without recent figures is tried, and rarely once a try found it full.
 """
 
 import collections.abc
+import math
 import typing
 
 from laurelrock.core import replicas
@@ -19,6 +23,7 @@
     "Inputs",
     "Selection",
     "Side",
+    "callers_deciding",
     "choose_nearby",
     "choose_searcher",
     "create_side",
@@ -29,35 +34,31 @@
 
 #: Time for which VMs may decide on the same figures, in seconds: the age up to
 #: which load reports are used.
-FIGURES_AGE_S = 0.1
-#: Minimum gain of leaving if it doesn't bring the response below the objective
-#: or the deadline, or if a local slot is free, as a fraction of the objective.
-#: Measured on four deployments: up to 0.2, fewer bytes crossed and callers were
-#: served as well; at 0.35, fewer were served.
+FIGURES_AGE_S = replicas.REPORT_VALIDITY_S
+#: Minimum time by which a remote searcher is faster if a part leaves for it, as
+#: a fraction of the objective. Measured on four deployments: up to 0.2, fewer
+#: bytes crossed and callers were served as well; at 0.35, fewer were served.
 MIN_GAIN_FRACTION = 0.2
 #: Latency added for a searcher in another failure domain where the load isn't
 #: weighed, as a fraction of the objective, for the same reason.
 REMOTE_PENALTY_FRACTION = MIN_GAIN_FRACTION
-#: Margin of the local searcher, in spreads. It is wider than that of a remote
-#: one, since the parts that are drawn to stay queue there as well.
-LOCAL_MARGIN = 3.0
+#: Error of an expected latency, as a fraction of the objective: the scale of
+#: the logistic probability of being late.
+LATENCY_ERROR_FRACTION = 0.25
+#: Minimum decrease of the probability of being late if a part leaves.
+MIN_PROBABILITY_GAIN = 0.05
+#: Probability at which a response is as likely to be late as in time.
+EVEN = 0.5
 #: Time after a response of a searcher for which its latency is known, in
 #: seconds. It spans several of its pauses' lengths.
 RESPONSE_AGE_S = 1.0
-#: Least fraction of the parts that counts as more than the local searcher can
-#: process. At most twice as many parts leave as the remote ones have spare
-#: capacity for, which is the case if all parts find the local searcher full.
-MIN_EXCESS_FRACTION = 0.5
+#: Share of parts that leave for a searcher that this VM hasn't heard of lately.
+#: It seems idle to all VMs, and they all try it at once, each with one part.
+UNHEARD_SHARE = 0.5
 #: Fraction of a remote searcher's queue that parts from other failure domains
 #: may fill. The rest is for its own failure domain, which would otherwise send
 #: its parts away in turn.
 QUEUE_FRACTION = 0.75
-#: Loss of a caller by the grade of the response, in objectives: in time, after
-#: the objective, after the deadline.
-GRADE_LOSS = (0.0, 1.0, 2.0)
-
-#: Grades of an expected response, from the best.
-IN_TIME, LATE, MISSED = 0, 1, 2
 
 
 class Side(typing.NamedTuple):
@@ -70,8 +71,13 @@
         ahead: Number of calls ahead of the next one.
         slots: Number of calls that the searcher runs at the same time.
         cold: Whether it is cold and takes only a limited rate of requests.
-        known: Whether it reported its load or responded lately. Otherwise only
-            this VM's own calls are known, and it seems idle to every VM.
+        own: Number of this VM's calls in flight.
+        full_s: Latency of the next call as of the last load report, however
+            old it is, in seconds; 0 if that report showed a free slot.
+        age_s: Age of that report, in seconds. If it is above
+            `FIGURES_AGE_S`, only this VM's own calls are known, and the
+            searcher seems idle to every VM.
+        heard: Whether it responded to this VM lately.
     """
 
     latency_s: float
@@ -80,7 +86,10 @@
     ahead: int
     slots: int
     cold: bool = False
-    known: bool = True
+    own: int = 0
+    full_s: float = 0.0
+    age_s: float = FIGURES_AGE_S
+    heard: bool = True
 
     @property
     def free_slots(self) -> int:
@@ -100,6 +109,7 @@
             per MB.
         deciding: Number of parts that are decided on the same figures by all
             VMs.
+        callers: Number of VMs that decide on the same figures, with this one.
         draw: Random number from 0 up to 1. It belongs to the part, so that a
             part that is decided repeatedly doesn't leave more often.
     """
@@ -110,6 +120,7 @@
     size_mb: float = 0.0
     price_per_mb: float = 0.0
     deciding: float = 1.0
+    callers: float = 1.0
     draw: float = 0.0
 
     @property
@@ -132,17 +143,29 @@
     share: float = 0.0
 
 
+def callers_deciding(callers: int, domains: int) -> float:
+    """Returns how many VMs decide on the same figures.
+
+    These are the ones of a failure domain. Those of another one have a local
+    searcher of their own; if it is full as well, the remote one soon is, too.
+
+    Args:
+        callers: Number of VMs that call the service.
+        domains: Number of failure domains that these VMs are in.
+    """
+    return max(1.0, callers / max(1, domains))
+
+
 def parts_deciding(own_per_s: float, callers: int, domains: int) -> float:
     """Returns how many parts all VMs decide on the same figures.
 
     Args:
         own_per_s: Parts for the service that this VM decides per second.
         callers: Number of VMs that call the service.
-        domains: Number of failure domains that these VMs are in. Those in the
-            remote searcher's own one don't leave for it.
+        domains: Number of failure domains that these VMs are in.
     """
-    leaving = callers * (domains - 1) / domains if domains > 1 else callers
-    return max(1.0, own_per_s * FIGURES_AGE_S * leaving)
+    per_s = own_per_s * callers_deciding(callers, domains)
+    return max(1.0, per_s * FIGURES_AGE_S)
 
 
 def decide(
@@ -161,20 +184,13 @@
         return choose_without_local(remotes, inputs)
     if not remotes:
         return Choice(None, "no remote searcher")
-    local = local._replace(spread_s=local.spread_s * LOCAL_MARGIN)
-    local_grade = grade(local, inputs)
-    if local_grade == IN_TIME and not local.cold:
-        return Choice(None, "local in time")
-    grades = [grade(row, inputs) for row in remotes]
-    spare = [
-        spare_calls(local, local_grade, row, row_grade, inputs)
-        for row, row_grade in zip(remotes, grades, strict=True)
+    usable = [
+        place
+        for place, row in enumerate(remotes)
+        if is_gain(local, row, inputs)
     ]
-    usable = [place for place, count in enumerate(spare) if count]
     if not usable:
-        return Choice(None, reason_to_stay(local_grade, remotes, grades))
-    best = min(grades[place] for place in usable)
-    usable = [place for place in usable if grades[place] == best]
+        return Choice(None, reason_to_stay(local, remotes, inputs))
     usable = [
         place
         for place in usable
@@ -182,33 +198,45 @@
     ]
     if not usable:
         return Choice(None, "price")
-    leaving = inputs.deciding
-    if any(remotes[place].known for place in usable):
-        leaving = excess(local, leaving)
-    share = min(1.0, sum(spare[place] for place in usable) / leaving)
-    remote = pick(remotes, usable, spare, inputs.draw * leaving)
+    leaving = parts_leaving(local, inputs)
+    shares = [share_of(row, leaving, inputs) for row in remotes]
+    share = min(1.0, sum(shares[place] for place in usable))
+    remote = pick(remotes, usable, shares, inputs.draw)
     return Choice(remote, "share" if remote is None else "remote better", share)
 
 
-def excess(local: Side, deciding: float) -> float:
-    """Returns how many of the parts a local searcher cannot process."""
-    processed = local.slots * FIGURES_AGE_S / max(local.work_s, 0.0001)
-    return max(1.0, deciding - processed, deciding * MIN_EXCESS_FRACTION)
+def is_gain(local: Side, remote: Side, inputs: Inputs) -> bool:
+    """Tells whether a caller is served better by a remote searcher."""
+    if remote.cold:
+        # The rate of a cold searcher is for its own failure domain.
+        return False
+    if local.cold and late_probability(remote, inputs) < EVEN:
+        return True
+    gain_s = local.latency_s - remote.latency_s
+    if gain_s <= MIN_GAIN_FRACTION * inputs.objective_s:
+        return False
+    if inputs.left_s <= 0 and remote.free_slots:
+        return True
+    return (
+        late_probability(local, inputs)
+        + missed_probability(local, inputs)
+        - late_probability(remote, inputs)
+        - missed_probability(remote, inputs)
+        > MIN_PROBABILITY_GAIN
+    )
 
 
 def choose_without_local(
     remotes: collections.abc.Sequence[Side], inputs: Inputs
 ) -> Choice:
     """Chooses among remote searchers, in proportion to their spare capacity."""
-    grades = [grade(row, inputs) for row in remotes]
-    best = min(grades)
-    usable = [place for place, row in enumerate(grades) if row == best]
-    warm = [place for place in usable if not remotes[place].cold]
-    usable = warm or usable
-    spare = [
-        calls_until(row, limit_s(best, inputs)) if best != MISSED else 0
-        for row in remotes
-    ]
+    warm = [place for place, row in enumerate(remotes) if not row.cold]
+    usable = warm or list(range(len(remotes)))
+    spare = [float(calls_until(row, inputs.left_s)) for row in remotes]
+    if not sum(spare[place] for place in usable):
+        spare = [
+            float(calls_until(row, inputs.deadline_left_s)) for row in remotes
+        ]
     total = sum(spare[place] for place in usable)
     if not total:
         fastest = min(usable, key=lambda place: remotes[place].latency_s)
@@ -226,36 +254,43 @@
     miss it as well gets no hedge.
     """
     for row in remotes:
-        row_grade = grade(row, inputs)
-        if row_grade == IN_TIME and inputs.price < GRADE_LOSS[LATE]:
+        gain = 1.0 - late_probability(row, inputs)
+        if gain > max(EVEN, inputs.price):
             return True
         if row.free_slots and inputs.price < MIN_GAIN_FRACTION:
             return True
     return False
 
 
-def grade(side: Side, inputs: Inputs) -> int:
-    """Returns the grade of the response that a searcher would give."""
-    expected_s = side.latency_s + side.spread_s
-    if expected_s <= inputs.left_s:
-        return IN_TIME
-    return LATE if expected_s <= inputs.deadline_left_s else MISSED
+def late_probability(side: Side, inputs: Inputs) -> float:
+    """Returns the probability that a response misses the objective."""
+    return exceeds_probability(side, inputs.left_s, inputs)
 
 
-def limit_s(response_grade: int, inputs: Inputs) -> float:
-    """Returns the time left for a response of a grade, in seconds."""
-    if response_grade == IN_TIME:
-        return inputs.left_s
-    return inputs.deadline_left_s
+def missed_probability(side: Side, inputs: Inputs) -> float:
+    """Returns the probability that a response misses the deadline."""
+    return exceeds_probability(side, inputs.deadline_left_s, inputs)
+
+
+def exceeds_probability(side: Side, limit_s: float, inputs: Inputs) -> float:
+    """Returns the probability that a call takes longer than a time."""
+    error_s = LATENCY_ERROR_FRACTION * inputs.objective_s
+    error_s = max(error_s, side.spread_s, 0.001)
+    return 0.5 + 0.5 * math.tanh((side.latency_s - limit_s) / (2 * error_s))
 
 
 def loss(side: Side, inputs: Inputs) -> float:
-    """Returns what a caller loses by waiting, in objectives."""
-    response_grade = grade(side, inputs)
-    if response_grade == IN_TIME:
-        return 0.0
-    delay_s = side.latency_s + side.spread_s - inputs.left_s
-    return GRADE_LOSS[response_grade] + delay_s / max(inputs.objective_s, 0.001)
+    """Returns what a caller is expected to lose by waiting, in objectives.
+
+    A response after the objective loses one objective and its delay, one after
+    the deadline one more.
+    """
+    delay_s = max(0.0, side.latency_s - inputs.left_s)
+    return (
+        late_probability(side, inputs)
+        + missed_probability(side, inputs)
+        + delay_s / max(inputs.objective_s, 0.001)
+    )
 
 
 def is_worth_price(local: Side, remote: Side, inputs: Inputs) -> bool:
@@ -266,31 +301,54 @@
     return gain > inputs.price
 
 
-def spare_calls(
-    local: Side,
-    local_grade: int,
-    remote: Side,
-    remote_grade: int,
-    inputs: Inputs,
-) -> int:
-    """Returns how many parts a remote searcher can take from a local one.
+def parts_leaving(local: Side, inputs: Inputs) -> float:
+    """Returns how many parts of all VMs are expected to leave.
 
-    It is 0 if the caller gains nothing.
+    The probability is squared: a part of another VM leaves only if that VM
+    takes the local searcher for late as well, and if it then is late.
     """
-    if remote.cold:
-        # The rate of a cold searcher is for its own failure domain.
-        return 0
-    gain_s = local.latency_s - remote.latency_s
-    gains = gain_s > MIN_GAIN_FRACTION * inputs.objective_s
-    if local.cold and remote_grade == IN_TIME:
-        return calls_until(remote, inputs.left_s)
-    if remote_grade < local_grade and (gains or not local.free_slots):
-        if not remote.known:
-            return 1
-        return calls_until(remote, limit_s(remote_grade, inputs))
-    if remote_grade == local_grade and gains:
-        return remote.free_slots
-    return 0
+    if local.cold:
+        return inputs.deciding
+    return inputs.deciding * late_probability(local, inputs) ** 2
+
+
+def share_of(remote: Side, leaving: float, inputs: Inputs) -> float:
+    """Returns the share of parts that a remote searcher can take.
+
+    Args:
+        remote: The remote searcher.
+        leaving: Number of parts of all VMs that leave while figures are used.
+        inputs: The situation of the part.
+    """
+    if remote.age_s <= FIGURES_AGE_S:
+        # A recent report already contains most of the parts that left.
+        leaving *= (remote.age_s / FIGURES_AGE_S) ** 2
+        return max(1, calls_until(remote, inputs.left_s)) / max(1.0, leaving)
+    if remote.own and not remote.heard:
+        # The result of the last try is still open.
+        return 0.0
+    # A VM's first try tells it whether to send more.
+    tries = max(1.0, min(leaving, inputs.callers))
+    if is_still_full(remote, inputs):
+        # All VMs together try once in the time that the queue took.
+        return 0.0 if remote.own else FIGURES_AGE_S / remote.full_s / tries
+    if not remote.heard:
+        return max(UNHEARD_SHARE, 1 / inputs.callers)
+    work_s = max(remote.work_s, 0.0001)
+    return remote.free_slots * (1 + FIGURES_AGE_S / work_s) / tries
+
+
+def is_still_full(remote: Side, inputs: Inputs) -> bool:
+    """Tells whether a searcher without recent figures counts as full.
+
+    This is the case if it was late as of its last report. The longer the queue
+    was, the longer it is taken to last: after a burst it is about as long as
+    the objective and soon gone; one of many objectives doesn't go away.
+    """
+    if not remote.full_s or remote.full_s + remote.spread_s <= inputs.left_s:
+        return False
+    objective_s = max(inputs.objective_s, 0.001)
+    return remote.age_s < remote.full_s**2 / objective_s
 
 
 def calls_until(side: Side, left_s: float) -> int:
@@ -308,7 +366,7 @@
 def pick(
     remotes: collections.abc.Sequence[Side],
     usable: collections.abc.Iterable[int],
-    spare: collections.abc.Sequence[int],
+    spare: collections.abc.Sequence[float],
     point: float,
 ) -> int | None:
     """Returns the searcher whose part of the spare capacity holds a point.
@@ -323,12 +381,14 @@
 
 
 def reason_to_stay(
-    local_grade: int,
+    local: Side,
     remotes: collections.abc.Sequence[Side],
-    grades: collections.abc.Sequence[int],
+    inputs: Inputs,
 ) -> str:
     """Returns why no remote searcher is worth a call, for logs."""
-    if min(grades) < local_grade and all(row.cold for row in remotes):
+    if local.latency_s + local.spread_s <= inputs.left_s:
+        return "local in time"
+    if all(row.cold for row in remotes):
         return "remote cold"
     if any(row.free_slots for row in remotes):
         return "no gain"
@@ -361,17 +421,20 @@
     connect_s = 0.0 if has_idle_connection(row) else replicas.CONNECT_PENALTY_S
     # Under load, the quantile contains the waits that `latency_s` counts.
     spread_s = min(typical.late_after_s - typical.mean_s, typical.work_s)
-    if row.is_stalled(typical, now_s):
-        # How long a searcher stays stalled is a guess.
-        spread_s += replicas.STALL_PENALTY_S
+    work_s, slots = typical.work_s * max(1.0, row.slowness), row.searcher.slots
     return Side(
         row.expected_latency_s(typical, now_s) + connect_s,
         spread_s,
-        typical.work_s * max(1.0, row.slowness),
+        work_s,
         row.calls_ahead(now_s),
-        row.searcher.slots,
+        slots,
         row.cold is not None,
-        bool(row.call_count)
+        len(row.calls_in_flight),
+        work_s * (row.reported_calls + 1) / slots
+        if row.reported_calls >= slots
+        else 0.0,
+        now_s - (row.reported_at_s or -math.inf),
+        row.call_count > len(row.calls_in_flight)
         and now_s - max(row.reported_at_s, row.last_success_s) < RESPONSE_AGE_S,
     )
 
--- a/laurelrock/gateways/domain_selection.py
+++ b/laurelrock/gateways/domain_selection.py
@@ -24,6 +24,10 @@
 #: it, those of services and routes that are gone are dropped.
 MAX_STALE = 64
 
+#: Maximum age of a load report in logs, in seconds. It is infinite if there was
+#: none.
+MAX_LOGGED_AGE_S = 60.0
+
 _log = logs.get_logger(__name__)
 
 Rows = collections.abc.Sequence[upstreams.Upstream]
@@ -90,6 +94,7 @@
         answer_bytes = self.answer_bytes.get(route.name, 0.0)
         size = len(context.head) + len(request.body) + answer_bytes
         rate = self.rates.get(part.service)
+        callers, domains = self.known.callers(part.service), self.known.domains
         return domain_choice.Inputs(
             request.caller_start_s
             + route.objective_s
@@ -100,10 +105,9 @@
             size / 1e6,
             self.price_per_mb,
             domain_choice.parts_deciding(
-                rate.per_s(now_s) if rate else 0.0,
-                self.known.callers(part.service),
-                self.known.domains,
+                rate.per_s(now_s) if rate else 0.0, callers, domains
             ),
+            domain_choice.callers_deciding(callers, domains),
             part.draw,
         )
 
@@ -161,6 +165,7 @@
             reason=selection.choice.reason,
             share=round(selection.choice.share, 3),
             deciding=round(inputs.deciding, 1),
+            callers=round(inputs.callers, 1),
             left_ms=round(inputs.left_s * 1000, 1),
             deadline_left_ms=round(inputs.deadline_left_s * 1000),
             price=round(inputs.price, 4),
@@ -195,6 +200,9 @@
         "spread_ms": round(side.spread_s * 1000, 1),
         "ahead": side.ahead,
         "slots": side.slots,
+        "own": side.own,
+        "full_ms": round(side.full_s * 1000, 1),
+        "age_ms": round(min(side.age_s, MAX_LOGGED_AGE_S) * 1000),
     }
 
 
--- a/tests/test_domain_choice.py
+++ b/tests/test_domain_choice.py
@@ -87,6 +87,9 @@
             deciding=domain_choice.parts_deciding(
                 self.rate[home], len(self.views), len(self.queues)
             ),
+            callers=domain_choice.callers_deciding(
+                len(self.views), len(self.queues)
+            ),
             draw=self.random.random(),
         )
         row = self.rule(
