Try searchers again that were a little late

Cause: a searcher without recent figures counted as full if it had been late at all as of its last report. At 0.9 of the limit everywhere its queue is soon gone, but VMs learnt of it only by rare tries, and fewer parts were in time than with the constant penalty.

A searcher now counts as full without recent figures only if it was late by 1.5 objectives. The minimum decrease of the probability of being late is 0.04 instead of 0.05. New tests compare the rule with the constant penalty under the loads of the model: at least as many parts in time, and fewer remote calls where local searchers suffice.

--- a/laurelrock/core/domain_choice.py
+++ b/laurelrock/core/domain_choice.py
@@ -45,13 +45,18 @@
 #: Error of an expected latency, as a fraction of the objective: the scale of
 #: the logistic probability of being late.
 LATENCY_ERROR_FRACTION = 0.25
-#: Minimum decrease of the probability of being late if a part leaves.
-MIN_PROBABILITY_GAIN = 0.05
-#: Probability at which a response is as likely to be late as in time.
-EVEN = 0.5
+#: Minimum decrease of the probability of being late if a part leaves. At 0.9
+#: of the limit everywhere, 0.12 of the calls were remote and 0.989 in time with
+#: 0.1, 0.17 and 0.992 with 0.05.
+MIN_PROBABILITY_GAIN = 0.04
 #: Time after a response of a searcher for which its latency is known, in
 #: seconds. It spans several of its pauses' lengths.
 RESPONSE_AGE_S = 1.0
+#: Time by which a searcher was late as of its last report if it counts as full
+#: without recent figures, in objectives. At 0, VMs didn't learn of remote
+#: searchers that were free again: at 0.95 of the limit everywhere 0.88 instead
+#: of 0.89 of the parts were in time.
+LASTING_OBJECTIVES = 1.5
 #: Share of parts that leave for a searcher that this VM hasn't heard of lately.
 #: It seems idle to all VMs, and they all try it at once, each with one part.
 UNHEARD_SHARE = 0.5
@@ -210,20 +215,15 @@
     if remote.cold:
         # The rate of a cold searcher is for its own failure domain.
         return False
-    if local.cold and late_probability(remote, inputs) < EVEN:
+    if local.cold and remote.latency_s < inputs.left_s:
         return True
     gain_s = local.latency_s - remote.latency_s
     if gain_s <= MIN_GAIN_FRACTION * inputs.objective_s:
         return False
     if inputs.left_s <= 0 and remote.free_slots:
         return True
-    return (
-        late_probability(local, inputs)
-        + missed_probability(local, inputs)
-        - late_probability(remote, inputs)
-        - missed_probability(remote, inputs)
-        > MIN_PROBABILITY_GAIN
-    )
+    gain = misses(local, inputs) - misses(remote, inputs)
+    return gain > MIN_PROBABILITY_GAIN
 
 
 def choose_without_local(
@@ -255,7 +255,7 @@
     """
     for row in remotes:
         gain = 1.0 - late_probability(row, inputs)
-        if gain > max(EVEN, inputs.price):
+        if row.latency_s < inputs.left_s and gain > inputs.price:
             return True
         if row.free_slots and inputs.price < MIN_GAIN_FRACTION:
             return True
@@ -267,9 +267,10 @@
     return exceeds_probability(side, inputs.left_s, inputs)
 
 
-def missed_probability(side: Side, inputs: Inputs) -> float:
-    """Returns the probability that a response misses the deadline."""
-    return exceeds_probability(side, inputs.deadline_left_s, inputs)
+def misses(side: Side, inputs: Inputs) -> float:
+    """Returns how many of objective and deadline a response may miss."""
+    missed = exceeds_probability(side, inputs.deadline_left_s, inputs)
+    return late_probability(side, inputs) + missed
 
 
 def exceeds_probability(side: Side, limit_s: float, inputs: Inputs) -> float:
@@ -286,11 +287,7 @@
     the deadline one more.
     """
     delay_s = max(0.0, side.latency_s - inputs.left_s)
-    return (
-        late_probability(side, inputs)
-        + missed_probability(side, inputs)
-        + delay_s / max(inputs.objective_s, 0.001)
-    )
+    return misses(side, inputs) + delay_s / max(inputs.objective_s, 0.001)
 
 
 def is_worth_price(local: Side, remote: Side, inputs: Inputs) -> bool:
@@ -304,8 +301,8 @@
 def parts_leaving(local: Side, inputs: Inputs) -> float:
     """Returns how many parts of all VMs are expected to leave.
 
-    The probability is squared: a part of another VM leaves only if that VM
-    takes the local searcher for late as well, and if it then is late.
+    The probability is squared, since VMs differ in what they know. Without the
+    square, 0.31 instead of 0.35 were in time with 15 parts a step (60 VMs).
     """
     if local.cold:
         return inputs.deciding
@@ -321,7 +318,8 @@
         inputs: The situation of the part.
     """
     if remote.age_s <= FIGURES_AGE_S:
-        # A recent report already contains most of the parts that left.
+        # A recent report already contains most of the parts that left. Without
+        # the square, 0.28 instead of 0.35 were in time under the same load.
         leaving *= (remote.age_s / FIGURES_AGE_S) ** 2
         return max(1, calls_until(remote, inputs.left_s)) / max(1.0, leaving)
     if remote.own and not remote.heard:
@@ -341,11 +339,11 @@
 def is_still_full(remote: Side, inputs: Inputs) -> bool:
     """Tells whether a searcher without recent figures counts as full.
 
-    This is the case if it was late as of its last report. The longer the queue
-    was, the longer it is taken to last: after a burst it is about as long as
-    the objective and soon gone; one of many objectives doesn't go away.
+    This is the case if its queue was far beyond the objective as of its last
+    report. The longer it was, the longer it is taken to last.
     """
-    if not remote.full_s or remote.full_s + remote.spread_s <= inputs.left_s:
+    lasting_s = LASTING_OBJECTIVES * inputs.objective_s
+    if remote.full_s <= inputs.left_s + lasting_s:
         return False
     objective_s = max(inputs.objective_s, 0.001)
     return remote.age_s < remote.full_s**2 / objective_s
--- a/tests/test_domain_choice.py
+++ b/tests/test_domain_choice.py
@@ -290,6 +290,83 @@
         self.assertEqual(remote(model.part(5.5, 9)), 0)
 
 
+class ConstantPenaltyTest(unittest.TestCase):
+    """Guards against a rule that serves callers worse than the one before."""
+
+    def compare(self, play, seeds, local_suffices=False):
+        """Plays a load with both rules.
+
+        Args:
+            play: Function of a model that adds the load.
+            seeds: Seeds of the model.
+            local_suffices: Whether fewer calls have to be remote.
+        """
+        shares, crossed = [], []
+        for rule in (choose, choose_by_penalty):
+            calls = [play(rule, seed).run().calls for seed in seeds]
+            shares.append(sum(in_time(rows) for rows in calls) / len(calls))
+            crossed.append(sum(remote(rows) for rows in calls))
+        self.assertGreaterEqual(shares[0], shares[1])
+        if local_suffices:
+            self.assertLess(crossed[0], crossed[1])
+
+    def play(self, rule, seed, domains, rates, end_s=6, **fields):
+        model = Model(6, rule, domains, seed=seed)
+        for name, value in fields.items():
+            getattr(model, name).update(value)
+        for domain, per_s in rates.items():
+            model.load(domain, per_s, 0, end_s)
+        return model
+
+    def test_nine_tenths_of_the_limit_everywhere(self):
+        # The seeds are many since 0.947 to 1.0 are in time with either rule.
+        rates = dict.fromkeys("abc", 60)
+        self.compare(
+            lambda *row: self.play(*row, "abc", rates, 10), range(40), True
+        )
+
+    def test_local_full_remote_spare(self):
+        rates = {"a": 120, "b": 10}
+        self.compare(lambda *row: self.play(*row, "abc", rates), (1, 2, 3))
+
+    def test_slow_link_and_slow_searcher(self):
+        for fields in ({"extra_s": {"b": 0.15}}, {"work_s": {"b": 0.4}}):
+            self.compare(
+                lambda *row, fields=fields: self.play(
+                    *row, "ab", {"a": 55}, **fields
+                ),
+                (1, 2, 3),
+                True,
+            )
+
+    def test_link_cut(self):
+        self.compare(
+            lambda *row: self.play(*row, "ab", {"a": 100}, 8, cut="b"),
+            (1, 2, 3),
+        )
+
+    def test_callers_that_move(self):
+        def play(rule, seed):
+            model = Model(6, rule, "ab", seed=seed)
+            for start_s, home in ((0, "a"), (4, "b"), (8, "a")):
+                model.load(home, 90, start_s, start_s + 4)
+            return model
+
+        self.compare(play, (1, 2, 3))
+
+    def test_many_vms_one_side_full(self):
+        # 15 parts each 100 ms: 1.1 times what both searchers process.
+        def play(rule, seed):
+            model = Model(60, rule, "ab", seed=seed)
+            for step in range(40):
+                for vm in range(0, 60, 4):
+                    model.at(step * 0.1, lambda vm=vm: model.begin(vm))
+            model.rate.update(a=5, b=5)
+            return model
+
+        self.compare(play, (1, 2, 3))
+
+
 class DecideTest(unittest.TestCase):
     LATE = domain_choice.Side(0.5, 0.02, WORK_S, 30, 2)
     FREE = domain_choice.Side(0.032, 0.02, WORK_S, 0, 2)
@@ -298,6 +375,26 @@
         inputs = domain_choice.Inputs(left_s, 1.0, OBJECTIVE_S, **fields)
         return domain_choice.decide(local, remotes, inputs).remote
 
+    def test_full_searcher_is_tried_again_once_its_queue_may_be_gone(self):
+        # As of a report of 0.5 s ago. A queue that is barely too long is gone
+        # by now; all VMs together try one of 0.7 s once in that time.
+        short = self.FREE._replace(full_s=0.2, age_s=0.5)
+        self.assertEqual(self.decide(self.LATE, [short]), 0)
+        long = short._replace(full_s=0.7)
+        shares = [
+            domain_choice.decide(
+                self.LATE,
+                [row],
+                domain_choice.Inputs(
+                    *(OBJECTIVE_S, 1.0, OBJECTIVE_S), deciding=30, callers=30
+                ),
+            ).share
+            for row in (long, long._replace(own=1), long._replace(age_s=9))
+        ]
+        self.assertAlmostEqual(shares[0] * 30, 0.1 / 0.7, delta=0.01)
+        self.assertEqual(shares[1], 0.0)
+        self.assertGreater(shares[2], 0.2)
+
     def test_price(self):
         self.assertEqual(self.decide(self.LATE, [self.FREE]), 0)
         self.assertEqual(
