--- a/laurelrock/gateways/workspaces/cap_sharing.py
+++ b/laurelrock/gateways/workspaces/cap_sharing.py
@@ -15,11 +15,13 @@
 from laurelrock.adapters import logs
 from laurelrock.core import owners
 from laurelrock.core import routes
+from laurelrock.core import share_pools
 from laurelrock.core import tenancy
 from laurelrock.core import token_leases
 from laurelrock.gateways.workspaces import cap_accounts
 from laurelrock.gateways.workspaces import cap_messages
 from laurelrock.gateways.workspaces import share_lending
+from laurelrock.gateways.workspaces import token_replies
 
 __all__ = ["CapSharing", "create_cap_sharing"]
 
@@ -248,7 +250,7 @@
         if not waiters and not wanted:
             return
         slot = self.slot(account)
-        name = named or self.lending.keeper_of(slot, token_leases.MAIN, now_s)
+        name = named or self.lending.keeper_of(slot, share_pools.MAIN, now_s)
         silent, until_s = self.silent.get(name, (0, 0.0))
         if not name or (silent >= MAX_SILENT and now_s < until_s):
             self.ask_spare(account, waiters, now_s, silent=name)
@@ -266,7 +268,9 @@
             *(wanted, account.held),
         )
         if name == self.me.name:
-            self.handle_reply(self.answer(request))
+            self.handle_reply(
+                token_replies.answer(self.lending, request, self.clock())
+            )
             return
         self.send(self.lending.vms[name], request)
         if waiters:
@@ -324,7 +328,7 @@
         """Asks the spare keeper for tokens for some requests."""
         waiters = [row for row in waiters if not row.done()]
         slot = self.slot(account)
-        name = self.lending.keeper_of(slot, token_leases.SPARE, now_s)
+        name = self.lending.keeper_of(slot, share_pools.SPARE, now_s)
         if not waiters or not name:
             return
         number = self.next_number()
@@ -338,7 +342,9 @@
             silent=silent,
         )
         if name == self.me.name:
-            self.handle_reply(self.answer(request))
+            self.handle_reply(
+                token_replies.answer(self.lending, request, self.clock())
+            )
             return
         self.send(self.lending.vms[name], request)
         self.loop.call_later(WAIT_S, self.give_up, number)
@@ -349,7 +355,7 @@
         now_s = self.clock()
         # Tokens of a reply that is too late are lost: the keeper counts them
         # as used by then.
-        if ask is None or now_s - ask.sent_s > token_leases.GRANT_VALID_S:
+        if ask is None or now_s - ask.sent_s > share_pools.GRANT_VALID_S:
             return
         self.silent.pop(ask.keeper, None)
         self.lending.choice.record_reply(ask.keeper, now_s)
@@ -491,7 +497,7 @@
         elif isinstance(message, cap_messages.ShareReceipt):
             self.lending.handle_receipt(message, now_s)
         elif isinstance(message, cap_messages.Balances):
-            self.lending.handle_balances(message, now_s)
+            self.keeper.expect(message.start, message.pools, now_s)
         elif isinstance(message, cap_messages.TokenReply):
             self.handle_reply(message)
         elif message.returned:
@@ -500,66 +506,7 @@
             )
         else:
             self.counts["sent-TokenReply"] += 1
-            link.send(self.answer(message))
-
-    def answer(
-        self, request: cap_messages.TokenRequest
-    ) -> cap_messages.TokenReply:
-        """As keeper: decides about a request for tokens."""
-        now_s = self.clock()
-        name = request.workspace
-        moved = self.moved_keepers(request, now_s)
-        if moved:
-            return cap_messages.TokenReply(
-                request.number, 0, keepers=moved, moved=True
-            )
-        if request.spare:
-            grant = self.keeper.ask_spare(
-                name, request.waiting, request.counted, now_s
-            )
-        else:
-            ahead = (max(0, request.wanted), max(0, request.held))
-            grant = self.keeper.ask(
-                request.sender, name, request.waiting, ahead, now_s
-            )
-        keepers = self.other_keepers(name, request.spare, now_s)
-        if grant is None:
-            return cap_messages.TokenReply(
-                request.number, 0, known=False, keepers=keepers
-            )
-        return cap_messages.TokenReply(request.number, *grant, keepers=keepers)
-
-    def moved_keepers(
-        self, request: cap_messages.TokenRequest, now_s: float
-    ) -> list[str]:
-        """As spare keeper: returns the keepers if the main one has changed.
-
-        Spare tokens are for the time in which there is no main keeper.
-        """
-        if not request.silent:
-            return []
-        slot = share_lending.slot_of(request.workspace)
-        choice = self.lending.choice
-        main, spare = choice.choose(slot, now_s)
-        pool = token_leases.pool_of(slot, token_leases.MAIN)
-        if main in ("", self.me.name, request.silent):
-            return []
-        return [main, spare] if choice.keeps(pool, main) else []
-
-    def other_keepers(
-        self, workspace: str, spare: bool, now_s: float
-    ) -> list[str]:
-        """As keeper: returns the keepers to ask if this VM has few shares."""
-        slot = share_lending.slot_of(workspace)
-        choice = self.lending.choice
-        kind = token_leases.SPARE if spare else token_leases.MAIN
-        pool = token_leases.pool_of(slot, kind)
-        if self.keeper.keeps(pool) or not choice.has_seat(slot):
-            return []
-        found = choice.choose(slot, now_s)
-        if self.me.name == found[kind]:
-            return []
-        return list(found)
+            link.send(token_replies.answer(self.lending, message, now_s))
 
 
 def create_cap_sharing(
--- a/laurelrock/gateways/workspaces/keeper_choice.py
+++ b/laurelrock/gateways/workspaces/keeper_choice.py
@@ -10,6 +10,7 @@
 import collections.abc
 
 from laurelrock.core import owners
+from laurelrock.core import share_pools
 from laurelrock.core import token_leases
 
 __all__ = ["Contact", "KeeperChoice", "create_keeper_choice"]
@@ -184,8 +185,8 @@
         If the main keeper is lost, another VM than the spare keeper follows,
         so that the spare tokens stay in use.
         """
-        main = self.settled(slot, token_leases.MAIN, now_s)
-        spare = self.settled(slot, token_leases.SPARE, now_s, main)
+        main = self.settled(slot, share_pools.MAIN, now_s)
+        spare = self.settled(slot, share_pools.SPARE, now_s, main)
         main = main or self.first(slot, now_s, spare) or spare
         spare = spare or self.first(slot, now_s, main) or main
         return main, spare
@@ -212,7 +213,7 @@
         names = set()
         for slot in slots:
             seats = self.seats[slot]
-            pool = token_leases.pool_of(slot, token_leases.MAIN)
+            pool = token_leases.pool_of(slot, share_pools.MAIN)
             settled = self.keeps(pool, self.chosen.get(pool, ""))
             for name in seats if self.has_seat(slot) else ():
                 if (
--- a/laurelrock/gateways/workspaces/share_lending.py
+++ b/laurelrock/gateways/workspaces/share_lending.py
@@ -19,6 +19,7 @@
 import xxhash
 
 from laurelrock.core import owners
+from laurelrock.core import share_pools
 from laurelrock.core import token_buckets
 from laurelrock.core import token_leases
 from laurelrock.gateways.workspaces import cap_messages
@@ -110,10 +111,10 @@
         # An earlier process of this VM may have lent its shares, or used its
         # reserve.
         free_s = now_s + token_leases.VALID_S + token_leases.VALID_MARGIN_S
-        pools = range(token_leases.KINDS * token_leases.SLOTS)
+        pools = range(share_pools.KINDS * token_leases.SLOTS)
         self.free_since_s = dict.fromkeys(pools, free_s)
         for slot in slots:
-            start_pool = token_leases.pool_of(slot, token_leases.START)
+            start_pool = token_leases.pool_of(slot, share_pools.START)
             self.free_since_s[start_pool] = now_s
         self.origins: dict[int, int] = {}
         self.start_end_s = now_s + self.window_s
@@ -155,7 +156,7 @@
 
     def hold_shares(self, slot: int, now_s: float) -> None:
         """Waits before this VM uses a share that another VM may still use."""
-        for kind in range(token_leases.KINDS):
+        for kind in range(share_pools.KINDS):
             pool = token_leases.pool_of(slot, kind)
             self.free_since_s[pool] = now_s + COUNT_HOLD_S
 
@@ -169,7 +170,7 @@
 
     def own_share(self, slot: int, now_s: float) -> tuple[float, float]:
         """Returns this VM's share and the time since which it isn't lent."""
-        pool = token_leases.pool_of(slot, token_leases.MAIN)
+        pool = token_leases.pool_of(slot, share_pools.MAIN)
         loan = self.loans.get(pool)
         free_s = loan.end_s if loan else self.free_since_s[pool]
         return self.fraction(slot, now_s), free_s
@@ -218,7 +219,7 @@
                 continue
             self.choice.update(slot, now_s)
             self.choose_start(slot, now_s)
-            for kind in range(token_leases.KINDS):
+            for kind in range(share_pools.KINDS):
                 pool = token_leases.pool_of(slot, kind)
                 name = self.choice.chosen.get(pool, "")
                 if name in self.vms:
@@ -230,8 +231,8 @@
 
     def choose_start(self, slot: int, now_s: float) -> None:
         """Chooses the keeper of the start share, only once."""
-        pool = token_leases.pool_of(slot, token_leases.START)
-        main = token_leases.pool_of(slot, token_leases.MAIN)
+        pool = token_leases.pool_of(slot, share_pools.START)
+        main = token_leases.pool_of(slot, share_pools.MAIN)
         chosen = self.choice.chosen
         if now_s >= self.start_end_s:
             chosen.pop(pool, None)
@@ -245,7 +246,7 @@
             pool
             for pool in pools
             if now_s >= self.free_since_s[pool]
-            and self.fraction(pool // token_leases.KINDS, now_s)
+            and self.fraction(pool // share_pools.KINDS, now_s)
         ]
         if name == self.me.name:
             self.lend_to_self(pools, now_s)
@@ -274,7 +275,7 @@
             pools = []
         end_s = now_s + token_leases.VALID_S
         count = max(1, min(self.count, token_leases.SEATS))
-        share = token_leases.Share(1.0 / count, end_s)
+        share = share_pools.Share(1.0 / count, end_s)
         self.keeper.set_shares(name, pools, share, now_s, self.origins)
         for pool, loan in list(self.loans.items()):
             if loan.keeper == name and pool not in pools:
@@ -300,7 +301,7 @@
             valid = report.keeper_start == self.start and report.vms > 0
             valid = valid and not self.leaving
             count = min(max(report.vms, self.count), token_leases.SEATS)
-            share = token_leases.Share(
+            share = share_pools.Share(
                 1.0 / max(1, count),
                 min(report.keeper_s, now_s) + token_leases.VALID_S,
             )
@@ -396,21 +397,16 @@
             if pending:
                 continue
             freed = True
-            for kind in (token_leases.MAIN, token_leases.SPARE):
+            for kind in (share_pools.MAIN, share_pools.SPARE):
                 pool = token_leases.pool_of(slot, kind)
-                if self.may_be_lent(pool):
+                # A later time belongs to a seat that this VM got since.
+                late_s = self.choice.begun_s + valid_s
+                if pool not in self.loans and self.free_since_s[pool] <= late_s:
                     self.free_since_s[pool] = min(
                         now_s, self.free_since_s[pool]
                     )
         return freed
 
-    def may_be_lent(self, pool: int) -> bool:
-        """Tells whether only an earlier process may have lent a share."""
-        limit_s = token_leases.VALID_S + token_leases.VALID_MARGIN_S
-        begun_s = self.choice.begun_s
-        free_s = self.free_since_s[pool]
-        return pool not in self.loans and free_s <= begun_s + limit_s
-
     def lend_now(self, now_s: float, names: set[str]) -> None:
         """Lends shares that are free, and reports to some VMs."""
         by_keeper = self.choose_all(now_s)
@@ -433,7 +429,7 @@
         by_heir: dict[str, dict[int, typing.Any]] = {}
         for slot in range(token_leases.SLOTS):
             chosen = self.choice.choose(slot, now_s)
-            for kind in (token_leases.MAIN, token_leases.SPARE):
+            for kind in (share_pools.MAIN, share_pools.SPARE):
                 number = token_leases.pool_of(slot, kind)
                 pool = self.keeper.pools[number]
                 name = chosen[kind]
@@ -447,7 +443,7 @@
             self.send(self.vms[name], cap_messages.Balances(self.start, rows))
         names = {name for pool in self.keeper.pools for name in pool.shares}
         for name in names:
-            share = token_leases.Share(0.0, now_s)
+            share = share_pools.Share(0.0, now_s)
             self.keeper.set_shares(name, [], share, now_s)
         for name in names & self.vms.keys() - {self.me.name}:
             number = self.last_reports[name][1]
@@ -486,15 +482,6 @@
         if ended:
             self.lend_now(now_s, set())
 
-    def handle_balances(
-        self, balances: cap_messages.Balances, now_s: float
-    ) -> None:
-        """As keeper: records what a keeper that stops hands over."""
-        for number, (fraction, tokens) in balances.pools.items():
-            if 0 <= number < len(self.keeper.pools):
-                balance = token_leases.Balance(fraction, tokens, now_s, {})
-                self.keeper.pools[number].expect(balances.start, balance, now_s)
-
 
 def slot_of(workspace: str) -> int:
     """Returns the slot of a workspace, the same on all VMs."""
