Leave the probe for old peers unanswered between VMs of one version

On a new connection the ping that makes an old peer answer also got a reply from present VMs, an extra message that tests.test_single_requests.SinglesTest.test_outcome_is_transferred_between_vms found.

--- a/laurelrock/adapters/message_versions.py
+++ b/laurelrock/adapters/message_versions.py
@@ -26,7 +26,7 @@
         field_counts: Number of fields that the previous version knows of each
             type with more fields, including the types within messages.
         new_types: Types of the messages that it doesn't know.
-        probe: Message to which every version replies.
+        probe: Message to which VMs of the previous version reply.
     """
 
     number: int
--- a/laurelrock/gateways/peer_messages.py
+++ b/laurelrock/gateways/peer_messages.py
@@ -44,8 +44,9 @@
     routes.Route: 12,
     routes.Service: 2,
 }
-#: The differences from the previous version's messages. A peer answers the
-#: probe unless it is stopping, when it accepts no groups either.
+#: The differences from the previous version's messages. A VM of that version
+#: answers the probe, a ping without a sender, unless it is stopping, when it
+#: accepts no groups either. Others have told their version and don't answer.
 VERSIONS = message_versions.Versions(
     1,
     FIELD_COUNTS,
--- a/laurelrock/gateways/shard_groups.py
+++ b/laurelrock/gateways/shard_groups.py
@@ -267,7 +267,9 @@
         elif isinstance(message, group_messages.CancelGroup):
             self.owned.cancel(link, message.number)
         elif isinstance(message, group_messages.Ping):
-            if not self.owned.stopping:
+            # A ping without a sender is for VMs of the previous version; see
+            # `peer_messages.VERSIONS`.
+            if message.sender and not self.owned.stopping:
                 link.send(group_messages.Pong(self.me.name))
         elif isinstance(message, group_messages.Pong):
             self.selection.mark_responsive(message.owner)
--- a/tests/old_messages.py
+++ b/tests/old_messages.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from laurelrock.adapters import frames
+from laurelrock.gateways import group_messages
 from laurelrock.gateways import peer_messages
 from laurelrock.gateways import peers
 from tests import gateway_simulation as simulations
@@ -172,6 +173,9 @@
             return
         links.received.append(message)
         present = frames.decode(body, peer_messages.KINDS[kind])
+        if isinstance(present, group_messages.Ping):
+            # That version answers pings without a sender as well.
+            present = group_messages.Ping("vm")
         self.peer_links.handle(self, present)
 
 
