--- a/laurelrock/gateways/workspaces/share_lending.py
+++ b/laurelrock/gateways/workspaces/share_lending.py
@@ -201,7 +201,7 @@
             if contact.unanswered_s and late_s > REPORT_INTERVAL_S / 2:
                 self.choice.record_silence(name)
         by_keeper = self.choose_all(now_s)
-        for name in self.choice.silent_seats(self.active, now_s):
+        for name in sorted(self.choice.silent_seats(self.active, now_s)):
             by_keeper.setdefault(name, [])
         for name, pools in by_keeper.items():
             self.send_report(name, pools, now_s)
@@ -445,7 +445,7 @@
         for name in names:
             share = share_pools.Share(0.0, now_s)
             self.keeper.set_shares(name, [], share, now_s)
-        for name in names & self.vms.keys() - {self.me.name}:
+        for name in sorted(names & self.vms.keys() - {self.me.name}):
             number = self.last_reports[name][1]
             self.send(
                 self.vms[name],
