Request no health of cold searchers in an evacuated failure domain

Cause: the health of all cold searchers is requested to learn how long they stay cold, also if their failure domain is evacuated.

test_health_of_evacuated_searchers_is_not_requested failed before (files-0 was asked) and passes; tests.test_cold_searchers: 15 passed.

--- a/laurelrock/gateways/places/cold_searchers.py
+++ b/laurelrock/gateways/places/cold_searchers.py
@@ -335,7 +335,9 @@
         those before them have arrived.
         """
         searcher = upstream.searcher
-        if cold.share.turn or cold.wait_s(now_s) or self.known.isolated:
+        if upstream.replica.evacuated or self.known.isolated:
+            return False
+        if cold.share.turn or cold.wait_s(now_s):
             return False
         interval_s = max(
             HEALTH_INTERVAL_S, 1.0 / (HEALTH_FRACTION * cold.per_s)
--- a/tests/test_cold_searchers.py
+++ b/tests/test_cold_searchers.py
@@ -315,6 +315,30 @@
         self.assertEqual(fleet.simulation.health_calls, [])
 
 
+class EvacuatedTest(ColdCase):
+    def test_health_of_evacuated_searchers_is_not_requested(self):
+        # Guards against health requests in an evacuated failure domain, whose
+        # searchers became cold after the evacuation.
+        async def play():
+            fleet = Fleet()
+            await fleet.load(60.0, 2.0)
+            for node in fleet.nodes:
+                node.known.evacuate(frozenset("a"))
+            begun_s = fleet.loop.time()
+            fleet.turn_cold(NAMES)
+            await fleet.load(60.0, 3.0, seed=2)
+            return fleet, begun_s
+
+        fleet, begun_s = virtual_time.run(play())
+        found = {
+            name
+            for name, at_s in fleet.simulation.health_calls
+            if at_s > begun_s
+        }
+        # The first one is in the failure domain that is evacuated.
+        self.assertEqual(found, set(NAMES[1:]))
+
+
 class EvidenceTest(ColdCase):
     """Which evidence counts, at one VM."""
 
