--- a/bench/upgrades.py
+++ b/bench/upgrades.py
@@ -61,8 +61,9 @@
         super().__init__(running, rng)
         self.code = code
 
-    async def inject_faults(self) -> list[str]:
+    async def inject_faults(self, spread_s: float) -> list[str]:
         """Replaces one gateway after another, each once the last is ready."""
+        del spread_s  # The next one is replaced as soon as possible.
         self.running.shape = self.running.shape._replace(code=self.code)
         for vm in list(self.running.vms.values()):
             started_s = self.loop.time()
