--- a/tests/test_workspace_caps.py
+++ b/tests/test_workspace_caps.py
@@ -63,6 +63,25 @@
     return caps, arrivals
 
 
+def uneven_rates(rng, count, length_s):
+    """Returns caps with bursts of a second, and requests within the windows.
+
+    The requests of a window of the bound are at most what the cap allows in it,
+    but some of them are closer together than the burst.
+    """
+    caps = {f"w-{n}": (0.4 * 20.0 ** (n / 71),) * 2 for n in range(72)}
+    arrivals = []
+    for name, (per_s, burst) in caps.items():
+        window_s = cap_simulation.POLICY.window_s
+        times, now_s = [], 0.0
+        while (now_s := now_s + rng.expovariate(per_s / 1.6)) < length_s:
+            recent = sum(row > now_s - window_s for row in times)
+            if recent + 1 <= per_s * window_s + burst:
+                times.append(now_s)
+        arrivals += [Arrival(row, name, rng.randrange(count)) for row in times]
+    return caps, arrivals
+
+
 class ReplayCase(unittest.TestCase):
     """Replays requests in virtual time."""
 
@@ -359,10 +378,18 @@
     changes, so that a keeper without tokens refuses all of it.
     """
 
-    def replay_low(self, events, wait_s, length_s=30.0, since_s=0.0, count=60):
+    def replay_low(
+        self,
+        events,
+        wait_s,
+        length_s=30.0,
+        since_s=0.0,
+        count=60,
+        rates=low_rates,
+    ):
         """Returns the fraction refused after `since_s`, and the fleet."""
         rng = random.Random(11)
-        caps, arrivals = low_rates(rng, count, length_s)
+        caps, arrivals = rates(rng, count, length_s)
 
         async def run():
             fleet = cap_simulation.Fleet(5)
@@ -400,6 +427,11 @@
         share = self.replay_low(None, 16.0)
         self.assertLessEqual(share, MAX_REFUSED)
 
+    def test_requests_closer_together_than_the_burst(self):
+        # Guards against refusals of requests that the cap allows in a window.
+        share = self.replay_low(None, 16.0, rates=uneven_rates)
+        self.assertLessEqual(share, MAX_REFUSED)
+
     def test_first_seconds_of_the_fleet(self):
         # Shares that may be lent elsewhere are not usable for some seconds.
         async def start(fleet):
