--- a/review/deployment.py
+++ b/review/deployment.py
@@ -590,6 +590,7 @@
         """Ends all processes and servers."""
         for task in self.tasks:
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for gateway in self.gateways:
             if gateway.process is not None:
                 gateway.process.kill()
