Merge only successes of searchers into a query's answer

Callers saw a 200 that named the stamp of a searcher's 404 in X-Part-Stamps, held its error text among the records and counted no shard as missing.

Cause: each status below 500 counted as an answer. That holds for a single request, whose answer is forwarded, but the parts of a query are merged without their statuses. Ruled out: a stamp and a body of different responses; each wrong part had both of one response.

Change: a call knows whether it is part of a query; there any status but a 2xx is a failure, which is retried like others. Owners had the same fault by the same line. A single request that runs at another VM was a query of one shard there, and is now a request without shards, so that its 404 is still forwarded.

The three new tests failed before (six subtests, "0 missing" where 1 was, and the stamp of a failure). test_error_response_is_forwarded fails with the change of classify alone.

--- a/fakes/shards.py
+++ b/fakes/shards.py
@@ -20,6 +20,7 @@
     "crash_on",
     "encode_response",
     "endless",
+    "FAILURES_BELOW_500",
     "HEALTH_PATH",
     "healthy",
     "name_limit",
@@ -28,6 +29,15 @@
 
 #: Path of the searchers' health.
 HEALTH_PATH = "/healthz"
+#: Statuses of searchers that failed, though the status is below 500.
+FAILURES_BELOW_500 = (
+    "302 Found",
+    "400 Bad Request",
+    "404 Not Found",
+    "408 Request Timeout",
+    "409 Conflict",
+    "429 Too Many Requests",
+)
 
 ConnectionEnd = typing.Literal["keep", "close", "reset", "hang", "crash"]
 
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -101,8 +101,9 @@
     """How a call ended.
 
     Attributes:
-        ANSWERED: The searcher answered with a status below 500.
-        ERRED: The searcher answered with a status of 500 or above.
+        ANSWERED: The searcher answered. To a query, only a success is an
+            answer; to a single request, any status below 500 is one.
+        ERRED: The searcher answered with another status.
         NOT_RUN: The searcher refused the request without running it.
         UNSENT: The request was not sent.
         BROKEN: The request was sent, but no valid answer was received.
@@ -146,6 +147,7 @@
         upstream: The searcher that is called.
         kind: The name of the route, under which the latency is recorded.
         idempotent: Whether the request may run more than once.
+        of_query: Whether the answer is one part of a query's answer.
         call: The call in the HTTP client, sent or waiting for a connection.
         number: The number of the call among those of the searcher.
         limits: The limits of the searcher that counted the call.
@@ -166,6 +168,7 @@
         upstream: upstreams.Upstream,
         kind: str,
         idempotent: bool,
+        of_query: bool,
         call: http_client.Call,
         begun_s: float,
         limit_s: float,
@@ -177,6 +180,7 @@
         self.upstream = upstream
         self.kind = kind
         self.idempotent = idempotent
+        self.of_query = of_query
         self.call = call
         self.rounds = rounds
         self.number = upstream.replica.begin_call(begun_s)
@@ -290,6 +294,7 @@
             upstream,
             context.route.name,
             context.route.idempotent,
+            bool(context.route.shards),
             call,
             now_s,
             context.end_s + TIMEOUT_MARGIN_S,
@@ -434,11 +439,11 @@
             return CallResult(
                 CallStatus.BROKEN, reason="no server stamp, or an encoded body"
             )
-        call_status = (
-            CallStatus.ANSWERED if reply.status < 500 else CallStatus.ERRED
-        )
+        # The records of a query's parts are merged without their statuses, so
+        # that a failure among them couldn't be told from records.
+        answered = success or (reply.status < 500 and not pending_call.of_query)
         return CallResult(
-            call_status,
+            CallStatus.ANSWERED if answered else CallStatus.ERRED,
             reply,
             searcher_headers.stamp or b"",
             f"status {reply.status}",
--- a/laurelrock/gateways/group_runs.py
+++ b/laurelrock/gateways/group_runs.py
@@ -167,7 +167,7 @@
         timeout_s=group_request.remaining_s,
         objective_s=group_request.due_in_s,
         priority=group_request.priority,
-        shards=group_request.services,
+        shards=() if group_request.single else group_request.services,
         attempts=group_request.attempts,
         max_records=group_request.max_records,
         regions=group_request.regions,
--- a/tests/test_fleet_gateways.py
+++ b/tests/test_fleet_gateways.py
@@ -30,6 +30,12 @@
     return found
 
 
+def fail_with_404(searcher, request):
+    stamp = f"X-Server-Stamp: {searcher.name}.failure"
+    raw = shards.encode_response(request, "404 Not Found", b"\xff" * 16, stamp)
+    return shards.ScriptedResponse(((0, raw),))
+
+
 class FleetCase(gateways.GatewayCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -84,6 +90,20 @@
         for _, searcher in self.rows:
             self.assertEqual(len(searcher.requests), 4)
 
+    async def test_owners_send_no_failure_below_500_as_a_part(self):
+        # Owners merged the text of a stamped 404 and sent its stamp.
+        await self.start(min_success_share=0.5)
+        for _, searcher in self.rows[::4]:
+            searcher.script = fail_with_404
+        for number in range(4):
+            answer = await self.ask_vm(number, f"r-{number}")
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.headers["x-missing-parts"], "2")
+            self.assertNotIn("failure", answer.headers["x-part-stamps"])
+            self.assertNotIn(b"\xff", answer.body)
+        served = sum(vm.groups.counts["served"] for vm in self.gateways)
+        self.assertGreater(served, 0)
+
     async def test_departed_owner_is_skipped(self):
         await self.start()
         number = next(n for n in range(4) if self.remote_groups_of(n))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -43,6 +43,19 @@
     return shards.ScriptedResponse(((0, reply),))
 
 
+def fail_with(status):
+    """Returns the script of a searcher that fails with a stamped status."""
+
+    def script(searcher, request):
+        stamp = f"X-Server-Stamp: {searcher.name}.failure"
+        body = b"\xff" * 16
+        return shards.ScriptedResponse(
+            ((0, shards.encode_response(request, status, body, stamp)),)
+        )
+
+    return script
+
+
 def unstamped(searcher, request):
     return shards.ScriptedResponse(
         ((0, shards.encode_response(request, "200 OK", b"x" * 16)),)
@@ -89,6 +102,31 @@
                 self.assertEqual(len(stamps), 3)
                 self.assertEqual(len(answer.body), 48)
 
+    async def test_failure_below_500_is_no_part(self):
+        # A stamped 4xx or 3xx was merged as records, and its stamp named.
+        for status in shards.FAILURES_BELOW_500:
+            with self.subTest(status):
+                await self.start_with(fail_with(status))
+                answer = await self.ask(gateways.encode_request("/query/a"))
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(answer.headers["x-missing-parts"], "1")
+                self.assertNotIn("failure", answer.headers["x-part-stamps"])
+                self.assertNotIn(b"\xff", answer.body)
+
+    async def test_part_is_retried_after_a_failure_below_500(self):
+        await self.start_with(fail_with("404 Not Found"))
+        spare = await shards.start("s-spare", records=b"\x09" * 16)
+        self.addAsyncCleanup(spare.stop)
+        self.add_searcher("shard-0", spare)
+        await self.until(lambda: len(self.gateway.known.by_id) == 5)
+        self.gateway.set_vm_count(1)
+        for number in range(8):
+            answer = await self.ask(
+                gateways.encode_request("/query/a", f"r-{number}")
+            )
+            self.assertEqual(answer.headers["x-missing-parts"], "0")
+            self.assertNotIn("failure", answer.headers["x-part-stamps"])
+
     async def test_query_with_too_few_shards_fails_immediately(self):
         await self.start_with(error, error)
         answer = await self.ask(gateways.encode_request("/query/a"))
