Call no save refused that a searcher may have run

Callers of a save got a searcher's own 408, 429 or 503, which tells them that it has not run and may be sent again.

Cause: a searcher's failure is forwarded unchanged.

Change: for requests that may not be repeated, such a failure is answered with a 502 of the gateway's own, without the stamp. Others get the searcher's status as before.

--- a/laurelrock/gateways/outcomes.py
+++ b/laurelrock/gateways/outcomes.py
@@ -6,7 +6,16 @@
 
 from laurelrock.adapters import http_client
 
-__all__ = ["Kind", "Outcome", "exact_retry_header", "retry_after_header"]
+__all__ = [
+    "REFUSAL_STATUSES",
+    "Kind",
+    "Outcome",
+    "exact_retry_header",
+    "retry_after_header",
+]
+
+#: Statuses that promise callers that a request has not run and never will.
+REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 
 Kind = typing.Literal["answered", "partial", "refused", "failed", "late"]
 
--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -434,22 +434,37 @@
     finally:
         progress.abandon(placement.calls.loop.time())
         placement.end_request(context)
-    if part.answer is not None:
-        reply = part.answer.reply
-        status = reply.status if reply else 502
-        return outcomes.Outcome(
-            "answered", status, reply, attempts=part.attempts
-        )
-    ran = part.may_have_run or sent
-    if part.erred is not None and not sent:
-        reply = part.erred.reply
-        status = reply.status if reply else 502
+    return finish_single(part, sent)
+
+
+def finish_single(part: parts.Part, sent: bool) -> outcomes.Outcome:
+    """Returns the outcome of a request that one searcher answers.
+
+    Args:
+        part: The request's only part.
+        sent: Whether a call that hasn't ended was sent.
+    """
+    attempts, reason = part.attempts, part.failure_reason()
+    end = part.answer or (None if sent else part.erred)
+    if end is not None and end.reply is not None:
+        status = end.reply.status
+        if (
+            status in outcomes.REFUSAL_STATUSES
+            and not part.context.route.idempotent
+        ):
+            # Forwarded, the status would promise the caller more than the
+            # searcher did, which didn't say that it has run nothing.
+            return outcomes.Outcome(
+                *("failed", 502),
+                attempts=attempts,
+                reason=f"status {status}, and the request may have run",
+            )
+        kind: outcomes.Kind = "failed" if part.answer is None else "answered"
+        reason = part.reason if part.answer is None else ""
         return outcomes.Outcome(
-            "failed", status, reply, attempts=part.attempts, reason=part.reason
+            *(kind, status, end.reply), attempts=attempts, reason=reason
         )
-    reason = part.failure_reason()
-    attempts = part.attempts
-    if not ran:
+    if not part.may_have_run and not sent:
         return outcomes.Outcome(
             "refused", 503, attempts=attempts, reason=reason
         )
