Answer or refuse the requests that a stopping VM can't finish

Callers of a VM that stops lost requests in progress at the end of its grace period without an answer, among them saves that the VM had taken after SIGTERM.

Cause: after SIGTERM requests were taken as before and ended with the process. Ruled out: the connections that are idle or were accepted last, which are closed or answered.

Change: a request that may outlast the process is refused at once with 503 (a repeatable one by the route's late latency, another one by its whole time limit), and what is in progress after 90% of the grace period is answered with 504.

--- a/laurelrock/gateways/caller_answers.py
+++ b/laurelrock/gateways/caller_answers.py
@@ -26,6 +26,9 @@
 #: Time in seconds after which a caller may retry that was refused because the
 #: VM has no configuration.
 UNCONFIGURED_RETRY_AFTER_S = 0.5
+#: Time in seconds after which a caller that a stopping VM refuses may retry;
+#: another VM serves it then.
+STOPPING_RETRY_AFTER_S = 0.05
 
 #: Name and description of the histogram of latencies.
 LATENCY_METRIC = ("laurelrock_request_ms", "Latency of requests by outcome")
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -30,6 +30,7 @@
 from laurelrock.gateways import parts
 from laurelrock.gateways import peer_messages
 from laurelrock.gateways import peers
+from laurelrock.gateways import planned_stop
 from laurelrock.gateways import platform_follower
 from laurelrock.gateways import queries
 from laurelrock.gateways import searcher_connections
@@ -53,8 +54,6 @@
 #: Time in seconds for which a stopping process still accepts connections: the
 #: balancer checks once a second and needs two failed checks.
 SHUTDOWN_NOTICE_S = 2.6
-#: Fraction of the grace period that requests in progress may use.
-GRACE_FRACTION = 0.93
 #: Interval in seconds at which a stopping process checks for requests in
 #: progress.
 DRAIN_CHECK_INTERVAL_S = 0.05
@@ -100,7 +99,7 @@
         answers: Encodes the answers to callers, counts and logs them.
         counts: The number of answers by outcome.
         workspace_counts: The number of requests by workspace.
-        stopping_s: The loop time of SIGTERM; 0 before.
+        planned_stop: The planned end of the process.
         tasks: The background tasks.
     """
 
@@ -184,7 +183,7 @@
         )
         self.counts = self.answers.counts
         self.workspace_counts = self.answers.workspace_counts
-        self.stopping_s = 0.0
+        self.planned_stop = planned_stop.create_planned_stop()
         self.tasks: set[asyncio.Task[typing.Any]] = set()
 
     @property
@@ -194,7 +193,7 @@
             self.follower.table is not None
             and self.follower.searchers_read
             and self.follower.evacuations.known
-            and not self.stopping_s
+            and not self.planned_stop.begun_s
             and not self.partition_detector.partitioned
             and not self.known.isolated
         )
@@ -371,6 +370,15 @@
             return self.answers.refuse(
                 caller_headers, 404, f"no route for {host!r} {target}"
             )
+        if self.planned_stop.begun_s and self.planned_stop.is_too_late(
+            route,
+            time_limit_s(route, caller_headers),
+            self.known.typical_latencies[route.name],
+        ):
+            return self.answers.refuse(
+                *(caller_headers, 503, "the VM stops before it would end"),
+                caller_answers.STOPPING_RETRY_AFTER_S,
+            )
         workspace = None
         if table.configuration.workspaces:
             workspace = keys.find_workspace(table, caller_headers.key)
@@ -395,7 +403,7 @@
             request, caller_headers, route, table, workspace
         )
         try:
-            outcome = await self.run_request(context)
+            outcome = await self.planned_stop.run(self.run_request(context))
         except asyncio.CancelledError:
             self.answers.record_outcome(
                 context, outcomes.Outcome("failed", 0, reason="caller left")
@@ -420,9 +428,6 @@
             route = route._replace(regions=regions)
             if workspace.priority is not None:
                 route = route._replace(priority=workspace.priority)
-        time_limit_s = route.timeout_s
-        if caller_headers.time_left_s is not None:
-            time_limit_s = min(time_limit_s, caller_headers.time_left_s)
         return calls.RequestContext(
             request,
             caller_headers,
@@ -431,7 +436,7 @@
             self.platform.encode_common_headers(
                 request.headers, caller_headers
             ),
-            request.received_s + time_limit_s,
+            request.received_s + time_limit_s(route, caller_headers),
             calls.fingerprint_of(request, name),
             trials.create_trial(),
             name,
@@ -459,13 +464,13 @@
 
     async def stop(self) -> None:
         """Stops the process without interrupting requests."""
-        self.stopping_s = begun_s = self.loop.time()
+        self.planned_stop.begin(self.deployment.grace_s)
+        begun_s, end_s = self.planned_stop.begun_s, self.planned_stop.end_s
         self.groups.owned.stopping = True
         self.cap_sharing.lending.leave(self.cap_sharing.clock())
         _log.info("stopping", in_hand=self.servers[0].busy)
         for server in self.servers:
             server.closing = True
-        end_s = begun_s + self.deployment.grace_s * GRACE_FRACTION
         await asyncio.sleep(SHUTDOWN_NOTICE_S)
         self.servers[0].stop_listening()
         self.servers[0].close_idle()
@@ -479,6 +484,15 @@
         )
 
 
+def time_limit_s(
+    route: routes.Route, caller_headers: header_codec.CallerHeaders
+) -> float:
+    """Returns the time that the caller and the route give a request, in s."""
+    if caller_headers.time_left_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, caller_headers.time_left_s)
+
+
 def create_vm(row: directory.VmEntry) -> owners.Vm:
     """Returns a VM from its entry in the list."""
     host = row["address"].rpartition(":")[0]
