Play searchers that fail below 500 or answer twice in the soak

This reproduces it with real processes.

Ruled out: the second answer alone.

Change: a fault "stutter", a regression case, and a short run of it in the tests. The check of versions in force took a searcher's own 404 for the gateway's; it goes by the stamp now, and a stamped failure counts as handled by its version. The history of the unknown route had a stamp that a gateway's 404 never has, and lost it; a table test covers the four cases.

--- a/bench/promises.py
+++ b/bench/promises.py
@@ -215,7 +215,9 @@
     """A configuration is in force in time on VMs without faults."""
     violations, exercised = [], 0
     for record in history.records:
-        if record.kind != "version" or record.status not in (200, 404):
+        # A searcher's own failure shows too that the route was followed.
+        ran = record.status == 200 or "x-server-stamp" in record.headers
+        if record.kind != "version" or not (ran or record.status == 404):
             continue
         due = [
             version
@@ -233,10 +235,8 @@
         ):
             continue
         exercised += 1
-        old = record.status == 200 and record.version < due_version
-        unknown = (
-            record.status == 404 and due_version == newest == record.version
-        )
+        old = ran and record.version < due_version
+        unknown = not ran and due_version == newest == record.version
         if old or unknown:
             violations.append(
                 f"{record.vm} {record.request_id}: {record.status} for"
--- a/bench/random_faults.py
+++ b/bench/random_faults.py
@@ -57,6 +57,7 @@
 )
 #: Faulty behaviours of a searcher; see `fleet.Fleet.respond`.
 BEHAVIOURS = ("slow", "failing", "full", "mute", "resetting", "cut")
+STUTTERING_BEHAVIOURS = ("rejecting", "stuttering", "stutter-fail")
 ENDLESS_BEHAVIOURS = ("endless-head", "endless-body")
 
 
@@ -368,6 +369,9 @@
             "searcher": lambda: searcher_faults.degrade_searcher(
                 self, *BEHAVIOURS
             ),
+            "stutter": lambda: searcher_faults.degrade_searcher(
+                self, *STUTTERING_BEHAVIOURS
+            ),
             "endless": lambda: searcher_faults.degrade_searcher(
                 self, *ENDLESS_BEHAVIOURS
             ),
--- a/bench/searcher_replies.py
+++ b/bench/searcher_replies.py
@@ -1,6 +1,7 @@
 """How the searchers of a soak reply to requests."""
 
 import typing
+import zlib
 
 from fakes import shards
 from laurelrock.core import answer_schedule
@@ -12,6 +13,10 @@
 #: Start of a response whose body never ends, and the bytes that follow.
 ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n\r\n"
 ENDLESS = b"x" * 16_384
+#: Body of a failure, long enough to be taken for two records.
+FAILURE_TEXT = b'{"error": "segment not found", "id": 417}'
+#: Time after which a stuttering searcher answers a second time, in seconds.
+STUTTER_S = 0.05
 #: Last segment of the path of requests that crash the searchers that run them,
 #: and the time that these take to crash, in seconds.
 CRASHING_SEGMENT = "/crash"
@@ -64,6 +69,11 @@
     failure = shards.encode_response(
         request, "500 Internal Server Error", b"", stamp, *notices
     )
+    statuses = shards.FAILURES_BELOW_500
+    number = zlib.crc32(request.id.encode()) % len(statuses)
+    rejection = shards.encode_response(
+        request, statuses[number], FAILURE_TEXT, stamp, *notices
+    )
     refusal = shards.encode_response(
         request, "503 Service Unavailable", b"", "X-Not-Executed: 1", *notices
     )
@@ -81,6 +91,11 @@
         "healthy": Reply(scripted(((0.004, success),))),
         "slow": Reply(scripted(((0.25, success),))),
         "failing": Reply(scripted(((0.002, failure),))),
+        "rejecting": Reply(scripted(((0.002, rejection),))),
+        "stuttering": Reply(scripted(((0.004, success), (STUTTER_S, success)))),
+        "stutter-fail": Reply(
+            scripted(((0.002, rejection), (STUTTER_S, failure)))
+        ),
         "full": Reply(scripted(((0, refusal),)), ran=False),
         "mute": Reply(scripted((), "hang")),
         "resetting": Reply(scripted(((0.002, b""),), "reset")),
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -92,6 +92,9 @@
     create_case(
         6105, "owners", "limit stop storm crashing pause crashing front-late"
     ),
+    # Failures of searchers with a status below 500 were parts of answers, and a
+    # save that had run was answered 408 or 429.
+    create_case(1, "owners", "stutter stutter stutter stutter"),
     # With most of 60 VMs cut, too few were asked to find one that was not.
     create_case(7000, "many", "cut stop kill configure"),
     # Abandoned polls did not release their connections.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,6 +47,12 @@
     def test_short_run(self):
         self.play(SHAPE, FAULTS)
 
+    def test_searchers_that_answer_twice_or_fail_below_500(self):
+        # Owners sent failures below 500 as parts, and a save that had run was
+        # called refused.
+        results = self.play(OWNERS_SHAPE, ("stutter", "stutter", "stutter"))
+        self.check_exercised(results, "true-coverage", "own-answers")
+
     def test_vms_without_searchers(self):
         for shape in (SHAPE, OWNERS_SHAPE):
             with self.subTest(vms=shape.vms):
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -134,7 +134,7 @@
     (
         "in-force",
         history(
-            [record("version", version=2, status=404, sent_s=14.0)],
+            [record("version", version=2, status=404, headers={}, sent_s=14.0)],
             versions={1: 0.0, 2: 10.0},
         ),
     ),
@@ -327,6 +327,28 @@
         )
         self.assertTrue(promises.in_force(late).violations)
 
+    def test_failure_of_a_searcher_shows_that_its_route_is_in_force(self):
+        stamp = {"x-server-stamp": "version-v2.s.r1"}
+        for version, headers, wrong in (
+            (2, stamp, False),
+            (2, {}, True),
+            (1, stamp, True),
+            (1, {}, False),
+        ):
+            with self.subTest(version=version, headers=headers):
+                row = record(
+                    "version",
+                    sent_s=20.0,
+                    ended_s=20.1,
+                    status=404,
+                    headers=headers,
+                    version=version,
+                )
+                found = promises.in_force(
+                    history([row], versions={1: 0.0, 2: 10.0})
+                )
+                self.assertEqual(bool(found.violations), wrong)
+
     def test_standstills_of_the_soak_are_no_late_answers(self):
         """Callers whose process doesn't run can't read an answer in time."""
         late = record(status=0, ended_s=12.0)
