Split functions that had grown, and fuzz the tolerant decoder

Change: no other behaviour; a pending call takes its route, the time limit of a request is in core, and the splitter of JSON returns None where brackets don't match.

--- a/laurelrock/adapters/tolerant_json.py
+++ b/laurelrock/adapters/tolerant_json.py
@@ -44,12 +44,14 @@
         reason = str(error)
     if not levels or raw.strip()[:1] not in (b"{", b"["):
         return Unreadable(reason)
+    members = _split(raw)
+    if members is None:
+        return Unreadable(reason)
+    if raw.strip()[:1] == b"[":
+        return [decode(value, levels - 1, units) for _, value in members]
     try:
-        members = _split(raw)
-        if raw.strip()[:1] == b"[":
-            return [decode(value, levels - 1, units) for _, value in members]
         names = [str(_decode_whole(name)) for name, _ in members]
-    except (msgspec.DecodeError, RecursionError, ValueError):
+    except (msgspec.DecodeError, RecursionError):
         return Unreadable(reason)
     return {
         name: decode(value, 0 if name in units else levels - 1, units)
@@ -65,14 +67,12 @@
         return msgspec.json.decode(raw.decode(errors="replace"))
 
 
-def _split(raw: bytes) -> list[tuple[bytes, bytes]]:
+def _split(raw: bytes) -> list[tuple[bytes, bytes]] | None:
     """Splits an object or a list into the texts of its members.
 
     Returns:
         The name and the value of each member; the name is empty in a list.
-
-    Raises:
-        ValueError: The brackets don't match.
+        None if the brackets don't match.
     """
     members: list[tuple[bytes, bytes]] = []
     depth, start, name = 0, 0, b""
@@ -95,4 +95,4 @@
             if depth < 0 or raw[token.end() :].strip():
                 break
             return members
-    raise ValueError("brackets don't match")
+    return None
--- a/laurelrock/core/routes.py
+++ b/laurelrock/core/routes.py
@@ -19,6 +19,7 @@
     "WeightedSplit",
     "create_table",
     "find_route",
+    "time_limit_s",
 ]
 
 
@@ -165,6 +166,18 @@
     )
 
 
+def time_limit_s(route: Route, time_left_s: float | None) -> float:
+    """Returns the time that a request may take, in seconds.
+
+    Args:
+        route: The route of the request.
+        time_left_s: The time that its caller waits; None if it didn't say.
+    """
+    if time_left_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, time_left_s)
+
+
 def find_route(table: RouteTable, host: str, target: str) -> Route | None:
     """Returns the route of a request, or None if no route matches.
 
--- a/laurelrock/gateways/calls.py
+++ b/laurelrock/gateways/calls.py
@@ -166,9 +166,7 @@
     def __init__(
         self,
         upstream: upstreams.Upstream,
-        kind: str,
-        idempotent: bool,
-        of_query: bool,
+        route: routes.Route,
         call: http_client.Call,
         begun_s: float,
         limit_s: float,
@@ -178,9 +176,9 @@
         workspace: str = "",
     ) -> None:
         self.upstream = upstream
-        self.kind = kind
-        self.idempotent = idempotent
-        self.of_query = of_query
+        self.kind = route.name
+        self.idempotent = route.idempotent
+        self.of_query = bool(route.shards)
         self.call = call
         self.rounds = rounds
         self.number = upstream.replica.begin_call(begun_s)
@@ -292,9 +290,7 @@
         now_s = self.loop.time()
         pending_call = PendingCall(
             upstream,
-            context.route.name,
-            context.route.idempotent,
-            bool(context.route.shards),
+            context.route,
             call,
             now_s,
             context.end_s + TIMEOUT_MARGIN_S,
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -370,15 +370,9 @@
             return self.answers.refuse(
                 caller_headers, 404, f"no route for {host!r} {target}"
             )
-        if self.planned_stop.begun_s and self.planned_stop.is_too_late(
-            route,
-            time_limit_s(route, caller_headers),
-            self.known.typical_latencies[route.name],
-        ):
-            return self.answers.refuse(
-                *(caller_headers, 503, "the VM stops before it would end"),
-                caller_answers.STOPPING_RETRY_AFTER_S,
-            )
+        refusal = self.refuse_late(route, caller_headers)
+        if refusal is not None:
+            return refusal
         workspace = None
         if table.configuration.workspaces:
             workspace = keys.find_workspace(table, caller_headers.key)
@@ -412,6 +406,21 @@
         self.answers.record_outcome(context, outcome)
         return self.answers.encode(context, outcome)
 
+    def refuse_late(
+        self, route: routes.Route, caller_headers: header_codec.CallerHeaders
+    ) -> http_server.Response | None:
+        """Returns the refusal of a request that may outlast the process."""
+        if not self.planned_stop.begun_s or not self.planned_stop.is_too_late(
+            route,
+            routes.time_limit_s(route, caller_headers.time_left_s),
+            self.known.typical_latencies[route.name],
+        ):
+            return None
+        return self.answers.refuse(
+            *(caller_headers, 503, "the VM stops before it would end"),
+            caller_answers.STOPPING_RETRY_AFTER_S,
+        )
+
     def create_context(
         self,
         request: http_server.Request,
@@ -436,7 +445,8 @@
             self.platform.encode_common_headers(
                 request.headers, caller_headers
             ),
-            request.received_s + time_limit_s(route, caller_headers),
+            request.received_s
+            + routes.time_limit_s(route, caller_headers.time_left_s),
             calls.fingerprint_of(request, name),
             trials.create_trial(),
             name,
@@ -484,15 +494,6 @@
         )
 
 
-def time_limit_s(
-    route: routes.Route, caller_headers: header_codec.CallerHeaders
-) -> float:
-    """Returns the time that the caller and the route give a request, in s."""
-    if caller_headers.time_left_s is None:
-        return route.timeout_s
-    return min(route.timeout_s, caller_headers.time_left_s)
-
-
 def create_vm(row: directory.VmEntry) -> owners.Vm:
     """Returns a VM from its entry in the list."""
     host = row["address"].rpartition(":")[0]
--- a/laurelrock/gateways/planned_stop.py
+++ b/laurelrock/gateways/planned_stop.py
@@ -81,6 +81,8 @@
             async with limit:
                 return await request
         except TimeoutError:
+            if not limit.expired():
+                raise
             return outcomes.Outcome("late", 504, reason="the VM stops")
         finally:
             self.running.discard(limit)
--- a/laurelrock/platform/objects.py
+++ b/laurelrock/platform/objects.py
@@ -27,8 +27,8 @@
 #: Nested objects and lists between a body and the contents of its objects: the
 #: body, its list, an event and the event's object.
 BODY_LEVELS = 4
-#: Members of an object that are of one writer.
-WRITTEN_AS_ONE = frozenset({"meta", "spec", "status"})
+#: Members of an object that are decoded as a whole.
+WHOLE_MEMBERS = frozenset({"meta", "spec", "status"})
 #: Largest magnitude of a number. Larger integers don't fit a message between
 #: VMs, and may not be convertible to floating point.
 MAX_NUMBER = 2**63 - 1
@@ -99,7 +99,7 @@
     An object that can't be decoded affects no other one. Bytes that aren't
     UTF-8 are replaced, so that they affect only the string that contains them.
     """
-    found = tolerant_json.decode(body, BODY_LEVELS, WRITTEN_AS_ONE)
+    found = tolerant_json.decode(body, BODY_LEVELS, WHOLE_MEMBERS)
     if isinstance(found, tolerant_json.Unreadable):
         raise errors.StoreError(f"malformed JSON: {found.reason}")
     return found
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,6 +1,7 @@
 """Fuzz tests of the parsers for input of callers, searchers and the store."""
 
 import asyncio
+import json
 import unittest
 
 import hypothesis
@@ -9,6 +10,7 @@
 from laurelrock import errors
 from laurelrock.adapters import http_client
 from laurelrock.adapters import http_server
+from laurelrock.adapters import tolerant_json
 from laurelrock.core import routes
 from laurelrock.platform import header_codec
 from laurelrock.platform import objects
@@ -112,6 +114,17 @@
         except errors.StoreError:
             return
 
+    @BOUNDED
+    @hypothesis.given(VALUES, strategies.booleans())
+    def test_values_beside_an_unreadable_one(self, value, indented):
+        indent = 1 if indented else None
+        text = json.dumps(value, indent=indent)
+        hypothesis.assume("Infinity" not in text)
+        raw = f'[{text}, 1e999, {{"of": {text}}}]'.encode()
+        first, second, third = tolerant_json.decode(raw, 1)
+        self.assertIsInstance(second, tolerant_json.Unreadable)
+        self.assertEqual((first, third), (value, {"of": value}))
+
     @BOUNDED
     @hypothesis.given(
         strategies.sampled_from(sorted(build.store_searcher())), VALUES
