Call no request refused that a searcher may have run

Callers got a searcher's own 408, 429 or 503 on requests that may be repeated, which promises that they have not run, though the searcher didn't say so.

Change: the 502 applies to all requests of one searcher.

The new test failed before for GET with each of the three statuses.

--- a/laurelrock/gateways/queries.py
+++ b/laurelrock/gateways/queries.py
@@ -448,10 +448,7 @@
     end = part.answer or (None if sent else part.erred)
     if end is not None and end.reply is not None:
         status = end.reply.status
-        if (
-            status in outcomes.REFUSAL_STATUSES
-            and not part.context.route.idempotent
-        ):
+        if status in outcomes.REFUSAL_STATUSES:
             # Forwarded, the status would promise the caller more than the
             # searcher did, which didn't say that it has run nothing.
             return outcomes.Outcome(
