Let a draining searcher of the soak go on draining after a crash

Cause: a searcher that crashed came back with a ready entry, also if it had been told to drain, and the check of draining searchers counted its requests. Ruled out: the gateways, whose four logs show s-8 draining at 27.95 s and ready at 29.16 s, as the store said.

Change: the entry of a new start has the state of the last one, so that the check holds for it too. The check is unchanged.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -233,7 +233,8 @@
             for row in colds
         ]
         self.cool(name, platform_documents.WARM_UP_S, ENTRY_NOTICE_S)
-        self.list_searcher(name, "ready")
+        # One that drains may crash, and goes on draining.
+        self.list_searcher(name, server.state)
 
     def cool(self, name: str, length_s: float, notice_s: float) -> None:
         """Makes a searcher cold, where searchers have to warm up.
@@ -263,6 +264,7 @@
         """Writes the entry of a searcher to the store."""
         server = self.servers[name]
         server.seq += 1
+        server.state = state
         spec = {
             "service": server.service,
             "address": f"{self.network}.2.1:{server.port}",
--- a/bench/fleet_members.py
+++ b/bench/fleet_members.py
@@ -75,6 +75,8 @@
         self.started_ms = FIRST_START_MS
         #: Number of the last write of its entry.
         self.seq = 0
+        #: State in its entry.
+        self.state = "ready"
         #: How it responds to requests; see `searcher_replies.create_reply`.
         self.behaviour = "healthy"
         #: Whether all of its responses say that it leaves.
