--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -171,8 +171,18 @@
         )
 
 
-def configure(deployment: Deployment, routes: tuple[Route, ...]) -> None:
-    """Writes the desired state."""
+def configure(
+    deployment: Deployment,
+    routes: tuple[Route, ...],
+    keys: collections.abc.Mapping[str, str],
+) -> None:
+    """Writes the desired state.
+
+    Args:
+        deployment: The deployment.
+        routes: The routes, whose services get searchers.
+        keys: The keys by the names of tenants; without any, requests need none.
+    """
     rows = []
     for route in routes:
         row = {
@@ -196,8 +206,15 @@
         {"name": name, "health_path": "/healthz", "max_connections": 110}
         for name in names
     ]
-    document = {"version": deployment.store.revision, "routes": rows}
+    document: dict[str, typing.Any] = {
+        "version": deployment.store.revision,
+        "routes": rows,
+    }
     document |= {"services": services, "limits": LIMITS}
+    if keys:
+        document["tenants"] = [
+            {"name": name, "api_keys": [key]} for name, key in keys.items()
+        ]
     deployment.store.put("config", "main", document)
 
 
@@ -250,6 +267,7 @@
     start_searcher: StartSearcher,
     counts: collections.abc.Mapping[str, int] = types.MappingProxyType({}),
     slots: int = 8,
+    keys: collections.abc.Mapping[str, str] = types.MappingProxyType({}),
 ) -> Deployment:
     """Starts store, searchers and gateways, and waits until all are ready.
 
@@ -263,7 +281,7 @@
     for service in sorted({n for route in routes for n in route.services}):
         for copy in range(counts.get(service, 2)):
             await add_searcher(deployment, service, copy, start_searcher, slots)
-    configure(deployment, routes)
+    configure(deployment, routes, keys)
     for number in range(count):
         start_gateway(deployment, number)
     try:
