Review: drop three cases that the first review shows

Its cases 2 (bodies lost with an offer of HTTP/2), 4 (tenant taken off a request) and 5 (requests dropped at a planned stop) show the same faults as the cases 6, 8 and 9 of this review, which were found without it.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/.." || exit 2
 export PYTHONPATH=target/deps
 python3 -m compileall -q fakes review/small_deployment.py \
-    review/queued_searcher.py review/[6-9] review/10
+    review/queued_searcher.py review/[6-9]
 python3 -c "from review import queued_searcher, small_deployment"
