--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -12,8 +12,10 @@
 import pathlib
 import random
 import subprocess
+import tempfile
 import time
 import tomllib
+import traceback
 import types
 import typing
 
@@ -32,6 +34,7 @@
     "is_ready",
     "kill_all",
     "open_deployment",
+    "run_case",
     "start_gateway",
 ]
 
@@ -318,3 +321,20 @@
         f"X-Deadline-Ms: {deadline_ms}",
     ]
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def run_case(
+    run: collections.abc.Callable[
+        [pathlib.Path, bool],
+        collections.abc.Coroutine[typing.Any, typing.Any, int],
+    ],
+) -> int:
+    """Runs a case in a temporary folder; 2 stands for a failure of its own."""
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            return asyncio.run(run(pathlib.Path(folder), trouble))
+    except Exception:
+        # Python's own exit code for it is 1, which says that a rule was broken.
+        traceback.print_exc()
+        return 2
