Split the HTTP server into server, connection and parser

Change: callers' requests are parsed in request_parser.py, a connection is in http_connection.py, and requests and responses are in http_messages.py. No behaviour changes.

--- /dev/null
+++ b/laurelrock/adapters/http_connection.py
@@ -0,0 +1,214 @@
+"""One connection of a caller to the HTTP server.
+
+Each connection handles one request at a time, so responses keep the order of
+the requests.
+"""
+
+import asyncio
+import collections
+import typing
+
+from laurelrock.adapters import http_messages
+from laurelrock.adapters import http_wire
+from laurelrock.adapters import logs
+from laurelrock.adapters import request_parser
+from laurelrock.core import routes
+
+if typing.TYPE_CHECKING:
+    from laurelrock.adapters import http_server
+
+__all__ = ["Connection"]
+
+#: Number of waiting requests at which reading from a connection pauses.
+MAX_PIPELINED = 8
+#: Time for a caller to read the last response before its connection is closed,
+#: in seconds.
+LINGER_S = 0.5
+#: Time for which a stopping process waits for the first request of a connection
+#: that it accepted, in seconds.
+FIRST_REQUEST_GRACE_S = 1.0
+
+_log = logs.get_logger(__name__)
+
+
+class Connection(asyncio.Protocol):
+    """One connection of a caller.
+
+    Attributes:
+        transport: Transport of the connection.
+        server: Server that accepted the connection.
+        loop: Event loop of the connection.
+        parser: Parser of the requests.
+        task: Task that handles the current request; None if there is none.
+        waiting: Requests received after the current one, each with whether
+            the caller keeps the connection open after it.
+        refusal_status: Status code of the refusal to send before the
+            connection is closed; 0 if there is none.
+        phase_start_s: Loop time at which the current request began to arrive
+            or, on an idle connection, the last response was written.
+        round_trip_s: Round-trip time of the connection, in seconds.
+        requests: Number of complete requests received.
+    """
+
+    transport: asyncio.Transport
+
+    def __init__(self, server: "http_server.Server") -> None:
+        self.server = server
+        self.loop = asyncio.get_running_loop()
+        self.parser = request_parser.RequestParser(self)
+        self.task: asyncio.Task[None] | None = None
+        self.waiting: collections.deque[tuple[http_messages.Request, bool]] = (
+            collections.deque()
+        )
+        self.refusal_status = 0
+        self.phase_start_s = self.loop.time()
+        self.round_trip_s = 0.0
+        self.requests = 0
+
+    @property
+    def limits(self) -> routes.Limits:
+        """Limits of the request that is being received."""
+        return self.server.limits
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = typing.cast(asyncio.Transport, transport)
+        http_wire.set_socket_options(transport)
+        self.round_trip_s = http_wire.round_trip_s(transport)
+        self.server.connections.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.server.connections.discard(self)
+        self.waiting.clear()
+        if self.task is not None:
+            self.server.counts["caller-left"] += 1
+            self.task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        if self.parser.stopped:
+            return
+        self.parser.feed(data)
+
+    # Receiving of requests
+
+    def begin(self) -> None:
+        self.phase_start_s = self.loop.time()
+
+    def receive(self, message: request_parser.Message) -> None:
+        one_way_s = self.round_trip_s / 2
+        # Before its first request, the caller waited for the connection to
+        # open, which takes one round trip.
+        opening_s = 0.0 if self.requests else self.round_trip_s
+        self.requests += 1
+        request = http_messages.Request(
+            message.method,
+            message.target,
+            message.headers,
+            message.body,
+            self.phase_start_s,
+            self.phase_start_s - one_way_s - opening_s,
+            one_way_s,
+        )
+        self.waiting.append((request, message.keep_open))
+        if len(self.waiting) >= MAX_PIPELINED:
+            self.transport.pause_reading()
+        self.start_next()
+
+    def send_continue(self) -> None:
+        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    # Handling of requests, in their order
+
+    def start_next(self) -> None:
+        """Starts to handle the next request if none is being handled."""
+        if self.task is None and self.waiting:
+            request, keep_open = self.waiting.popleft()
+            self.task = self.loop.create_task(self.run(request, keep_open))
+
+    async def run(
+        self, request: http_messages.Request, keep_open: bool
+    ) -> None:
+        """Handles one request and writes the response."""
+        try:
+            response = await self.server.handle(request)
+        except Exception as error:
+            # Any exception ends the request, so that the caller gets a final
+            # response at once.
+            _log.error("handler-failed", reason=repr(error), exc_info=True)
+            self.server.counts["handler-failed"] += 1
+            response = http_messages.Response(500, [], close=True)
+        self.task = None
+        if self.transport.is_closing():
+            return
+        keep_open = keep_open and not response.close and not self.server.closing
+        self.transport.write(
+            http_wire.encode_response(
+                response.status,
+                response.headers,
+                response.body,
+                keep_open,
+                request.method == b"HEAD",
+            )
+        )
+        self.phase_start_s = self.loop.time()
+        if not keep_open:
+            self.close_gracefully()
+        elif self.parser.stopped and not self.waiting:
+            self.send_refusal()
+        else:
+            if self.waiting and not self.parser.stopped:
+                self.transport.resume_reading()
+            self.start_next()
+
+    # Ends of the connection
+
+    def refuse(self, status: int) -> None:
+        """Refuses the request being received and ends the connection.
+
+        Requests that were received before it are answered first.
+        """
+        if self.parser.stopped:
+            return
+        self.parser.stop()
+        self.server.counts[f"refused-{status}"] += 1
+        _log.info(
+            "request-refused", status=status, bytes=self.parser.header_bytes
+        )
+        self.refusal_status = status
+        if self.task is None and not self.waiting:
+            self.send_refusal()
+
+    def send_refusal(self) -> None:
+        """Sends the refusal, if there is one, and ends the connection."""
+        if self.refusal_status:
+            self.transport.write(
+                http_wire.encode_response(
+                    self.refusal_status, [], b"", False, False
+                )
+            )
+        self.close_gracefully()
+
+    def close_gracefully(self) -> None:
+        """Closes the connection, after time to read the last response."""
+        self.parser.stop()
+        self.waiting.clear()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.loop.call_later(LINGER_S, self.transport.close)
+
+    def check_timeouts(self, now_s: float) -> None:
+        """Ends the connection if it exceeds a time limit.
+
+        A request that arrives too slowly gets status 408. While a request is
+        handled, no limit applies.
+        """
+        limits = self.server.limits
+        if self.task is not None or self.parser.stopped:
+            return
+        if self.parser.receiving:
+            if now_s - self.phase_start_s > limits.header_timeout_s:
+                self.refuse(408)
+        elif now_s - self.phase_start_s > limits.idle_timeout_s:
+            self.server.counts["idle-closed"] += 1
+            self.transport.close()
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -9,6 +9,7 @@
 
 from laurelrock import errors
 from laurelrock.adapters import http_client
+from laurelrock.adapters import http_connection
 from laurelrock.adapters import http_server
 from laurelrock.adapters import tolerant_json
 from laurelrock.core import routes
@@ -175,7 +176,7 @@
         @hypothesis.given(STREAMS)
         def feed(stream):
             server = http_server.Server(handle, routes.Limits(200, 50, 1, 1))
-            connection = http_server.Connection(server)
+            connection = http_connection.Connection(server)
             connection.connection_made(Transport())
             for piece in stream:
                 connection.data_received(piece)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,7 +6,7 @@
 from fakes import callers
 from fakes import objects
 from fakes import shards
-from laurelrock.adapters import http_server
+from laurelrock.adapters import http_connection
 from laurelrock.gateways import gateway
 from laurelrock.gateways import platform_follower
 from laurelrock.platform import store
@@ -485,7 +485,7 @@
         await self.start(build.store_configuration(SINGLE), [])
         reader, _ = await self.connect()
         async with asyncio.timeout(
-            gateway.SHUTDOWN_NOTICE_S + http_server.FIRST_REQUEST_GRACE_S
+            gateway.SHUTDOWN_NOTICE_S + http_connection.FIRST_REQUEST_GRACE_S
         ):
             await self.gateway.stop()
         self.assertEqual(await reader.read(), b"")
--- a/tests/test_key_fuzz.py
+++ b/tests/test_key_fuzz.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from laurelrock.adapters import exposition
+from laurelrock.adapters import http_connection
 from laurelrock.adapters import http_server
 from laurelrock.core import routes
 from laurelrock.gateways import gateway
@@ -105,7 +106,7 @@
         server = http_server.Server(
             self.gateway.answer, routes.Limits(2048, 100, 1, 1)
         )
-        connection = http_server.Connection(server)
+        connection = http_connection.Connection(server)
         transport = test_fuzz.Transport()
         written: list[bytes] = []
         transport.write = written.append
