Keep the body of a request in one buffer

Callers saw: a gateway that ended when it ran out of memory, with a few callers that sent long bodies in very small chunks. Cause: the body was a list of its chunks. A chunk of two bytes takes 43 bytes. Change: a body is one buffer, which grows as its chunks arrive.

--- a/laurelrock/adapters/request_parser.py
+++ b/laurelrock/adapters/request_parser.py
@@ -64,7 +64,7 @@
         headers_complete: Whether all of its header fields are received.
         headers: Header fields of the request being received.
         header_bytes: Size of target and header fields received so far.
-        body: Parts of the body received so far.
+        body: Body received so far.
         body_bytes: Size of the body received so far.
         begun: Number of requests that began to arrive.
         later_bytes: Size of what was received of the request after the piece
@@ -80,7 +80,7 @@
         self.headers_complete = False
         self.headers: http_wire.Headers = []
         self.header_bytes = 0
-        self.body: list[bytes] = []
+        self.body: bytes | bytearray = b""
         self.body_bytes = 0
         self.begun = 0
         self.later_bytes = 0
@@ -90,9 +90,9 @@
         self.stopped = True
         self.receiving = False
         self.headers = []
-        self.body = []
+        self.body = b""
 
-    def feed(self, data: bytes | memoryview) -> None:
+    def feed(self, data: bytes) -> None:
         """Parses received bytes."""
         begun = self.begun
         try:
@@ -131,7 +131,7 @@
         self.target = b""
         self.headers_complete = False
         self.headers = []
-        self.body = []
+        self.body = b""
         self.header_bytes = self.body_bytes = self.later_bytes = 0
         self.begun += 1
 
@@ -173,8 +173,16 @@
 
     def on_body(self, data: bytes) -> None:
         self.body_bytes += len(data)
-        if self.body_bytes <= self.receiver.limits.max_body_bytes:
-            self.body.append(data)
+        max_bytes = self.receiver.limits.max_body_bytes
+        if self.stopped or self.body_bytes > max_bytes:
+            return
+        if not self.body:
+            self.body = data
+            return
+        # A list of small chunks would take many times their size.
+        if isinstance(self.body, bytes):
+            self.body = bytearray(self.body)
+        self.body += data
 
     def on_message_complete(self) -> None:
         if self.stopped:
@@ -187,8 +195,8 @@
             self.parser.get_method(),
             self.target,
             self.headers,
-            b"".join(self.body),
+            bytes(self.body),
             self.parser.should_keep_alive(),
         )
-        self.headers, self.body = [], []
+        self.headers, self.body = [], b""
         self.receiver.receive(message)
--- /dev/null
+++ b/tests/test_client_crowds.py
@@ -0,0 +1,133 @@
+"""Tests of clients that keep within no limit, on the process of a gateway.
+
+Each crowd stays connected while an ordinary request is sent. The process has to
+live, to stay within the memory and the descriptors that its settings allow, and
+to answer the ordinary request.
+"""
+
+import asyncio
+
+from fakes import callers
+from tests import client_crowds
+from tests import gateway_builders as build
+from tests import gateway_process
+
+MAX_BODY_BYTES, MAX_HEADER_BYTES = 1_048_576, 16_384
+#: Limits of requests; none of them ends a client of a crowd within its test.
+LIMITS = {
+    "max_body_bytes": MAX_BODY_BYTES,
+    "max_header_bytes": MAX_HEADER_BYTES,
+    "header_timeout_ms": 60_000,
+    "idle_timeout_ms": 120_000,
+}
+HOST_LINE = b"Host: %b\r\n" % build.HOST.encode()
+CHUNKED = (
+    b"POST /single/x HTTP/1.1\r\n"
+    + HOST_LINE
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+)
+PORTS = {
+    "callers": gateway_process.CALLERS_PORT,
+    "readiness": gateway_process.READINESS_PORT,
+    "peers": gateway_process.PEERS_PORT,
+    "metrics": gateway_process.METRICS_PORT,
+}
+
+
+class CrowdTest(gateway_process.GatewayProcessCase):
+    async def check(self, count, script, port=gateway_process.CALLERS_PORT):
+        """Runs a crowd and checks what has to hold meanwhile and after it."""
+        crowd = await client_crowds.open_crowd((self.host, port), count, script)
+        self.addCleanup(crowd.close)
+        self.assert_alive()
+        self.assert_within_limits()
+        await self.assert_served()
+        await self.assert_ready()
+        self.assert_alive()
+        self.assert_within_limits()
+
+
+class BodyTest(CrowdTest):
+    async def check_bodies(self, count, chunk_bytes):
+        """Sends bodies in chunks that stop one byte short of their end."""
+        await self.start(gateway_process.Limits(), **LIMITS)
+        chunks = (MAX_BODY_BYTES - 1) // chunk_bytes
+        chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+        await self.check(count, client_crowds.Script(CHUNKED, chunk, chunks))
+
+    async def test_small_chunks(self):
+        await self.check_bodies(8, 2)
+
+
+class OrdinaryTest(gateway_process.GatewayProcessCase):
+    """Single clients within the limits, without a crowd."""
+
+    async def ask(self, raw):
+        caller = callers.Caller((self.host, gateway_process.CALLERS_PORT))
+        self.addCleanup(caller.close)
+        return await caller.ask(raw, gateway_process.TIMEOUT_S)
+
+    async def test_longest_body_in_small_chunks(self):
+        await self.start(gateway_process.Limits(), **LIMITS)
+        head = callers.encode_request(
+            build.HOST,
+            "/single/x",
+            deadline_ms=10_000,
+            method="POST",
+            headers=["Transfer-Encoding: chunked"],
+        )
+        body = b"1\r\nx\r\n" * MAX_BODY_BYTES + b"0\r\n\r\n"
+        answer = await self.ask(head + body)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body, b"x" * MAX_BODY_BYTES)
+
+    async def test_longest_headers_of_small_fields(self):
+        await self.start(gateway_process.Limits(), **LIMITS)
+        fields = ["a: b"] * ((MAX_HEADER_BYTES - 1024) // 6)
+        raw = callers.encode_request(
+            build.HOST, "/single/x", deadline_ms=10_000, headers=fields
+        )
+        self.assertEqual((await self.ask(raw)).status, 200)
+
+    async def test_requests_sent_ahead_are_all_answered(self):
+        await self.start(gateway_process.Limits(), **LIMITS)
+        reader, writer = await asyncio.open_connection(
+            self.host, gateway_process.CALLERS_PORT
+        )
+        self.addCleanup(writer.transport.abort)
+        count = 500
+        writer.write(
+            b"".join(
+                callers.encode_request(
+                    build.HOST, "/single/x", f"r-{number}", 10_000
+                )
+                for number in range(count)
+            )
+        )
+        for number in range(count):
+            async with asyncio.timeout(gateway_process.TIMEOUT_S):
+                answer = await callers.read_response(reader)
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.headers["x-request-id"], f"r-{number}")
+
+    async def test_answer_that_is_read_late(self):
+        await self.start(gateway_process.Limits(), **LIMITS)
+        reader, writer = await asyncio.open_connection(
+            self.host, gateway_process.CALLERS_PORT, limit=4096
+        )
+        self.addCleanup(writer.transport.abort)
+        body = b"x" * MAX_BODY_BYTES
+        writer.write(
+            callers.encode_request(
+                build.HOST,
+                "/single/x",
+                deadline_ms=10_000,
+                method="POST",
+                body=body,
+            )
+        )
+        await asyncio.sleep(1.5)
+        async with asyncio.timeout(gateway_process.TIMEOUT_S):
+            answer = await callers.read_response(reader)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body, body)
