Read requests ahead only while the caller reads the answers

Callers saw: a gateway that ended when it ran out of memory, with callers that sent many requests ahead and didn't read the answers, also at the readiness port. Cause: a read of 256 KB was parsed whole. Reading paused after eight waiting requests, but one read may hold 9,000, of about 1 KB each. Answers were written whether or not the caller read them. Change: a connection parses 2 KB at a time, stops when eight requests wait, and neither parses nor handles any while 64 KB of answers are not read. A caller that reads nothing for the idle limit of the configuration is disconnected.

--- a/laurelrock/adapters/http_connection.py
+++ b/laurelrock/adapters/http_connection.py
@@ -1,7 +1,8 @@
 """One connection of a caller to the HTTP server.
 
 Each connection handles one request at a time, so responses keep the order of
-the requests.
+the requests. Further requests are read only as far as the caller reads the
+responses.
 """
 
 import asyncio
@@ -21,6 +22,9 @@
 
 #: Number of waiting requests at which reading from a connection pauses.
 MAX_PIPELINED = 8
+#: Number of bytes that are parsed at a time. A read may hold thousands of
+#: requests, each of which takes far more memory than its bytes.
+PARSED_BYTES = 2048
 #: Time for a caller to read the last response before its connection is closed,
 #: in seconds.
 LINGER_S = 0.5
@@ -42,10 +46,14 @@
         task: Task that handles the current request; None if there is none.
         waiting: Requests received after the current one, each with whether
             the caller keeps the connection open after it.
+        unparsed: Bytes received that are not parsed yet.
+        write_paused: Whether the caller doesn't read its responses.
+        unsent_bytes: Size of what was not sent at the last check.
         refusal_status: Status code of the refusal to send before the
             connection is closed; 0 if there is none.
         phase_start_s: Loop time at which the current request began to arrive
             or, on an idle connection, the last response was written.
+        progress_s: Loop time at which the caller last read something.
         round_trip_s: Round-trip time of the connection, in seconds.
         requests: Number of complete requests received.
     """
@@ -60,8 +68,11 @@
         self.waiting: collections.deque[tuple[http_messages.Request, bool]] = (
             collections.deque()
         )
+        self.unparsed = b""
+        self.write_paused = False
+        self.unsent_bytes = 0
         self.refusal_status = 0
-        self.phase_start_s = self.loop.time()
+        self.phase_start_s = self.progress_s = self.loop.time()
         self.round_trip_s = 0.0
         self.requests = 0
 
@@ -70,6 +81,11 @@
         """Limits of the request that is being received."""
         return self.server.limits
 
+    @property
+    def blocked(self) -> bool:
+        """Whether no further requests are read for now."""
+        return self.write_paused or len(self.waiting) >= MAX_PIPELINED
+
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -88,10 +104,31 @@
     def data_received(self, data: bytes) -> None:
         if self.parser.stopped:
             return
-        self.parser.feed(data)
+        self.unparsed = self.unparsed + data if self.unparsed else data
+        self.parse()
+
+    def pause_writing(self) -> None:
+        self.write_paused = True
+        self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        self.write_paused = False
+        self.progress_s = self.loop.time()
+        self.proceed()
 
     # Receiving of requests
 
+    def parse(self) -> None:
+        """Parses what was received, until too many requests wait."""
+        data = self.unparsed
+        at = 0
+        while at < len(data) and not self.parser.stopped and not self.blocked:
+            self.parser.feed(data[at : at + PARSED_BYTES])
+            at += PARSED_BYTES
+        self.unparsed = b"" if self.parser.stopped else data[at:]
+        if self.blocked:
+            self.transport.pause_reading()
+
     def begin(self) -> None:
         self.phase_start_s = self.loop.time()
 
@@ -111,8 +148,6 @@
             one_way_s,
         )
         self.waiting.append((request, message.keep_open))
-        if len(self.waiting) >= MAX_PIPELINED:
-            self.transport.pause_reading()
         self.start_next()
 
     def send_continue(self) -> None:
@@ -122,10 +157,18 @@
 
     def start_next(self) -> None:
         """Starts to handle the next request if none is being handled."""
-        if self.task is None and self.waiting:
+        if self.task is None and self.waiting and not self.write_paused:
             request, keep_open = self.waiting.popleft()
             self.task = self.loop.create_task(self.run(request, keep_open))
 
+    def proceed(self) -> None:
+        """Continues after a response, or once the caller reads again."""
+        self.start_next()
+        if self.unparsed and not self.blocked:
+            self.parse()
+        if not self.parser.stopped and not self.blocked and not self.unparsed:
+            self.transport.resume_reading()
+
     async def run(
         self, request: http_messages.Request, keep_open: bool
     ) -> None:
@@ -157,9 +200,7 @@
         elif self.parser.stopped and not self.waiting:
             self.send_refusal()
         else:
-            if self.waiting and not self.parser.stopped:
-                self.transport.resume_reading()
-            self.start_next()
+            self.proceed()
 
     # Ends of the connection
 
@@ -171,6 +212,7 @@
         if self.parser.stopped:
             return
         self.parser.stop()
+        self.unparsed = b""
         self.server.counts[f"refused-{status}"] += 1
         _log.info(
             "request-refused", status=status, bytes=self.parser.header_bytes
@@ -192,11 +234,24 @@
     def close_gracefully(self) -> None:
         """Closes the connection, after time to read the last response."""
         self.parser.stop()
+        self.unparsed = b""
         self.waiting.clear()
         if self.transport.can_write_eof():
             self.transport.write_eof()
+        # Closing a connection with unread input would reset it.
+        self.transport.resume_reading()
         self.loop.call_later(LINGER_S, self.transport.close)
 
+    def abandon(self) -> None:
+        """Closes the connection at once; a request in progress is cancelled."""
+        self.parser.stop()
+        self.unparsed = b""
+        self.waiting.clear()
+        if self.task is None and not self.transport.get_write_buffer_size():
+            self.transport.close()
+        else:
+            http_wire.reset(self.transport)
+
     def check_timeouts(self, now_s: float) -> None:
         """Ends the connection if it exceeds a time limit.
 
@@ -204,6 +259,16 @@
         handled, no limit applies.
         """
         limits = self.server.limits
+        unsent = self.transport.get_write_buffer_size()
+        if unsent != self.unsent_bytes:
+            self.unsent_bytes = unsent
+            self.progress_s = now_s
+        if unsent:
+            if now_s - self.progress_s > limits.idle_timeout_s:
+                self.server.counts["unread-closed"] += 1
+                _log.info("responses-unread", bytes=unsent)
+                self.abandon()
+            return
         if self.task is not None or self.parser.stopped:
             return
         if self.parser.receiving:
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -59,6 +59,54 @@
         await self.check_bodies(8, 2)
 
 
+class ReadAheadTest(CrowdTest):
+    """Requests that are sent ahead, and whose answers are not read."""
+
+    async def check_requests(self, request, count=40, listener="callers"):
+        await self.start(gateway_process.Limits(), **LIMITS)
+        script = client_crowds.Script(b"", request, 4_000_000 // len(request))
+        await self.check(count, script, PORTS[listener])
+
+    async def test_without_the_usual_headers(self):
+        await self.check_requests(b"GET / HTTP/1.1\r\n" + HOST_LINE + b"\r\n")
+
+    async def test_without_any_header(self):
+        await self.check_requests(b"GET / HTTP/1.1\r\n\r\n")
+
+    async def test_of_an_older_version(self):
+        await self.check_requests(
+            b"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+        )
+
+    async def test_that_searchers_run(self):
+        await self.check_requests(
+            b"GET /single/x HTTP/1.1\r\n" + HOST_LINE + b"\r\n"
+        )
+
+    async def test_that_expect_a_reply_before_their_body(self):
+        await self.check_requests(
+            b"POST / HTTP/1.1\r\n"
+            + HOST_LINE
+            + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\nx"
+        )
+
+    async def test_at_the_path_that_says_ready(self):
+        await self.check_requests(
+            b"GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n",
+            listener="readiness",
+        )
+
+    async def test_for_the_state_of_this_vm(self):
+        await self.check_requests(
+            b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", listener="peers"
+        )
+
+    async def test_for_the_metrics(self):
+        await self.check_requests(
+            b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", listener="metrics"
+        )
+
+
 class OrdinaryTest(gateway_process.GatewayProcessCase):
     """Single clients within the limits, without a crowd."""
 
