Limit the memory that is held for all clients together

Callers saw: a gateway that ended when it ran out of memory, with many bodies or headers that stop short of their end. Cause: each request had limits, but not their sum over all connections. Change: incomplete and handled requests and answers that are not read take at most a quarter of the process's memory, over its four HTTP ports. Above it the large clients without a request in progress are shed, those that have stalled first. A request of which nothing has run gets 503 with a time to return; other connections are reset.

--- a/laurelrock/adapters/http_connection.py
+++ b/laurelrock/adapters/http_connection.py
@@ -25,12 +25,18 @@
 #: Number of bytes that are parsed at a time. A read may hold thousands of
 #: requests, each of which takes far more memory than its bytes.
 PARSED_BYTES = 2048
+#: Memory that a request takes besides its bytes.
+REQUEST_OVERHEAD_BYTES = 1024
+#: Number of copies of its body that exist while it is sent to a searcher.
+BODY_COPIES = 2
 #: Time for a caller to read the last response before its connection is closed,
 #: in seconds.
 LINGER_S = 0.5
 #: Time for which a stopping process waits for the first request of a connection
 #: that it accepted, in seconds.
 FIRST_REQUEST_GRACE_S = 1.0
+#: Header of the refusal of a request for which memory is short.
+RETRY_HEADER = (b"retry-after", b"1")
 
 _log = logs.get_logger(__name__)
 
@@ -45,15 +51,16 @@
         parser: Parser of the requests.
         task: Task that handles the current request; None if there is none.
         waiting: Requests received after the current one, each with whether
-            the caller keeps the connection open after it.
+            the caller keeps the connection open after it and its memory.
         unparsed: Bytes received that are not parsed yet.
         write_paused: Whether the caller doesn't read its responses.
         unsent_bytes: Size of what was not sent at the last check.
+        handled_bytes: Memory that the current request takes.
         refusal_status: Status code of the refusal to send before the
             connection is closed; 0 if there is none.
         phase_start_s: Loop time at which the current request began to arrive
             or, on an idle connection, the last response was written.
-        progress_s: Loop time at which the caller last read something.
+        progress_s: Loop time at which the caller last sent or read something.
         round_trip_s: Round-trip time of the connection, in seconds.
         requests: Number of complete requests received.
     """
@@ -65,12 +72,13 @@
         self.loop = asyncio.get_running_loop()
         self.parser = request_parser.RequestParser(self)
         self.task: asyncio.Task[None] | None = None
-        self.waiting: collections.deque[tuple[http_messages.Request, bool]] = (
-            collections.deque()
-        )
+        self.waiting: collections.deque[
+            tuple[http_messages.Request, bool, int]
+        ] = collections.deque()
         self.unparsed = b""
         self.write_paused = False
         self.unsent_bytes = 0
+        self.handled_bytes = 0
         self.refusal_status = 0
         self.phase_start_s = self.progress_s = self.loop.time()
         self.round_trip_s = 0.0
@@ -81,6 +89,11 @@
         """Limits of the request that is being received."""
         return self.server.limits
 
+    @property
+    def handling(self) -> bool:
+        """Whether a request is being handled."""
+        return self.task is not None
+
     @property
     def blocked(self) -> bool:
         """Whether no further requests are read for now."""
@@ -96,6 +109,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.server.connections.discard(self)
+        self.server.memory.release(self)
         self.waiting.clear()
         if self.task is not None:
             self.server.counts["caller-left"] += 1
@@ -104,6 +118,7 @@
     def data_received(self, data: bytes) -> None:
         if self.parser.stopped:
             return
+        self.progress_s = self.loop.time()
         self.unparsed = self.unparsed + data if self.unparsed else data
         self.parse()
 
@@ -128,6 +143,7 @@
         self.unparsed = b"" if self.parser.stopped else data[at:]
         if self.blocked:
             self.transport.pause_reading()
+        self.record_memory()
 
     def begin(self) -> None:
         self.phase_start_s = self.loop.time()
@@ -147,7 +163,8 @@
             self.phase_start_s - one_way_s - opening_s,
             one_way_s,
         )
-        self.waiting.append((request, message.keep_open))
+        held = message.held_bytes + REQUEST_OVERHEAD_BYTES
+        self.waiting.append((request, message.keep_open, held))
         self.start_next()
 
     def send_continue(self) -> None:
@@ -158,7 +175,8 @@
     def start_next(self) -> None:
         """Starts to handle the next request if none is being handled."""
         if self.task is None and self.waiting and not self.write_paused:
-            request, keep_open = self.waiting.popleft()
+            request, keep_open, held = self.waiting.popleft()
+            self.handled_bytes = held + BODY_COPIES * len(request.body)
             self.task = self.loop.create_task(self.run(request, keep_open))
 
     def proceed(self) -> None:
@@ -182,6 +200,7 @@
             self.server.counts["handler-failed"] += 1
             response = http_messages.Response(500, [], close=True)
         self.task = None
+        self.handled_bytes = 0
         if self.transport.is_closing():
             return
         keep_open = keep_open and not response.close and not self.server.closing
@@ -201,6 +220,7 @@
             self.send_refusal()
         else:
             self.proceed()
+        self.record_memory()
 
     # Ends of the connection
 
@@ -224,9 +244,10 @@
     def send_refusal(self) -> None:
         """Sends the refusal, if there is one, and ends the connection."""
         if self.refusal_status:
+            headers = [RETRY_HEADER] if self.refusal_status == 503 else []
             self.transport.write(
                 http_wire.encode_response(
-                    self.refusal_status, [], b"", False, False
+                    self.refusal_status, headers, b"", False, False
                 )
             )
         self.close_gracefully()
@@ -263,6 +284,8 @@
         if unsent != self.unsent_bytes:
             self.unsent_bytes = unsent
             self.progress_s = now_s
+        if self in self.server.memory.held:
+            self.record_memory()
         if unsent:
             if now_s - self.progress_s > limits.idle_timeout_s:
                 self.server.counts["unread-closed"] += 1
@@ -277,3 +300,27 @@
         elif now_s - self.phase_start_s > limits.idle_timeout_s:
             self.server.counts["idle-closed"] += 1
             self.transport.close()
+
+    # Limits over all connections
+
+    def record_memory(self) -> None:
+        """Records the memory that is held for the caller."""
+        held = 0
+        if not self.transport.is_closing():
+            held = self.parser.held_bytes + len(self.unparsed)
+            held += self.handled_bytes + sum(row[2] for row in self.waiting)
+            held += self.transport.get_write_buffer_size()
+        self.server.memory.set(self, held)
+
+    def shed(self) -> None:
+        """Ends the connection because memory is short.
+
+        A request of which nothing was run yet is refused; others may run.
+        """
+        self.server.counts["shed"] += 1
+        _log.info("connection-shed", handling=self.handling)
+        is_read = not self.transport.get_write_buffer_size()
+        if self.parser.receiving and is_read and not self.handling:
+            self.refuse(503)
+        else:
+            self.abandon()
--- a/laurelrock/adapters/http_server.py
+++ b/laurelrock/adapters/http_server.py
@@ -11,6 +11,7 @@
 from laurelrock.adapters import http_connection
 from laurelrock.adapters import http_messages
 from laurelrock.adapters import logs
+from laurelrock.core import client_memory
 from laurelrock.core import routes
 
 __all__ = ["Request", "Response", "Server", "open_server"]
@@ -38,6 +39,7 @@
             caller has to open a new one.
         connections: Open connections.
         counts: Numbers of events by kind, for the metrics.
+        memory: Memory that is held for callers; other servers may share it.
         listener: Listening socket; None once closed.
     """
 
@@ -45,12 +47,14 @@
         self,
         handle: http_messages.Handler,
         limits: routes.Limits,
+        memory: client_memory.ClientMemory | None = None,
     ) -> None:
         self.handle = handle
         self.limits = limits
         self.closing = False
         self.connections: set[http_connection.Connection] = set()
         self.counts: collections.Counter[str] = collections.Counter()
+        self.memory = memory or client_memory.create_client_memory()
         self.listener: asyncio.Server | None = None
 
     @property
@@ -99,6 +103,7 @@
     handle: http_messages.Handler,
     address: tuple[str, int],
     limits: routes.Limits,
+    memory: client_memory.ClientMemory | None = None,
 ) -> Server:
     """Starts a server on an address.
 
@@ -106,12 +111,13 @@
         handle: Handler that returns the response to a request.
         address: Address and port.
         limits: Size and time limits for requests.
+        memory: Memory that is held for the callers of several servers.
 
     Raises:
         OSError: The address can't be listened on.
     """
     loop = asyncio.get_running_loop()
-    server = Server(handle, limits)
+    server = Server(handle, limits, memory)
     server.listener = await loop.create_server(
         lambda: http_connection.Connection(server), *address, backlog=BACKLOG
     )
--- a/laurelrock/adapters/request_parser.py
+++ b/laurelrock/adapters/request_parser.py
@@ -12,6 +12,8 @@
 #: Maximum number of bytes, per byte of the body, that its transfer encoding may
 #: add, and the size of a request line and of the ends of lines, in bytes.
 MAX_FRAMING_RATIO, FRAMING_SLACK_BYTES = 8, 1024
+#: Memory that a header field takes besides its bytes.
+HEADER_OVERHEAD_BYTES = 160
 
 
 class Message(typing.NamedTuple):
@@ -23,6 +25,7 @@
         headers: Header fields in the order sent, their names in lower case.
         body: Body, with its transfer encoding removed.
         keep_open: Whether the caller keeps the connection open after it.
+        held_bytes: Memory that the request takes.
     """
 
     method: bytes
@@ -30,6 +33,7 @@
     headers: http_wire.Headers
     body: bytes
     keep_open: bool
+    held_bytes: int
 
 
 class Receiver(typing.Protocol):
@@ -85,6 +89,15 @@
         self.begun = 0
         self.later_bytes = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request being received takes."""
+        if not self.receiving:
+            return 0
+        held = self.body_bytes + self.header_bytes
+        held += HEADER_OVERHEAD_BYTES * len(self.headers)
+        return held if self.headers_complete else held + self.later_bytes
+
     def stop(self) -> None:
         """Ignores further input and drops what is partly received."""
         self.stopped = True
@@ -190,6 +203,7 @@
         self.check_size()
         if self.stopped:
             return
+        held = self.held_bytes
         self.receiving = False
         message = Message(
             self.parser.get_method(),
@@ -197,6 +211,7 @@
             self.headers,
             bytes(self.body),
             self.parser.should_keep_alive(),
+            held,
         )
         self.headers, self.body = [], b""
         self.receiver.receive(message)
--- a/laurelrock/gateways/deployment.py
+++ b/laurelrock/gateways/deployment.py
@@ -2,12 +2,13 @@
 
 import typing
 
+from laurelrock.core import owners
 from laurelrock.core import retry_budget
 from laurelrock.core import tenancy
 from laurelrock.core import warm_up
 from laurelrock.ports import directory
 
-__all__ = ["Deployment", "create_vm_entry", "regions_of"]
+__all__ = ["Deployment", "create_vm", "create_vm_entry", "regions_of"]
 
 Address = tuple[str, int]
 
@@ -82,3 +83,9 @@
         address=":".join(map(str, options.peers)),
         cores=options.cores,
     )
+
+
+def create_vm(row: directory.VmEntry) -> owners.Vm:
+    """Returns a VM from its entry in the list."""
+    host = row["address"].rpartition(":")[0]
+    return owners.Vm(row["vm"], row["failure_domain"], host, row["cores"])
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -10,6 +10,7 @@
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
 from laurelrock.adapters import metrics
+from laurelrock.core import client_limits
 from laurelrock.core import homes
 from laurelrock.core import owners
 from laurelrock.core import registry
@@ -95,6 +96,7 @@
         isolation_detector: Detects whether this VM has lost all searchers.
         peers: Queries to other VMs for their state.
         handlers: The handlers of messages from other VMs, by type.
+        client_memory: The memory that is held for callers and other clients.
         servers: The servers for callers, readiness, other VMs and metrics.
         answers: Encodes the answers to callers, counts and logs them.
         counts: The number of answers by outcome.
@@ -126,7 +128,8 @@
         self.budget = retry_budget.create_budget(options.extra_call_policy)
         self.service_split = routes.WeightedSplit()
         row = deployment.create_vm_entry(options)
-        me = create_vm(row)
+        me = deployment.create_vm(row)
+        self.client_memory = client_limits.create_memory(options.memory_bytes)
         self.peer_links = frames.create_peer_links(
             *(peer_messages.KINDS, self.handle_message, self.link_ended),
             peer_messages.VERSIONS,
@@ -297,11 +300,12 @@
 
     def apply_vm_entries(self, rows: list[directory.VmEntry]) -> None:
         """Sets the list of VMs from the platform's entries."""
-        self.set_vms([create_vm(row) for row in rows])
+        self.set_vms([deployment.create_vm(row) for row in rows])
 
     def set_vms(self, vms: list[owners.Vm]) -> None:
         """Sets the list of VMs."""
-        self.follower.record_listed(create_vm(self.follower.me) in vms)
+        me = deployment.create_vm(self.follower.me)
+        self.follower.record_listed(me in vms)
         if vms == self.groups.assignment.vms:
             return
         self.vm_removal.set_vms(vms)
@@ -492,9 +496,3 @@
             in_hand=self.servers[0].busy,
             after_ms=round((self.loop.time() - begun_s) * 1000),
         )
-
-
-def create_vm(row: directory.VmEntry) -> owners.Vm:
-    """Returns a VM from its entry in the list."""
-    host = row["address"].rpartition(":")[0]
-    return owners.Vm(row["vm"], row["failure_domain"], host, row["cores"])
--- a/laurelrock/gateways/gateway_metrics.py
+++ b/laurelrock/gateways/gateway_metrics.py
@@ -61,6 +61,11 @@
         lambda: dict(gateway.vm_removal.counts),
         "Checks of other VMs, and those taken from the list",
     )
+    meters.gauge(
+        "laurelrock_client_bytes",
+        lambda: gateway.client_memory.held_bytes,
+        "Bytes of clients' requests and of responses that are not read",
+    )
     register_places_and_workspaces(gateway, meters)
     register_platform(gateway, meters)
     register_searchers(gateway.known, meters)
--- a/laurelrock/gateways/runner.py
+++ b/laurelrock/gateways/runner.py
@@ -39,7 +39,9 @@
         (opened.peers.answer, options.peers),
         (opened.answer_metrics, metrics_address),
     ):
-        server = await http_server.open_server(handle, address, routes.Limits())
+        server = await http_server.open_server(
+            handle, address, routes.Limits(), opened.client_memory
+        )
         opened.servers.append(server)
     port = options.peer_links_port
     await opened.peer_links.listen((options.address, port))
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -55,9 +55,29 @@
         chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
         await self.check(count, client_crowds.Script(CHUNKED, chunk, chunks))
 
+    async def test_large_chunks(self):
+        await self.check_bodies(150, 16_384)
+
     async def test_small_chunks(self):
         await self.check_bodies(8, 2)
 
+    async def test_bodies_on_other_listeners(self):
+        await self.start(gateway_process.Limits(), **LIMITS)
+        chunk = b"4000\r\n%b\r\n" % (b"x" * 0x4000)
+        script = client_crowds.Script(CHUNKED, chunk, 63)
+        for name in ("readiness", "peers", "metrics"):
+            with self.subTest(name):
+                await self.check(60, script, PORTS[name])
+
+
+class HeaderTest(CrowdTest):
+    async def test_many_small_fields(self):
+        await self.start(gateway_process.Limits(), **LIMITS)
+        before = b"GET /single/x HTTP/1.1\r\n" + HOST_LINE
+        fields = (MAX_HEADER_BYTES - 1024) // 7
+        script = client_crowds.Script(before, b"a: b\r\n", fields)
+        await self.check(400, script)
+
 
 class ReadAheadTest(CrowdTest):
     """Requests that are sent ahead, and whose answers are not read."""
