Close idle connections before the descriptors run out

Callers saw: no answers from a gateway while others kept more connections open than it has descriptors for, idle or with a part of a request. Cause: asyncio accepts all connections that wait. At the limit a process can neither accept an ordinary caller nor open a connection to a searcher. Change: each HTTP port accepts as many connections as its share of the descriptors allows, for callers also of the memory, since each may hold 64 KB in the kernel. Beyond that the connections that can best be spared are closed: first those without a request, never one whose request is handled. The kernel's receive buffers have a fixed size.

--- a/laurelrock/adapters/http_connection.py
+++ b/laurelrock/adapters/http_connection.py
@@ -13,6 +13,7 @@
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
 from laurelrock.adapters import request_parser
+from laurelrock.core import evictions
 from laurelrock.core import routes
 
 if typing.TYPE_CHECKING:
@@ -32,8 +33,7 @@
 #: Time for a caller to read the last response before its connection is closed,
 #: in seconds.
 LINGER_S = 0.5
-#: Time for which a stopping process waits for the first request of a connection
-#: that it accepted, in seconds.
+#: Time for which a connection without a request counts as new, in seconds.
 FIRST_REQUEST_GRACE_S = 1.0
 #: Header of the refusal of a request for which memory is short.
 RETRY_HEADER = (b"retry-after", b"1")
@@ -114,6 +114,8 @@
         if self.task is not None:
             self.server.counts["caller-left"] += 1
             self.task.cancel()
+        if self.server.listener is not None:
+            self.server.listener.release()
 
     def data_received(self, data: bytes) -> None:
         if self.parser.stopped:
@@ -324,3 +326,13 @@
             self.refuse(503)
         else:
             self.abandon()
+
+    def eviction_state(self, now_s: float) -> evictions.ConnectionState:
+        """Returns what decides whether the connection is closed for another."""
+        return evictions.ConnectionState(
+            handling=self.handling,
+            ended=self.parser.stopped,
+            unsent=self.transport.get_write_buffer_size() > 0,
+            used=self.requests > 0,
+            new=now_s - self.phase_start_s < FIRST_REQUEST_GRACE_S,
+        )
--- a/laurelrock/adapters/http_server.py
+++ b/laurelrock/adapters/http_server.py
@@ -8,18 +8,20 @@
 import asyncio
 import collections
 
+from laurelrock.adapters import acceptor
 from laurelrock.adapters import http_connection
 from laurelrock.adapters import http_messages
 from laurelrock.adapters import logs
 from laurelrock.core import client_memory
+from laurelrock.core import evictions
 from laurelrock.core import routes
 
 __all__ = ["Request", "Response", "Server", "open_server"]
 
 #: Interval between two checks for idle and slow connections, in seconds.
 SWEEP_INTERVAL_S = 0.2
-#: Maximum number of connections that wait in the kernel to be accepted.
-BACKLOG = 1024
+#: Maximum number of open connections if the settings give none.
+DEFAULT_CONNECTIONS = 1024
 
 Request = http_messages.Request
 Response = http_messages.Response
@@ -55,7 +57,7 @@
         self.connections: set[http_connection.Connection] = set()
         self.counts: collections.Counter[str] = collections.Counter()
         self.memory = memory or client_memory.create_client_memory()
-        self.listener: asyncio.Server | None = None
+        self.listener: acceptor.Acceptor | None = None
 
     @property
     def busy(self) -> int:
@@ -97,6 +99,26 @@
         """Ends the connections that exceed a time limit."""
         for connection in list(self.connections):
             connection.check_timeouts(now_s)
+        if self.listener is not None and self.listener.paused:
+            self.evict()
+
+    def evict(self) -> None:
+        """Closes the connections that can best be spared, to accept others."""
+        if self.listener is None:
+            return
+        evicted = evictions.choose(
+            self.connections,
+            asyncio.get_running_loop().time(),
+            self.listener.max_connections,
+        )
+        for connection in evicted:
+            self.counts["evicted"] += 1
+            connection.abandon()
+        _log.info(
+            "connections-evicted",
+            count=len(evicted),
+            open=len(self.connections),
+        )
 
 
 async def open_server(
@@ -104,22 +126,27 @@
     address: tuple[str, int],
     limits: routes.Limits,
     memory: client_memory.ClientMemory | None = None,
+    max_connections: int = DEFAULT_CONNECTIONS,
 ) -> Server:
     """Starts a server on an address.
 
     Args:
         handle: Handler that returns the response to a request.
-        address: Address and port.
+        address: IPv4 address and port.
         limits: Size and time limits for requests.
         memory: Memory that is held for the callers of several servers.
+        max_connections: Maximum number of open connections.
 
     Raises:
         OSError: The address can't be listened on.
     """
     loop = asyncio.get_running_loop()
     server = Server(handle, limits, memory)
-    server.listener = await loop.create_server(
-        lambda: http_connection.Connection(server), *address, backlog=BACKLOG
+    server.listener = acceptor.open_acceptor(
+        address,
+        lambda: http_connection.Connection(server),
+        server.evict,
+        max_connections,
     )
 
     def sweep() -> None:
--- a/laurelrock/gateways/deployment.py
+++ b/laurelrock/gateways/deployment.py
@@ -28,6 +28,7 @@
         peer_links_port: The port of messages between VMs, the same on all VMs.
         cores: The number of processor cores available to the process.
         memory_bytes: The memory in bytes above which the process is killed.
+        max_descriptors: The maximum number of descriptors of the process.
         link_bytes_per_s: The bandwidth of this VM's network link, in bytes per
             second.
         store: The address of the platform's store.
@@ -68,6 +69,7 @@
     warm_up_policy: warm_up.WarmUpPolicy = warm_up.WarmUpPolicy()
     weighs_domains: bool = True
     crossing_price_per_mb: float = 0.0
+    max_descriptors: int = 1024
 
 
 def regions_of(options: Deployment) -> dict[str, str]:
--- a/laurelrock/gateways/runner.py
+++ b/laurelrock/gateways/runner.py
@@ -8,6 +8,7 @@
 from laurelrock.adapters import http_server
 from laurelrock.adapters import logs
 from laurelrock.adapters import metrics
+from laurelrock.core import client_limits
 from laurelrock.core import routes
 from laurelrock.gateways import deployment
 from laurelrock.gateways import gateway
@@ -32,19 +33,22 @@
 ) -> None:
     """Opens the ports and starts to follow the platform."""
     options = opened.deployment
+    limits = client_limits.create_connection_limits(
+        options.memory_bytes, options.max_descriptors
+    )
     metrics_address = (options.address, metrics_port)
-    for handle, address in (
-        (opened.answer, options.callers),
-        (opened.answer_readiness, options.readiness),
-        (opened.peers.answer, options.peers),
-        (opened.answer_metrics, metrics_address),
+    for handle, address, max_connections in (
+        (opened.answer, options.callers, limits.callers),
+        (opened.answer_readiness, options.readiness, limits.others),
+        (opened.peers.answer, options.peers, limits.others),
+        (opened.answer_metrics, metrics_address, limits.others),
     ):
         server = await http_server.open_server(
-            handle, address, routes.Limits(), opened.client_memory
+            *(handle, address, routes.Limits()),
+            *(opened.client_memory, max_connections),
         )
         opened.servers.append(server)
-    port = options.peer_links_port
-    await opened.peer_links.listen((options.address, port))
+    await opened.peer_links.listen((options.address, options.peer_links_port))
     gateway_metrics.register(opened)
     for run_loop in (
         opened.follower.expire_entries,
--- a/laurelrock/platform/settings.py
+++ b/laurelrock/platform/settings.py
@@ -3,6 +3,7 @@
 import collections.abc
 import os
 import pathlib
+import resource
 
 import msgspec
 
@@ -110,6 +111,7 @@
         peer_links_port=ports[0],
         cores=limits.number("cpu_share", 1.0) * limits.number("cpu_cores", 1),
         memory_bytes=limits.number("memory_mb", DEFAULT_MEMORY_MB) * 1e6,
+        max_descriptors=read_max_descriptors(limits),
         link_bytes_per_s=limits.number("link_mbps", DEFAULT_LINK_MBPS)
         * 1e6
         / 8,
@@ -134,6 +136,15 @@
     )
 
 
+def read_max_descriptors(limits: objects.Fields) -> int:
+    """Decodes the number of descriptors; raises `FieldError`.
+
+    Settings that lack it leave what the operating system allows.
+    """
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return int(limits.number("max_fds", allowed))
+
+
 def read_extra_call_policy(bounds: objects.Fields) -> retry_budget.Policy:
     """Decodes the limits of extra calls; raises `FieldError`."""
     default = retry_budget.Policy()
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -61,6 +61,14 @@
     async def test_small_chunks(self):
         await self.check_bodies(8, 2)
 
+    async def test_complete_bodies(self):
+        await self.start(gateway_process.Limits(), **LIMITS)
+        body = b"x" * MAX_BODY_BYTES
+        raw = callers.encode_request(
+            build.HOST, "/single/x", method="POST", body=body
+        )
+        await self.check(150, client_crowds.Script(raw))
+
     async def test_bodies_on_other_listeners(self):
         await self.start(gateway_process.Limits(), **LIMITS)
         chunk = b"4000\r\n%b\r\n" % (b"x" * 0x4000)
@@ -110,6 +118,13 @@
             + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\nx"
         )
 
+    async def test_with_long_answers(self):
+        body = b"x" * 500_000
+        raw = callers.encode_request(
+            build.HOST, "/single/x", method="POST", body=body
+        )
+        await self.check_requests(raw, 40)
+
     async def test_at_the_path_that_says_ready(self):
         await self.check_requests(
             b"GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n",
@@ -127,6 +142,33 @@
         )
 
 
+class ConnectionTest(CrowdTest):
+    """More connections than the process may have descriptors."""
+
+    limits = gateway_process.Limits(max_fds=700)
+
+    async def check_connections(self, sent, port=gateway_process.CALLERS_PORT):
+        await self.start(self.limits, **LIMITS)
+        await self.check(900, client_crowds.Script(sent), port)
+
+    async def test_idle(self):
+        await self.check_connections(b"")
+
+    async def test_with_a_part_of_a_request(self):
+        await self.check_connections(b"GET /single/x HTT")
+
+    async def test_idle_after_a_request(self):
+        await self.check_connections(
+            b"GET / HTTP/1.1\r\n" + HOST_LINE + b"\r\n"
+        )
+
+    async def test_on_other_listeners(self):
+        await self.start(self.limits, **LIMITS)
+        for name in ("readiness", "peers", "metrics"):
+            with self.subTest(name):
+                await self.check(900, client_crowds.Script(), PORTS[name])
+
+
 class OrdinaryTest(gateway_process.GatewayProcessCase):
     """Single clients within the limits, without a crowd."""
 
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -1,8 +1,11 @@
-"""Tests of the memory that is held for clients."""
+"""Tests of the memory that is held for clients, and of evictions."""
 
+import typing
 import unittest
 
+from laurelrock.core import client_limits
 from laurelrock.core import client_memory
+from laurelrock.core import evictions
 
 
 class Client:
@@ -83,3 +86,56 @@
         self.memory.release(client)
         self.memory.release(client)
         self.assertEqual(self.memory.held_bytes, 0)
+
+
+class Row(typing.NamedTuple):
+    """A connection's state and its expected rank."""
+
+    rank: int | None
+    handling: bool = False
+    ended: bool = False
+    unsent: bool = False
+    used: bool = True
+    new: bool = False
+
+
+class EvictionTest(unittest.TestCase):
+    ROWS = (
+        Row(None, handling=True),
+        Row(None, handling=True, ended=True),
+        Row(0, ended=True),
+        Row(0, ended=True, unsent=True),
+        Row(1, used=False),
+        Row(2, unsent=True),
+        Row(3),
+        Row(3, new=True),
+        Row(4, used=False, new=True),
+    )
+
+    def test_ranks(self):
+        for row in self.ROWS:
+            with self.subTest(row):
+                state = evictions.ConnectionState(*row[1:])
+                self.assertEqual(evictions.eviction_rank(state), row.rank)
+
+
+class ConnectionLimitsTest(unittest.TestCase):
+    """The limits on the smallest and the largest of the users' VMs."""
+
+    def test_all_limits_fit(self):
+        for memory_bytes, descriptors in ((152e6, 2870), (552e6, 8192)):
+            with self.subTest(memory_bytes):
+                limits = client_limits.create_connection_limits(
+                    memory_bytes, descriptors
+                )
+                accepted = limits.callers + 3 * limits.others + limits.links
+                self.assertLess(accepted, 0.7 * (descriptors - 200))
+                unread = limits.callers * client_limits.UNREAD_BYTES
+                memory = client_limits.create_memory(memory_bytes)
+                self.assertLessEqual(
+                    unread + memory.max_bytes, memory_bytes / 2
+                )
+
+    def test_few_descriptors_still_allow_connections(self):
+        limits = client_limits.create_connection_limits(100e6, 50)
+        self.assertGreater(min(limits), 0)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -7,6 +7,7 @@
 
 from laurelrock.adapters import http_server
 from laurelrock.adapters import http_wire
+from laurelrock.core import client_memory
 from laurelrock.core import routes
 
 LIMITS = routes.Limits(
@@ -88,11 +89,12 @@
 )  # fmt: skip
 
 
-class ServerTest(unittest.IsolatedAsyncioTestCase):
+class ServerCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.seen = []
         self.cancelled = 0
         self.wait_s = 0.0
+        self.body = b"ok"
         self.server = await http_server.open_server(
             self.handle, ("127.0.0.1", 0), LIMITS
         )
@@ -106,7 +108,7 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
-        return http_server.Response(200, [], b"ok")
+        return http_server.Response(200, [], self.body)
 
     async def connect(self):
         reader, writer = await asyncio.open_connection(*self.address)
@@ -128,6 +130,8 @@
         except TimeoutError:
             return statuses, False
 
+
+class ServerTest(ServerCase):
     async def test_caller_start_is_estimated_from_the_round_trip(self):
         with unittest.mock.patch.object(
             http_wire, "round_trip_s", return_value=0.006
@@ -223,3 +227,120 @@
             self.assertEqual(await self.read(reader), 200)
         targets = [request.target for request in self.seen]
         self.assertEqual(targets, [b"/%d" % n for n in range(100)])
+
+
+class MisbehavingCallersTest(ServerCase):
+    """Callers that use up memory or connections, one limit at a time."""
+
+    HEADERS = GET + b"X-A: " + b"a" * 200 + b"\r\n\r\n"
+
+    async def open(self, max_bytes=10_000_000, max_connections=8, **limits):
+        memory = client_memory.create_client_memory(max_bytes)
+        self.server = await http_server.open_server(
+            *(self.handle, ("127.0.0.1", 0), LIMITS._replace(**limits)),
+            *(memory, max_connections),
+        )
+        self.addCleanup(self.server.stop_listening)
+        self.address = self.server.listener.sockets[0].getsockname()
+
+    async def settle(self):
+        await asyncio.sleep(0.1)
+
+    async def test_requests_sent_ahead_wait_while_answers_are_unread(self):
+        self.body = b"x" * 1_000_000
+        await self.open(idle_timeout_s=20.0)
+        reader, writer = await self.connect()
+        writer.transport.pause_reading()
+        writer.write(1000 * (GET + b"\r\n"))
+        await self.settle()
+        self.assertLess(len(self.seen), 20)
+        (connection,) = self.server.connections
+        self.assertLess(len(connection.waiting), 200)
+        writer.transport.resume_reading()
+        for _ in range(100):
+            self.assertEqual(await self.read(reader), 200)
+
+    async def test_caller_that_reads_nothing_is_disconnected(self):
+        self.body = b"x" * 50_000_000
+        await self.open(max_bytes=1_000_000_000)
+        _, writer = await self.connect()
+        writer.transport.pause_reading()
+        writer.write(GET + b"\r\n")
+        async with asyncio.timeout(5):
+            while not self.server.counts["unread-closed"]:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        await self.settle()
+        self.assertEqual(self.server.memory.held, {})
+        self.assertEqual(self.server.listener.open_connections, 0)
+
+    async def test_incomplete_request_is_refused_for_lack_of_memory(self):
+        await self.open(max_bytes=6000, header_timeout_s=20.0)
+        rows = []
+        for _ in range(5):
+            rows.append(await self.connect())
+            head = POST + b"Content-Length: 1000\r\n\r\n"
+            rows[-1][1].write(head + b"x" * 900)
+            await self.settle()
+        reader, _ = rows[0]
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 503 ", head)
+        self.assertIn(b"retry-after: 1", head)
+        self.assertEqual(await reader.read(), b"")
+        reader, writer = rows[-1]
+        writer.write(b"x" * 100)
+        self.assertEqual(await self.read(reader), 200)
+        self.assertEqual(len(self.seen), 1)
+
+    async def test_memory_is_released_after_each_answer(self):
+        await self.open()
+        reader, writer = await self.connect()
+        for _ in range(3):
+            writer.write(self.HEADERS)
+            self.assertEqual(await self.read(reader), 200)
+        writer.close()
+        await self.settle()
+        self.assertEqual(self.server.memory.held, {})
+        self.assertEqual(self.server.memory.held_bytes, 0)
+
+    async def test_idle_connection_makes_room_for_another(self):
+        await self.open(max_connections=2, idle_timeout_s=20.0)
+        rows = [await self.connect() for _ in range(3)]
+        rows[2][1].write(GET + b"\r\n")
+        self.assertEqual(await self.read(rows[2][0]), 200)
+        self.assertEqual(await rows[0][0].read(), b"")
+        self.assertLessEqual(self.server.listener.open_connections, 2)
+        self.assertEqual(self.server.counts["evicted"], 1)
+
+    async def test_requests_in_progress_are_not_evicted(self):
+        self.wait_s = 0.4
+        await self.open(max_connections=2)
+        rows = []
+        for _ in range(3):
+            rows.append(await self.connect())
+            rows[-1][1].write(GET + b"\r\n")
+            await self.settle()
+        for reader, _ in rows:
+            async with asyncio.timeout(5):
+                self.assertEqual(await self.read(reader), 200)
+
+    async def test_failure_to_accept_is_tried_again(self):
+        await self.open()
+        failures = iter([OSError(24, "Too many open files")])
+        accept = self.server.listener.sock.accept
+
+        class Listener:
+            """The listening socket, which fails once."""
+
+            def accept(self):
+                for error in failures:
+                    raise error
+                return accept()
+
+            def __getattr__(self, name):
+                return getattr(sock, name)
+
+        sock = self.server.listener.sock
+        self.server.listener.sock = Listener()
+        reader, writer = await self.connect()
+        writer.write(GET + b"\r\n")
+        self.assertEqual(await self.read(reader), 200)
