Limit what the links of other VMs can hold

Callers saw: no answers, and a gateway that ran out of memory, while others used the port for messages between VMs. Cause: an incomplete frame may take 4 MB and unread replies as much, on any number of connections. Messages of an unknown kind were decoded and logged without end. A link is reset after 1,000 messages that are not known. Encoding of messages moves to message_codec.py.

--- a/laurelrock/adapters/frames.py
+++ b/laurelrock/adapters/frames.py
@@ -19,16 +19,18 @@
 
 import asyncio
 import collections.abc
-import types
 import typing
 import zlib
 
 import msgspec
 
 from laurelrock import errors
+from laurelrock.adapters import acceptor
 from laurelrock.adapters import http_wire
 from laurelrock.adapters import logs
+from laurelrock.adapters import message_codec
 from laurelrock.adapters import message_versions
+from laurelrock.core import client_memory
 
 __all__ = [
     "Link",
@@ -37,18 +39,12 @@
     "PeerVersion",
     "UnknownKind",
     "create_peer_links",
-    "decode",
 ]
 
 #: Size of the largest frame that is accepted, in bytes.
 MAX_FRAME_BYTES = 4_194_304
 #: Size of a frame's length field, in bytes.
 LENGTH_BYTES = 4
-#: Size from which a body is compressed, in bytes. A configuration of 1,750
-#: routes takes 155 kB, and 19 kB compressed. Compression takes 1 ms, sending
-#: the plain body on a link of 10 Mbit/s 120 ms.
-MIN_COMPRESSED_BODY_BYTES = 4096
-COMPRESSION_LEVEL = 1
 #: Bit of the kind byte that marks a compressed body.
 COMPRESSED_FLAG = 0x80
 #: Kind of `UnknownKind`. Versions that don't know it drop it without a reply.
@@ -63,6 +59,8 @@
 #: Unsent bytes above which the connection to a peer that doesn't read is
 #: closed.
 MAX_SEND_BUFFER_BYTES = 4_194_304
+#: Number of frames without a known message after which a connection is closed.
+MAX_FAULTY_FRAMES = 1000
 
 Address = tuple[str, int]
 Message = typing.Any
@@ -114,6 +112,10 @@
         current: Whether the peer decodes all messages of this version.
         held: Messages that wait until the peer's version is known, each with
             whether it must be sent as a whole.
+        faulty_frames: Number of frames without a message that is known.
+        messages: Number of messages received.
+        progress_s: Loop time at which the peer last sent or read something.
+        handling: Always false; see `client_memory.Holder`.
     """
 
     def __init__(
@@ -126,6 +128,14 @@
         self.received = b""
         self.version_known = self.current = peer_links.versions is None
         self.held: list[tuple[Message, bool]] = []
+        self.faulty_frames = self.messages = 0
+        self.handling = False
+        self.progress_s = peer_links.loop.time()
+
+    @property
+    def closing(self) -> bool:
+        """Whether the connection is not open any more, or not yet."""
+        return self.transport is None or self.transport.is_closing()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = typing.cast(asyncio.Transport, transport)
@@ -141,9 +151,19 @@
             self.queued_frames.clear()
 
     def connection_lost(self, error: Exception | None) -> None:
+        self.received = b""
         self.peer_links.remove_link(self)
 
+    def pause_writing(self) -> None:
+        self.record_memory()
+
+    def resume_writing(self) -> None:
+        self.progress_s = self.peer_links.loop.time()
+        self.record_memory()
+
     def data_received(self, data: bytes) -> None:
+        self.progress_s = self.peer_links.loop.time()
+        was_partial = bool(self.received)
         data = self.received + data if self.received else data
         at = 0
         while len(data) - at > LENGTH_BYTES:
@@ -159,7 +179,13 @@
                 data[at + LENGTH_BYTES], data[at + LENGTH_BYTES + 1 : end]
             )
             at = end
+            if self.faulty_frames > MAX_FAULTY_FRAMES:
+                _log.warning("too-many-faulty-frames", peer=self.address)
+                self.close()
+                return
         self.received = data[at:]
+        if self.received or was_partial:
+            self.record_memory()
 
     def handle_frame(self, kind: int, body: bytes) -> None:
         """Decodes one frame and passes its message to the handler.
@@ -173,15 +199,18 @@
         )
         if message_type is None:
             _log.warning("frame-kind-unknown", kind=kind)
+            self.faulty_frames += 1
             self.send(UnknownKind(kind & ~COMPRESSED_FLAG))
             return
         try:
             if kind & COMPRESSED_FLAG:
-                body = zlib.decompressobj().decompress(body, MAX_FRAME_BYTES)
-            message: Message = decode(body, message_type)
+                body = message_codec.decompress(body, MAX_FRAME_BYTES)
+            message: Message = message_codec.decode(body, message_type)
         except (msgspec.DecodeError, zlib.error) as error:
             _log.warning("frame-undecodable", kind=kind, reason=str(error))
+            self.faulty_frames += 1
             return
+        self.messages += 1
         if not isinstance(message, PeerVersion):
             self.peer_links.handle(self, message)
 
@@ -191,7 +220,7 @@
         number = 0
         if kind == VERSION_KIND:
             try:
-                number = decode(body, PeerVersion).number
+                number = message_codec.decode(body, PeerVersion).number
             except msgspec.DecodeError as error:
                 _log.warning("frame-undecodable", kind=kind, reason=str(error))
         self.version_known = True
@@ -266,8 +295,22 @@
             _log.warning("send-buffer-full", peer=self.address)
             self.close()
 
+    def record_memory(self) -> None:
+        """Records the memory that is held for a peer that connected."""
+        held = 0
+        if self.transport is not None and not self.closing:
+            held = len(self.received) + self.transport.get_write_buffer_size()
+        if self.address is None:
+            self.peer_links.memory.set(self, held)
+
+    def shed(self) -> None:
+        """Ends the connection because memory is short."""
+        _log.warning("connection-shed", bytes=len(self.received))
+        self.close()
+
     def close(self) -> None:
         """Resets the connection."""
+        self.received = b""
         if self.transport is not None:
             http_wire.reset(self.transport)
 
@@ -286,6 +329,7 @@
         links: Links that this gateway opened, by address of the peer.
         accepted: Links that other gateways opened.
         listener: Listening socket; None before `listen`.
+        memory: Memory that is held for accepted links and other clients.
         loop: Event loop of the connections.
         tasks: Tasks that are opening connections, kept from collection.
     """
@@ -296,6 +340,7 @@
         handle: collections.abc.Callable[[Link, Message], None],
         on_link_ended: collections.abc.Callable[[Link], None],
         versions: message_versions.Versions | None = None,
+        memory: client_memory.ClientMemory | None = None,
     ) -> None:
         message_types = {**message_types, UNKNOWN_KIND: UnknownKind}
         self.versions = versions
@@ -314,7 +359,8 @@
         self.on_link_ended = on_link_ended
         self.links: dict[Address, Link] = {}
         self.accepted: set[Link] = set()
-        self.listener: asyncio.Server | None = None
+        self.listener: acceptor.Acceptor | None = None
+        self.memory = memory or client_memory.create_client_memory()
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -337,10 +383,9 @@
 
     def encode_fields(self, kind: int, fields: typing.Any) -> bytes:
         """Returns the frame of a message's fields."""
-        body = msgspec.msgpack.encode(fields)
-        if len(body) >= MIN_COMPRESSED_BODY_BYTES:
+        body, compressed = message_codec.encode(fields)
+        if compressed:
             kind |= COMPRESSED_FLAG
-            body = zlib.compress(body, COMPRESSION_LEVEL)
         size = len(body) + 1
         return size.to_bytes(LENGTH_BYTES) + bytes((kind,)) + body
 
@@ -368,12 +413,24 @@
         links = {*self.links.values(), *self.accepted}
         return sum(row.version_known and not row.current for row in links)
 
-    async def listen(self, address: Address) -> None:
-        """Starts to accept connections at an address."""
-        self.listener = await self.loop.create_server(
-            lambda: Link(self, None), *address
+    async def listen(self, address: Address, max_links: int) -> None:
+        """Starts to accept up to `max_links` connections at an address."""
+        self.listener = acceptor.open_acceptor(
+            address, lambda: Link(self, None), self.evict, max_links
         )
 
+    def evict(self) -> None:
+        """Closes an accepted link to accept another one.
+
+        Links without a message go first, and then the one that is silent for
+        longest. A peer opens its link again when it sends the next message.
+        """
+        rows = [row for row in self.accepted if not row.closing]
+        if rows:
+            link = min(rows, key=lambda row: (row.messages > 0, row.progress_s))
+            _log.info("link-evicted", messages=link.messages)
+            link.close()
+
     def link(self, address: Address) -> Link:
         """Returns the link to a peer, and starts to open it if there is none.
 
@@ -399,6 +456,9 @@
     def remove_link(self, link: Link) -> None:
         """Removes a link that ended and reports it."""
         self.accepted.discard(link)
+        self.memory.release(link)
+        if link.address is None and self.listener is not None:
+            self.listener.release()
         if link.address is not None and self.links.get(link.address) is link:
             del self.links[link.address]
         self.on_link_ended(link)
@@ -416,6 +476,7 @@
     handle: collections.abc.Callable[[Link, Message], None],
     on_link_ended: collections.abc.Callable[[Link], None],
     versions: message_versions.Versions | None = None,
+    memory: client_memory.ClientMemory | None = None,
 ) -> PeerLinks:
     """Returns a set of links, empty and not yet listening.
 
@@ -425,6 +486,7 @@
         on_link_ended: Callback for a link that ended or could not be opened.
         versions: The differences from the previous version's messages; None if
             all peers run the same version.
+        memory: Memory that is held for links that peers open and for others.
 
     Raises:
         SettingsError: A kind is out of this range.
@@ -433,50 +495,4 @@
         raise errors.SettingsError(
             f"kinds {sorted(message_types)} are not from 1 to 126"
         )
-    return PeerLinks(message_types, handle, on_link_ended, versions)
-
-
-def decode(body: bytes, message_type: type) -> Message:
-    """Decodes a message, also if it has more fields than its type.
-
-    Raises:
-        DecodeError: The body isn't a message of the type.
-    """
-    try:
-        return msgspec.msgpack.decode(body, type=message_type)
-    except msgspec.ValidationError:
-        # msgspec accepts shorter arrays for a tuple with defaults, but not
-        # longer ones.
-        row = drop_extra_fields(msgspec.msgpack.decode(body), message_type)
-        return msgspec.convert(row, type=message_type)
-
-
-def drop_extra_fields(value: typing.Any, wanted: typing.Any) -> typing.Any:
-    """Returns a decoded value without the fields that its type doesn't have.
-
-    This includes the messages that it contains.
-    """
-    if isinstance(wanted, type) and hasattr(wanted, "_fields"):
-        if not isinstance(value, list):
-            return value
-        hints = typing.get_type_hints(wanted)
-        return [
-            drop_extra_fields(item, hints[name])
-            for item, name in zip(value, wanted._fields, strict=False)
-        ]
-    arguments = typing.get_args(wanted)
-    if isinstance(value, dict) and len(arguments) == 2:
-        return {
-            key: drop_extra_fields(item, arguments[1])
-            for key, item in value.items()
-        }
-    if typing.get_origin(wanted) in (typing.Union, types.UnionType):
-        for option in arguments:
-            value = drop_extra_fields(value, option)
-        return value
-    if not isinstance(value, list) or not arguments:
-        return value
-    if len(arguments) == len(value) and ... not in arguments:
-        pairs = zip(value, arguments, strict=True)
-        return [drop_extra_fields(item, row) for item, row in pairs]
-    return [drop_extra_fields(item, arguments[0]) for item in value]
+    return PeerLinks(message_types, handle, on_link_ended, versions, memory)
--- a/laurelrock/gateways/gateway.py
+++ b/laurelrock/gateways/gateway.py
@@ -132,7 +132,7 @@
         self.client_memory = client_limits.create_memory(options.memory_bytes)
         self.peer_links = frames.create_peer_links(
             *(peer_messages.KINDS, self.handle_message, self.link_ended),
-            peer_messages.VERSIONS,
+            *(peer_messages.VERSIONS, self.client_memory),
         )
         messaging = (self.peer_links, me, options.peer_links_port)
         self.lending = lending.create_lending(self.budget, *messaging)
--- a/laurelrock/gateways/runner.py
+++ b/laurelrock/gateways/runner.py
@@ -48,7 +48,9 @@
             *(opened.client_memory, max_connections),
         )
         opened.servers.append(server)
-    await opened.peer_links.listen((options.address, options.peer_links_port))
+    await opened.peer_links.listen(
+        (options.address, options.peer_links_port), limits.links
+    )
     gateway_metrics.register(opened)
     for run_loop in (
         opened.follower.expire_entries,
--- a/tests/old_messages.py
+++ b/tests/old_messages.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from laurelrock.adapters import frames
+from laurelrock.adapters import message_codec
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import peer_messages
 from laurelrock.gateways import peers
@@ -147,8 +148,8 @@
     """Returns a present message with the fields of its old type."""
     body = msgspec.msgpack.encode(message)
     if isinstance(message, peers.Snapshot):
-        return frames.decode(body, TYPES["Snapshot"])
-    return frames.decode(body, KINDS[PRESENT_KINDS[type(message)]])
+        return message_codec.decode(body, TYPES["Snapshot"])
+    return message_codec.decode(body, KINDS[PRESENT_KINDS[type(message)]])
 
 
 class OldLink(frames.Link):
@@ -172,7 +173,7 @@
             links.dropped.append(kind)
             return
         links.received.append(message)
-        present = frames.decode(body, peer_messages.KINDS[kind])
+        present = message_codec.decode(body, peer_messages.KINDS[kind])
         if isinstance(present, group_messages.Ping):
             # That version answers pings without a sender as well.
             present = group_messages.Ping("vm")
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from fakes import callers
+from laurelrock.adapters import frames
 from tests import client_crowds
 from tests import gateway_builders as build
 from tests import gateway_process
@@ -168,6 +169,25 @@
             with self.subTest(name):
                 await self.check(900, client_crowds.Script(), PORTS[name])
 
+    async def test_of_other_vms(self):
+        await self.check_connections(b"", gateway_process.PEER_LINKS_PORT)
+
+
+class PeerLinkTest(CrowdTest):
+    """Connections at the port for messages between VMs."""
+
+    async def test_frames_cut_short(self):
+        await self.start(gateway_process.Limits(), **LIMITS)
+        length = frames.MAX_FRAME_BYTES.to_bytes(frames.LENGTH_BYTES)
+        script = client_crowds.Script(length, b"x" * 65_536, 63)
+        await self.check(40, script, gateway_process.PEER_LINKS_PORT)
+
+    async def test_replies_that_are_not_read(self):
+        await self.start(gateway_process.Limits(), **LIMITS)
+        frame = (1).to_bytes(frames.LENGTH_BYTES) + b"\x7e"
+        script = client_crowds.Script(b"", frame, 400_000)
+        await self.check(40, script, gateway_process.PEER_LINKS_PORT)
+
 
 class OrdinaryTest(gateway_process.GatewayProcessCase):
     """Single clients within the limits, without a crowd."""
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -36,7 +36,7 @@
         self.ended = []
         self.address = (gateways.HOST, gateways.free_ports(1)[0])
         self.server = self.create()
-        await self.server.listen(self.address)
+        await self.server.listen(self.address, 8)
         self.client = self.create()
 
     def create(self):
@@ -135,3 +135,38 @@
                 self.assertEqual(ended, not survives)
                 writer.transport.abort()
         self.assertEqual(self.seen, [])
+
+    async def test_link_without_a_message_makes_room_for_another(self):
+        link = self.client.link(self.address)
+        link.send(SampleMessage(1, b""))
+        await self.until(lambda: self.seen)
+        for _ in range(10):
+            _, writer = await asyncio.open_connection(*self.address)
+            self.addCleanup(writer.transport.abort)
+        await self.until(lambda: self.server.listener.open_connections <= 8)
+        link.send(SampleMessage(2, b""))
+        await self.until(lambda: len(self.seen) == 2)
+        self.assertIs(self.seen[0][0], self.seen[1][0])
+
+    async def test_peer_that_sends_many_unknown_messages_is_disconnected(self):
+        _, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.transport.abort)
+        frame = (3).to_bytes(4) + b"\x09ab"
+        writer.write(frame * frames.MAX_FAULTY_FRAMES)
+        await self.until(lambda: self.server.accepted)
+        (link,) = self.server.accepted
+        await self.until(lambda: link.faulty_frames == frames.MAX_FAULTY_FRAMES)
+        self.assertFalse(link.closing)
+        writer.write(frame)
+        await self.until(lambda: not self.server.accepted)
+
+    async def test_incomplete_frames_are_shed_for_lack_of_memory(self):
+        self.server.memory.max_bytes = 2_000_000
+        for _ in range(4):
+            _, writer = await asyncio.open_connection(*self.address)
+            self.addCleanup(writer.transport.abort)
+            writer.write((4_000_000).to_bytes(4) + b"x" * 900_000)
+        await self.until(lambda: self.server.memory.shed == 2)
+        self.assertLessEqual(self.server.memory.held_bytes, 2_000_000)
+        self.client.link(self.address).send(SampleMessage(1, b""))
+        await self.until(lambda: self.seen)
--- a/tests/test_message_versions.py
+++ b/tests/test_message_versions.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from laurelrock.adapters import frames
+from laurelrock.adapters import message_codec
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import peer_messages
 from tests import gateways
@@ -62,7 +63,7 @@
         )
         self.addCleanup(server.close)
         self.addCleanup(client.close)
-        await server.listen(address)
+        await server.listen(address, 8)
         for message in messages:
             client.link(address).send(message)
         async with asyncio.timeout(3):
@@ -94,12 +95,12 @@
             with self.subTest(wanted.__name__):
                 message = msgspec.convert(sample(wanted, []), type=wanted)
                 longer = msgspec.msgpack.encode(sample(wanted, [{"new": 1}]))
-                self.assertEqual(frames.decode(longer, wanted), message)
+                self.assertEqual(message_codec.decode(longer, wanted), message)
 
     def test_wrong_types_are_rejected(self):
         body = msgspec.msgpack.encode(["no number", [], {}, None, "more"])
         with self.assertRaises(msgspec.DecodeError):
-            frames.decode(body, Note)
+            message_codec.decode(body, Note)
 
 
 def sample(wanted, extra):
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from laurelrock.adapters import frames
+from laurelrock.adapters import message_codec
 from laurelrock.core import owners
 from laurelrock.gateways import group_messages
 from laurelrock.gateways import limit_sharing
@@ -115,7 +116,9 @@
                 pair, _ = self.run_pair(play, old_client=True)
                 (seen,) = pair.seen
                 body = msgspec.msgpack.encode(old_messages.old_form(message))
-                self.assertEqual(seen, frames.decode(body, PRESENT[kind]))
+                self.assertEqual(
+                    seen, message_codec.decode(body, PRESENT[kind])
+                )
 
     def test_present_version_gets_whole_messages(self):
         # Guards against fields or kinds that are left out, or a second
@@ -196,7 +199,7 @@
             if isinstance(row, group_messages.GroupRequest)
         ]
         body = msgspec.msgpack.encode(old_messages.old_form(REQUEST))
-        short = frames.decode(body, group_messages.GroupRequest)
+        short = message_codec.decode(body, group_messages.GroupRequest)
         self.assertEqual(requests, [REQUEST, short, REQUEST])
 
     def test_broadcast_reaches_both_versions(self):
