Limit the clients of an entry and a relay

Callers saw: no answers from an entry whose memory or descriptors others had used up. Cause: uvicorn limits neither the header of a request nor the time until it is complete, parses all requests of a read at once, and accepts all connections that wait.

--- a/laurelrock/daemon.py
+++ b/laurelrock/daemon.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import random
 import secrets
 import signal
@@ -16,14 +15,13 @@
 from starlette import requests
 from starlette import responses
 from starlette import routing
-import uvicorn
 
-from laurelrock import errors
 from laurelrock import manifest
 from laurelrock import manifest_distribution
 from laurelrock import membership
 from laurelrock import settings
 from laurelrock.adapters import admin
+from laurelrock.adapters import asgi_server
 from laurelrock.adapters import bus
 from laurelrock.adapters import logs
 from laurelrock.adapters import metrics
@@ -177,31 +175,7 @@
     daemon.bus.close()
 
 
-class Server(uvicorn.Server):
-    """HTTP server that leaves signal handling to the daemon."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> collections.abc.Iterator[None]:
-        yield
-
-
-def create_server(app: typing.Any, address: str, port: int) -> Server:
-    """Returns an HTTP server for an ASGI application; `serve` runs it."""
-    config = uvicorn.Config(
-        app,
-        host=address,
-        port=port,
-        log_config=None,
-        access_log=False,
-        lifespan="off",
-        http="httptools",
-        timeout_keep_alive=75,
-        backlog=4096,
-    )
-    return Server(config)
-
-
-def create_admin_server(daemon: Daemon) -> Server:
+def create_admin_server(daemon: Daemon) -> asgi_server.Server:
     """Returns the HTTP server of the admin port."""
 
     async def healthz(request: requests.Request) -> responses.Response:
@@ -230,7 +204,7 @@
     )
     options = daemon.settings
     role = options.entry if daemon.role == "entry" else options.relay
-    return create_server(app, options.vm.address, role.admin_port)
+    return asgi_server.create_server(app, options.vm.address, role.admin_port)
 
 
 def status_of(daemon: Daemon) -> admin.Status:
@@ -245,21 +219,6 @@
     }
 
 
-async def serve(server: Server, name: str) -> None:
-    """Runs a server until it is told to exit.
-
-    Raises:
-        ListenError: The server could not start, as when its port is in use.
-    """
-    try:
-        await server.serve()
-    except SystemExit:
-        port = server.config.port
-        raise errors.ListenError(
-            f"cannot listen on {name} port {port}"
-        ) from None
-
-
 def _register_metrics(daemon: Daemon) -> None:
     registry = daemon.metrics
     registry.gauge(
--- a/laurelrock/entry.py
+++ b/laurelrock/entry.py
@@ -23,6 +23,7 @@
 from laurelrock import errors
 from laurelrock import search
 from laurelrock import settings
+from laurelrock.adapters import asgi_server
 from laurelrock.adapters import logs
 from laurelrock.core import query as queries
 from laurelrock.saves import claim_forwarding
@@ -74,12 +75,12 @@
     entry = Entry(daemon, search.create_coordinator(daemon))
     _register_metrics(entry)
     vm = options.vm
-    server = daemons.create_server(
+    server = asgi_server.create_server(
         create_app(entry), vm.address, options.entry.http_port
     )
     admin = daemons.create_admin_server(daemon)
-    serving = daemon.spawn(daemons.serve(server, "HTTP"))
-    admin_serving = daemon.spawn(daemons.serve(admin, "admin"))
+    serving = daemon.spawn(server.serve())
+    admin_serving = daemon.spawn(admin.serve())
     daemon.spawn(watch_readiness(entry))
     stopping = daemon.spawn(daemon.stopping.wait())
     try:
--- a/laurelrock/relay.py
+++ b/laurelrock/relay.py
@@ -176,7 +176,7 @@
     saves = save_relay.create_save_relay(daemon)
     _register_metrics(relay)
     admin = daemons.create_admin_server(daemon)
-    serving = daemon.spawn(daemons.serve(admin, "admin"))
+    serving = daemon.spawn(admin.serve())
     stopping = daemon.spawn(daemon.stopping.wait())
     daemon.spawn(connection_warming.keep_warm(daemon, relay.dispatcher))
     daemon.ready = True
