Reject responses with a status that HTTP doesn't define

Callers saw: a response with the status 000 of a searcher as its answer. Cause: the parser accepts any three digits. A status below 200 counts as an interim response, but one that ends with its connection was taken for the call's own, and for an answer, since it is below 500. Other such responses were ignored, so that their requests waited for their time limit. Statuses from 600 were forwarded.

--- a/laurelrock/adapters/http_client.py
+++ b/laurelrock/adapters/http_client.py
@@ -411,6 +411,9 @@
             return
         self.in_body = True
         self.status = self.parser.get_status_code()
+        if not 100 <= self.status < 600:
+            # The parser accepts any three digits. This fails the call.
+            raise errors.CallGarbledError(f"status {self.status:03}")
         if self.call.bodiless and self.status >= 200:
             self.not_reusable = True
             self.on_message_complete()
