Test several crowds of clients at the same time

Change: bodies, headers, requests ahead and idle connections at three ports at once, on a process that may have 100 MB and 1,500 descriptors.

--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -189,6 +189,40 @@
         await self.check(40, script, gateway_process.PEER_LINKS_PORT)
 
 
+class SeveralCrowdsTest(CrowdTest):
+    async def test_at_the_same_time(self):
+        await self.start(gateway_process.Limits(max_fds=1500), **LIMITS)
+        body = b"4000\r\n%b\r\n" % (b"x" * 0x4000)
+        ahead = b"GET / HTTP/1.1\r\n" + HOST_LINE + b"\r\n"
+        fields = (MAX_HEADER_BYTES - 1024) // 7
+        rows = (
+            ("callers", 100, client_crowds.Script(CHUNKED, body, 63)),
+            ("callers", 40, client_crowds.Script(b"", ahead, 50_000)),
+            (
+                "callers",
+                200,
+                client_crowds.Script(ahead[:-2], b"a: b\r\n", fields),
+            ),
+            ("callers", 600, client_crowds.Script()),
+            ("readiness", 100, client_crowds.Script(b"", ahead, 50_000)),
+            ("metrics", 100, client_crowds.Script(b"", ahead, 50_000)),
+        )
+        crowds = await asyncio.gather(
+            *(
+                client_crowds.open_crowd(
+                    (self.host, PORTS[port]), count, script
+                )
+                for port, count, script in rows
+            )
+        )
+        for crowd in crowds:
+            self.addCleanup(crowd.close)
+        self.assert_within_limits()
+        await self.assert_served()
+        await self.assert_ready()
+        self.assert_within_limits()
+
+
 class OrdinaryTest(gateway_process.GatewayProcessCase):
     """Single clients within the limits, without a crowd."""
 
