Let all VMs of a large fleet connect, and callers return at once

Cause: a gateway with 2,870 descriptors accepted 667 links, fewer than the 760 VMs to design for. A caller whose request was refused for lack of memory was told to wait for a second, though its next connection leads to another VM. Change: accepted links get 0.3 of the descriptors; the refusal says 0.1 s. Result: 801 links at 2,870 descriptors; a quarter stays for the process's own connections.

--- a/laurelrock/adapters/http_connection.py
+++ b/laurelrock/adapters/http_connection.py
@@ -35,8 +35,9 @@
 LINGER_S = 0.5
 #: Time for which a connection without a request counts as new, in seconds.
 FIRST_REQUEST_GRACE_S = 1.0
-#: Header of the refusal of a request for which memory is short.
-RETRY_HEADER = (b"retry-after", b"1")
+#: Header of the refusal of a request for which memory is short. The caller's
+#: next connection leads to another VM.
+RETRY_HEADER = (b"retry-after", b"0.1")
 
 _log = logs.get_logger(__name__)
 
--- a/laurelrock/core/client_limits.py
+++ b/laurelrock/core/client_limits.py
@@ -11,7 +11,7 @@
 #: Fractions of the other descriptors for callers, for each of the listeners for
 #: readiness, state and metrics, and for links of other VMs. The rest is for
 #: connections to searchers, the platform and other VMs.
-CALLERS_FRACTION, OTHERS_FRACTION, LINKS_FRACTION = 3 / 8, 1 / 64, 1 / 4
+CALLERS_FRACTION, OTHERS_FRACTION, LINKS_FRACTION = 3 / 8, 1 / 64, 0.3
 #: Fraction of the process's memory for requests that are being received or
 #: handled and for responses that are not read.
 MEMORY_FRACTION = 0.25
