Limit an incomplete trailer as a header

Callers saw: a gateway that runs out of memory with bodies whose trailer has no end. Cause: the parser keeps a trailer until it is complete, and reports nothing meanwhile. The limit of the framing allows eight bytes for each byte of the body, for small chunks. Change: what arrives without a part of the body after its last part is limited by the maximum size of the header, and counts as memory of the client; also at entry and relay. The test of an entry passed before, too: it reads such trailers too slowly to exceed its bound (232 MB of 256).

--- a/laurelrock/adapters/asgi_server.py
+++ b/laurelrock/adapters/asgi_server.py
@@ -56,8 +56,9 @@
         phase_start_s: Loop time at which the connection was opened or last
             ended a request.
         progress_s: Loop time at which the client last sent or read something.
-        header_bytes: Size of the header received so far of the request.
-        header_count: Number of its header fields.
+        header_bytes: Size of what was received of the request before its body
+            or, later, after the last piece with a part of it.
+        header_count: Number of its header fields and trailers.
         body_bytes: Size of its body received so far.
         requests: Number of complete requests received.
         unsent_bytes: Size of what was not sent at the last check.
@@ -111,9 +112,11 @@
                 break
             piece = data[at : at + PARSED_BYTES]
             at += len(piece)
-            begun_s = self.begun_s
+            begun_s, body_bytes = self.begun_s, self.body_bytes
             super().data_received(piece)
-            if begun_s and begun_s == self.begun_s and not self.body_bytes:
+            if self.body_bytes != body_bytes:
+                self.header_bytes = 0
+            elif begun_s and begun_s == self.begun_s:
                 self.header_bytes += len(piece)
             self.check_header()
         self.unparsed = b"" if self.transport.is_closing() else data[at:]
--- a/laurelrock/adapters/request_parser.py
+++ b/laurelrock/adapters/request_parser.py
@@ -73,6 +73,8 @@
         begun: Number of requests that began to arrive.
         later_bytes: Size of what was received of the request after the piece
             in which it began.
+        trailing_bytes: Size of what was received after the last piece with a
+            part of the body.
     """
 
     def __init__(self, receiver: Receiver) -> None:
@@ -87,7 +89,7 @@
         self.body: bytes | bytearray = b""
         self.body_bytes = 0
         self.begun = 0
-        self.later_bytes = 0
+        self.later_bytes = self.trailing_bytes = 0
 
     @property
     def held_bytes(self) -> int:
@@ -96,7 +98,10 @@
             return 0
         held = self.body_bytes + self.header_bytes
         held += HEADER_OVERHEAD_BYTES * len(self.headers)
-        return held if self.headers_complete else held + self.later_bytes
+        incomplete = (
+            self.trailing_bytes if self.headers_complete else self.later_bytes
+        )
+        return held + incomplete
 
     def stop(self) -> None:
         """Ignores further input and drops what is partly received."""
@@ -107,7 +112,7 @@
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes."""
-        begun = self.begun
+        begun, body_bytes = self.begun, self.body_bytes
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -117,19 +122,27 @@
         if self.receiving and not self.stopped:
             if self.begun == begun:
                 self.later_bytes += len(data)
+                self.trailing_bytes += len(data)
+            if self.body_bytes != body_bytes:
+                self.trailing_bytes = 0
             self.check_size()
 
     def check_size(self) -> None:
         """Refuses a request that exceeds the size limits.
 
-        The parser reports a header when it is complete, and the framing of a
-        body never; both may come without end.
+        The parser reports a header or a trailer when it is complete, and the
+        framing of a body never; all may come without end.
         """
         max_bytes = self.receiver.limits.max_header_bytes
         framing = self.later_bytes - self.body_bytes
         max_framing = max_bytes + FRAMING_SLACK_BYTES
         max_framing += MAX_FRAMING_RATIO * self.body_bytes
-        if self.header_bytes > max_bytes or framing > max_framing:
+        trailing = self.trailing_bytes if self.headers_complete else 0
+        if (
+            self.header_bytes > max_bytes
+            or framing > max_framing
+            or trailing > max_bytes + FRAMING_SLACK_BYTES
+        ):
             self.receiver.refuse(431)
         elif self.body_bytes > self.receiver.limits.max_body_bytes:
             self.receiver.refuse(413)
@@ -145,7 +158,8 @@
         self.headers_complete = False
         self.headers = []
         self.body = b""
-        self.header_bytes = self.body_bytes = self.later_bytes = 0
+        self.header_bytes = self.body_bytes = 0
+        self.later_bytes = self.trailing_bytes = 0
         self.begun += 1
 
     def on_url(self, url: bytes) -> None:
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -70,6 +70,12 @@
         )
         await self.check(150, client_crowds.Script(raw))
 
+    async def test_trailers_without_end(self):
+        await self.start(gateway_process.Limits(), **LIMITS)
+        body = b"30d40\r\n%b\r\n0\r\nX: " % (b"x" * 200_000)
+        script = client_crowds.Script(CHUNKED + body, b"y" * 10_000, 150)
+        await self.check(100, script)
+
     async def test_bodies_on_other_listeners(self):
         await self.start(gateway_process.Limits(), **LIMITS)
         chunk = b"4000\r\n%b\r\n" % (b"x" * 0x4000)
--- a/tests/test_daemon_crowds.py
+++ b/tests/test_daemon_crowds.py
@@ -100,6 +100,11 @@
         script = client_crowds.Script(HEAD + b"X: ", b"y" * 65_536, 100)
         await self.check(60, script)
 
+    async def test_trailer_without_end(self):
+        before = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+        script = client_crowds.Script(before + b"X: ", b"y" * 65_536, 40)
+        await self.check(150, script)
+
     async def test_many_small_fields(self):
         script = client_crowds.Script(HEAD, b"a: b\r\n", 200_000)
         await self.check(20, script)
