Release a connection that fails before its protocol learns of it

Cause: such a connection was neither closed nor taken off the number of open ones, so that each took one from a listener for good. Change: it is closed and released. Result: the test waited without end before, and passes now. No such failure was seen on a socket; the test makes one.

--- a/laurelrock/adapters/acceptor.py
+++ b/laurelrock/adapters/acceptor.py
@@ -93,9 +93,15 @@
 
     async def open_connection(self, connection: socket.socket) -> None:
         """Passes an accepted connection to its protocol."""
-        await self.loop.connect_accepted_socket(
-            self.create_protocol, connection
-        )
+        try:
+            await self.loop.connect_accepted_socket(
+                self.create_protocol, connection
+            )
+        except OSError as error:
+            # Its protocol never learns of it and doesn't call `release`.
+            _log.info("accept-failed", reason=repr(error))
+            connection.close()
+            self.release()
 
     def release(self) -> None:
         """Records the end of a connection."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -323,6 +323,21 @@
             async with asyncio.timeout(5):
                 self.assertEqual(await self.read(reader), 200)
 
+    async def test_connection_that_fails_at_once_leaves_no_trace(self):
+        await self.open(max_connections=1)
+        loop = asyncio.get_running_loop()
+        with unittest.mock.patch.object(
+            loop, "connect_accepted_socket", side_effect=OSError(22, "invalid")
+        ):
+            reader, _ = await self.connect()
+            async with asyncio.timeout(5):
+                self.assertEqual(await reader.read(), b"")
+        self.assertEqual(self.server.listener.open_connections, 0)
+        reader, writer = await self.connect()
+        writer.write(GET + b"\r\n")
+        async with asyncio.timeout(5):
+            self.assertEqual(await self.read(reader), 200)
+
     async def test_failure_to_accept_is_tried_again(self):
         await self.open()
         failures = iter([OSError(24, "Too many open files")])
